Thin path: callers to owner and back, as separate processes

Cause: nothing existed. Change: kernel, messages, control log (Raft), leases, placement, routing, guard, door, operators' door, stand-in and command line, run together as three processes on loopback.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# make demo, make test and make capacity set up all they need in .venv.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test format capacity
+
+$(VENV)/ready: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $@
+
+demo: $(VENV)/ready
+	$(BIN)/guavastream demo
+
+test: $(VENV)/ready
+	$(BIN)/ruff format --check guavastream
+	$(BIN)/ruff check guavastream
+	$(BIN)/lint-imports --no-cache
+	$(BIN)/python -m pytest
+
+format: $(VENV)/ready
+	$(BIN)/ruff format guavastream
+	$(BIN)/ruff check --fix guavastream
+
+capacity: $(VENV)/ready
+	$(BIN)/guavastream bench capacity --write docs/CAPACITY.md
--- /dev/null
+++ b/guavastream/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches and the demo: real processes on loopback, measured."""
--- /dev/null
+++ b/guavastream/cli.py
@@ -0,0 +1,58 @@
+"""The one command: the daemon, the operators' tools, stand-ins and benches."""
+
+import argparse
+import sys
+
+from guavastream.exception import FindingsError, GuavastreamError
+
+__all__ = ["main", "make_parser"]
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_BAD_INPUT = 2
+EXIT_CONFLICT = 3
+EXIT_UNREACHABLE = 4
+EXIT_BROKEN_PROMISE = 5
+
+EXIT_HELP = """\
+exit status: 0 done, 1 failed, 2 bad input, 3 conflict or refused change,
+4 the system cannot be reached, 5 a promise was found broken"""
+
+
+def make_parser():
+    """Return the argument parser of the whole command."""
+    from guavastream.commands import add_commands
+
+    parser = argparse.ArgumentParser(
+        prog="guavastream",
+        description="A router for servers that own keys exclusively.",
+        epilog=EXIT_HELP,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    add_commands(parser.add_subparsers(dest="command", required=True))
+    return parser
+
+
+def main(argv=None):
+    """Run the command and return its exit status."""
+    parser = make_parser()
+    arguments = parser.parse_args(argv)
+    try:
+        return arguments.run(arguments) or EXIT_OK
+    except FindingsError as error:
+        for finding in error.findings:
+            print(f"error: {finding}", file=sys.stderr)
+        return EXIT_BAD_INPUT
+    except GuavastreamError as error:
+        print(f"error: {error.code}: {error}", file=sys.stderr)
+        if error.code in ("conflict", "refused", "change_id_reused"):
+            return EXIT_CONFLICT
+        if error.code in ("unreachable", "not_ready", "peer_timeout"):
+            return EXIT_UNREACHABLE
+        return EXIT_FAILED
+    except KeyboardInterrupt:
+        return EXIT_FAILED
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/guavastream/client/__init__.py
@@ -0,0 +1,1 @@
+"""Library for callers that go straight to the owner of a key."""
--- /dev/null
+++ b/guavastream/control/__init__.py
@@ -0,0 +1,8 @@
+"""Control hosts: replicated log, leases, planning of owners."""
+
+from guavastream.control.machine import *
+from guavastream.control.planner import *
+from guavastream.control.raft import *
+from guavastream.control.role import *
+from guavastream.control.service import *
+from guavastream.control.storage import *
--- /dev/null
+++ b/guavastream/control/machine.py
@@ -0,0 +1,64 @@
+"""The state machine under the log: the table, and its latest changes."""
+
+from collections import deque
+
+from guavastream.control.raft import StateMachine
+from guavastream.state import Table, decode_command, decode_table, encode_table
+
+__all__ = ["TableMachine"]
+
+KEPT_COMMANDS = 4000
+
+
+class TableMachine(StateMachine):
+    """Applies commands to a table and keeps the latest for watchers.
+
+    Examples
+    --------
+    >>> from guavastream.state import Noop, encode_command
+    >>> machine = TableMachine()
+    >>> machine.apply(1, encode_command(Noop()))
+    >>> machine.table.index, machine.since(0)[0][0]
+    (1, 1)
+    >>> machine.since(5) == () and machine.since(-1) is None
+    True
+    """
+
+    def __init__(self):
+        self._table = Table()
+        self._recent = deque(maxlen=KEPT_COMMANDS)
+        self._floor = 0
+        self._dumped = (0, b"")
+
+    @property
+    def table(self):
+        """The table after the last command."""
+        return self._table
+
+    def apply(self, index, data):
+        if len(self._recent) == KEPT_COMMANDS:
+            self._floor = self._recent[0][0]
+        self._table, result = self._table.apply(index, decode_command(data))
+        self._recent.append((index, data))
+        return result
+
+    def dump(self):
+        if self._dumped[0] != self._table.index:
+            self._dumped = (self._table.index, encode_table(self._table))
+        return self._dumped[1]
+
+    def load(self, index, data):
+        self._table = decode_table(data)
+        self._recent.clear()
+        self._floor = self._table.index
+
+    def since(self, index):
+        """Return the commands after `index`, or None if some are not kept."""
+        if index < self._floor:
+            return None
+        wanted = []
+        for item in reversed(self._recent):
+            if item[0] <= index:
+                break
+            wanted.append(item)
+        return tuple(reversed(wanted))
--- /dev/null
+++ b/guavastream/door/door.py
@@ -0,0 +1,169 @@
+"""Serves callers: classify, forward, and return the whole answer."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from guavastream.kernel import part_logger
+from guavastream.routing import Ran, Refused, classify
+from guavastream.web import AttemptFailed, BodyFailed
+from guavastream.web.body import Body
+from guavastream.web.send import HOP_BY_HOP
+
+__all__ = ["Door", "RefusalBody"]
+
+OWN_PATH = ".guavastream"
+
+log = part_logger("door")
+
+
+@dataclass(frozen=True, kw_only=True)
+class RefusalBody:
+    """JSON body of every answer that is not the backend server's own."""
+
+    code: str
+    ran: str
+    text: str
+    request: str = ""
+
+
+class Door:
+    """Handles the exchanges of callers and of other doors.
+
+    Parameters
+    ----------
+    forwarder : Forwarder
+        Makes the attempts.
+    tables : TableHolder
+        Newest table.
+    ready : callable
+        Whether the table is confirmed as current.
+    clock : callable
+        Monotonic time in seconds.
+    metrics : object
+        A statsd client.
+    record : callable
+        Takes the kind and fields of an event.
+    """
+
+    def __init__(self, *, forwarder, tables, ready, clock, metrics, record):
+        self._forwarder = forwarder
+        self._tables = tables
+        self._ready = ready
+        self._clock = clock
+        self._metrics = metrics
+        self._record = record
+
+    def handle(self, exchange):
+        """Answer one request, in a worker thread."""
+        if exchange.segments and exchange.segments[0] == OWN_PATH:
+            self._answer_itself(exchange)
+            return
+        started = self._clock()
+        self._metrics.incr("door.requests")
+        request, code = None, "ok"
+        try:
+            if not self._ready():
+                raise Refused("not_ready")
+            request = classify(exchange, self._tables.table.declaration, now=started)
+            self._forward(exchange, request)
+        except Refused as refused:
+            code = refused.refusal.code
+            self._refuse(exchange, request, refused.refusal)
+        except (AttemptFailed, BodyFailed) as error:
+            code = getattr(error, "code", "caller_gone")
+            self._end(exchange, request, code)
+            # What was begun must not look whole: the connection is cut.
+            exchange.abort()
+        self._metrics.timing("door.latency", (self._clock() - started) * 1000)
+        self._end(exchange, request, code)
+
+    def _forward(self, exchange, request):
+        body = Body(exchange=exchange)
+        headers = _end_to_end(exchange)
+        answer = self._forwarder.run(exchange, request, body, headers)
+        fields = [
+            (name, value)
+            for name, value in answer.headers()
+            if not name.lower().startswith("guavastream-")
+        ]
+        fields.append(("Guavastream-Request-Id", request.id))
+        try:
+            exchange.start(answer.status, fields, answer.reason)
+            for chunk in answer.chunks():
+                exchange.write(chunk)
+        except OSError as error:
+            raise BodyFailed("the caller went away") from error
+        finally:
+            answer.finish(whole=False)
+
+    def _refuse(self, exchange, request, refusal):
+        item = RefusalBody(
+            code=refusal.code,
+            ran=refusal.ran.value,
+            text=refusal.text,
+            request=request.id if request else "",
+        )
+        headers = [("Guavastream-Code", refusal.code)]
+        if refusal.ran is Ran.NOT_RUN:
+            headers.append(("Guavastream-Ran", "no"))
+        if refusal.retry_after:
+            headers.append(("Retry-After", str(refusal.retry_after)))
+        exchange.respond(refusal.status, item, headers)
+
+    def _end(self, exchange, request, code):
+        self._metrics.incr(f"door.answers.{code}")
+        if request is None or exchange.header("Guavastream-Hops"):
+            return
+        self._record(
+            "answered",
+            service=request.service.name,
+            key=request.key,
+            request=request.id,
+            detail={"code": code, "idempotent": request.idempotent},
+        )
+
+    def _answer_itself(self, exchange):
+        table = self._tables.table
+        if exchange.segments[1:] == ["health"]:
+            status = 200 if self._ready() else 503
+            exchange.respond(status, {"index": table.index, "ready": self._ready()})
+            return
+        if exchange.segments[1:2] == ["routes"] and len(exchange.segments) == 3:
+            self._answer_routes(exchange, table, exchange.segments[2])
+            return
+        exchange.respond(404, {"code": "unknown_path"})
+
+    def _answer_routes(self, exchange, table, name):
+        service = table.declaration.service(name)
+        if service is None:
+            exchange.respond(404, {"code": "unknown_service"})
+            return
+        exchange.respond(200, make_routes(table, service))
+
+
+def make_routes(table, service):
+    """Return what a caller's library needs to go straight to the owners."""
+    shards = table.shards.get(service.name)
+    members = {
+        str(m.id): {"door": m.door, "zone": m.zone, "drained": table.is_drained(m)}
+        for m in table.servers(service.name)
+    }
+    pins = {key: pin.member for key, pin in table.pins.get(service.name, {}).items()}
+    return {
+        "index": table.index,
+        "service": msgspec.to_builtins(service),
+        "members": members,
+        "owners": list(shards.owners) if shards else [],
+        "pins": pins,
+    }
+
+
+def _end_to_end(exchange):
+    named = {p.strip().lower() for p in exchange.header("Connection").split(",")}
+    dropped = HOP_BY_HOP | named | {"content-length"}
+    return {
+        name: value
+        for name, value in exchange.headers()
+        if name.lower() not in dropped and not name.lower().startswith("guavastream-")
+    }
--- /dev/null
+++ b/guavastream/door/forward.py
@@ -0,0 +1,211 @@
+"""Attempts of one request: choose, send, judge, and perhaps try again."""
+
+from guavastream.guard import own_headers
+from guavastream.routing import (
+    REFUSALS,
+    Knowledge,
+    Ran,
+    Refused,
+    RetryBudget,
+    Target,
+    find_owner,
+    may_try_again,
+)
+from guavastream.web import AttemptFailed, BodyFailed
+
+__all__ = ["Forwarder"]
+
+# Longest wait for a key that has no owner at this moment, seconds. An owner's
+# loss is over within one; what takes longer the caller is told.
+OWNER_WAIT_SECONDS = 2.0
+TABLE_WAIT_SECONDS = 0.05
+LOADED = ("overloaded", "server_refused", "unreachable")
+OWNERSHIP = ("no_owner", "wrong_owner", "moving", "no_lease", "not_ready", "leaving")
+
+
+class Forwarder:
+    """Brings requests to the guard of the right server.
+
+    Parameters
+    ----------
+    tables : TableHolder
+        Newest table.
+    chooser : Chooser
+        Picks a server where there is no key.
+    sender : HttpSender
+        Reaches other doors.
+    guard : callable
+        Gives the guard of this process, or None.
+    member : callable
+        Gives this process's member id, 0 if it has none.
+    clock : callable
+        Monotonic time in seconds.
+    metrics : object
+        A statsd client.
+    """
+
+    def __init__(self, *, tables, chooser, sender, guard, member, clock, metrics):
+        self._tables = tables
+        self._chooser = chooser
+        self._sender = sender
+        self._guard = guard
+        self._member = member
+        self._clock = clock
+        self._metrics = metrics
+        self._budgets = {}
+
+    def run(self, exchange, request, body, headers):
+        """Return the answer of the first attempt that brings one.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The caller's request.
+        request : Classified
+            What it is.
+        body : Body
+            Its body.
+        headers : dict
+            End-to-end headers.
+
+        Raises
+        ------
+        Refused
+            With the final refusal.
+        BodyFailed
+            If the caller's body broke.
+        """
+        hops = int(exchange.header("Guavastream-Hops") or 0)
+        budget = self._budget(request.service.name)
+        if not hops:
+            budget.earn()
+        patience = min(request.deadline, self._clock() + OWNER_WAIT_SECONDS)
+        avoid = set()
+        while True:
+            index = self._tables.table.index
+            try:
+                return self._attempt(exchange, request, body, headers, hops, avoid)
+            except Refused as refused:
+                code, knowledge = refused.refusal.code, Knowledge.NOT_RUN
+            except AttemptFailed as failed:
+                code, knowledge = failed.code, failed.knowledge
+            if not self._may_retry(request, body, code, knowledge, hops, budget):
+                raise Refused(_final(code, knowledge))
+            if code in OWNERSHIP:
+                left = patience - self._clock()
+                if left <= 0:
+                    raise Refused(code)
+                self._tables.wait_in_thread(index, min(TABLE_WAIT_SECONDS, left))
+            if self._clock() >= request.deadline:
+                raise Refused(_final(code, knowledge))
+
+    def _may_retry(self, request, body, code, knowledge, hops, budget):
+        if not may_try_again(knowledge, idempotent=request.idempotent):
+            return False
+        if not body.replayable:
+            return False
+        refusal = REFUSALS[code]
+        if refusal.ran is Ran.NOT_RUN and not refusal.elsewhere:
+            return False
+        # The first door tries again; a second one only says what it knows.
+        # With both at it, retries would multiply and requests could circle.
+        if hops:
+            return False
+        if code in OWNERSHIP:
+            return not self._is_hopeless(request.service.name)
+        if code in LOADED and request.service.divided_by_key:
+            # There is no other server to try.
+            return code == "unreachable" and budget.spend()
+        return budget.spend()
+
+    def _is_hopeless(self, service):
+        return not self._tables.table.servers(service)
+
+    def _attempt(self, exchange, request, body, headers, hops, avoid):
+        self._metrics.incr("door.attempts")
+        target = self._choose(request, exchange, hops, avoid)
+        member = target.member
+        failed = True
+        self._chooser.begin(member.id)
+        try:
+            if member.id == self._member():
+                answer = self._serve_here(exchange, request, target, body, headers)
+            elif hops:
+                raise Refused("wrong_owner")
+            else:
+                answer = self._send_on(exchange, request, target, body, headers)
+            failed = False
+            return answer
+        except BodyFailed:
+            failed = False
+            raise
+        except Refused as refused:
+            failed = refused.refusal.code not in ("shed", "overloaded")
+            raise
+        finally:
+            if failed:
+                avoid.add(member.id)
+            self._chooser.end(member.id, failed=failed)
+
+    def _choose(self, request, exchange, hops, avoid):
+        table = self._tables.table
+        service = request.service
+        if service.divided_by_key:
+            return find_owner(table, service.name, request.key)
+        if hops:
+            # The door before chose this server; choosing again could circle.
+            member = table.members.get(self._member())
+            if member is None:
+                raise Refused("wrong_owner")
+            return Target(member=member)
+        return self._chooser.choose(table, service.name, avoid=avoid)
+
+    def _serve_here(self, exchange, request, target, body, headers):
+        guard = self._guard()
+        if guard is None:
+            raise Refused("wrong_owner")
+        return guard.serve(
+            request,
+            target,
+            method=exchange.method,
+            path=exchange.target,
+            headers=headers,
+            body=body,
+        )
+
+    def _send_on(self, exchange, request, target, body, headers):
+        headers = headers | own_headers(request, target, now=self._clock(), hops=1)
+        headers["Guavastream-Priority"] = request.priority
+        headers |= dict(body.headers)
+        answer = self._sender.send(
+            target.member.door,
+            exchange.method,
+            exchange.target,
+            headers,
+            body.content(),
+            seconds=max(0.001, request.deadline - self._clock()),
+            idle=request.service.idle_ms / 1000,
+        )
+        code = answer.header("Guavastream-Code")
+        if code in REFUSALS:
+            answer.finish(whole=False)
+            if REFUSALS[code].ran is Ran.NOT_RUN:
+                raise Refused(code)
+            raise AttemptFailed(Knowledge.SENT, code)
+        if answer.header("Guavastream-Request-Id") != request.id:
+            answer.finish(whole=False)
+            raise AttemptFailed(Knowledge.SENT, "wrong_answer")
+        return answer
+
+    def _budget(self, service):
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets.setdefault(service, RetryBudget())
+        return budget
+
+
+def _final(code, knowledge):
+    """Return the code that says the truth about the last attempt."""
+    if knowledge is Knowledge.SENT and REFUSALS[code].ran is Ran.NOT_RUN:
+        return "answer_lost"
+    return code
--- /dev/null
+++ b/guavastream/guard/__init__.py
@@ -0,0 +1,7 @@
+"""The guard: the only way to the local backend server."""
+
+from guavastream.guard.admission import *
+from guavastream.guard.guard import *
+from guavastream.guard.handover import *
+from guavastream.guard.role import *
+from guavastream.guard.server import *
--- /dev/null
+++ b/guavastream/guard/admission.py
@@ -0,0 +1,267 @@
+"""Admission to the local backend server: ownership, slots, a short queue."""
+
+import heapq
+import itertools
+import threading
+from collections import Counter
+from dataclasses import dataclass
+
+from guavastream.routing import Refused
+
+__all__ = ["Admission", "Permit"]
+
+# Share of the slots that a cold server starts with.
+COLD_SHARE = 0.2
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Permit:
+    """Leave to hand one request to the server; given back by `release`."""
+
+    service: str
+    key: str
+    shard: int
+    epoch: int
+
+
+class _Waiter:
+    def __init__(self, *, deadline, number):
+        self.deadline = deadline
+        self.number = number
+        self.granted = threading.Event()
+
+    def __lt__(self, other):
+        return (self.deadline, self.number) < (other.deadline, other.number)
+
+
+class Admission:
+    """Decides in worker threads what may reach the server.
+
+    Parameters
+    ----------
+    lease : Lease
+        Lease for all that this member owns.
+    member : callable
+        Gives this process's member id, 0 if it has none.
+    tables : TableHolder
+        Newest table.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(self, *, lease, member, tables, clock):
+        self._lease = lease
+        self._member = member
+        self._tables = tables
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._running = 0
+        self._by_shard = Counter()
+        self._by_key = Counter()
+        self._closed_shards = set()
+        self._closed_keys = set()
+        self._leaving = False
+        self._waiters = []
+        self._numbers = itertools.count()
+        self._warm_since = None
+        self._on_key_idle = lambda service, key: None
+
+    @property
+    def running(self):
+        """Requests at the server at this moment."""
+        return self._running
+
+    @property
+    def queued(self):
+        """Requests that wait for a slot."""
+        return len(self._waiters)
+
+    def on_key_idle(self, callback):
+        """Set what is told of a key whose last request has ended."""
+        self._on_key_idle = callback
+
+    def started(self):
+        """Note that a new server has announced itself, cold."""
+        self._warm_since = self._clock()
+
+    def stop_admitting(self):
+        """Admit nothing more; what runs goes on."""
+        self._leaving = True
+
+    def acquire(self, request, target):
+        """Return a `Permit`, after a wait in the queue if need be.
+
+        Parameters
+        ----------
+        request : Classified
+            The request.
+        target : Target
+            Shard and epoch under which it came here.
+
+        Raises
+        ------
+        Refused
+            As not run.
+        """
+        service = request.service
+        with self._lock:
+            self._check(service, request.key, target)
+            waiter = self._take_slot_or_wait(request)
+            if waiter is None:
+                return self._enter(service.name, request.key, target)
+        granted = waiter.granted.wait(max(0, request.deadline - self._clock()))
+        with self._lock:
+            if not granted and not waiter.granted.is_set():
+                self._waiters.remove(waiter)
+                heapq.heapify(self._waiters)
+                raise Refused("deadline_passed")
+            try:
+                # The wait may have lasted past the lease or into a move.
+                self._check(service, request.key, target)
+            except Refused:
+                self._running -= 1
+                self._wake_next()
+                raise
+            return self._enter(service.name, request.key, target)
+
+    def check_again(self, permit):
+        """Make sure at the last instant that the permit still holds.
+
+        A process that was frozen with a request in hand finds here that its
+        lease has run out, before the request reaches the server.
+
+        Raises
+        ------
+        Refused
+            With `no_lease`.
+        """
+        if permit.epoch >= 0 and not self._lease.is_held:
+            raise Refused("no_lease")
+
+    def release(self, permit):
+        """Give a permit back; the request has ended at the server."""
+        with self._lock:
+            self._running -= 1
+            idle = False
+            if permit.key:
+                place = (permit.service, permit.shard)
+                self._by_shard[place] -= 1
+                if not self._by_shard[place]:
+                    del self._by_shard[place]
+                name = (permit.service, permit.key)
+                self._by_key[name] -= 1
+                idle = not self._by_key[name]
+                if idle:
+                    del self._by_key[name]
+            self._wake_next()
+        if idle:
+            self._on_key_idle(permit.service, permit.key)
+
+    def close_shards(self, service, shards):
+        """Admit nothing more for shards that are about to be released."""
+        with self._lock:
+            self._closed_shards.update((service, shard) for shard in shards)
+
+    def busy_shards(self, service, shards):
+        """Return those of `shards` that have requests at the server."""
+        with self._lock:
+            return [shard for shard in shards if self._by_shard[(service, shard)]]
+
+    def busy_keys(self, service, shards, shard_of_key):
+        """Return the keys of `shards` that have requests at the server."""
+        with self._lock:
+            return [
+                key
+                for (name, key), count in self._by_key.items()
+                if count and name == service and shard_of_key(key) in shards
+            ]
+
+    def reopen(self, service, shards):
+        """Admit again for shards that came back under a new epoch."""
+        with self._lock:
+            self._closed_shards.difference_update((service, s) for s in shards)
+
+    def close_key(self, service, key):
+        """Close a pinned key for good; return False if it is busy again."""
+        with self._lock:
+            if self._by_key[(service, key)]:
+                return False
+            self._closed_keys.add((service, key))
+            return True
+
+    def forget_keys(self):
+        """Forget closed keys whose pins have gone from the table."""
+        with self._lock:
+            pins = self._tables.table.pins
+            self._closed_keys = {
+                (service, key)
+                for service, key in self._closed_keys
+                if key in pins.get(service, {})
+            }
+
+    def _check(self, service, key, target):
+        if self._leaving:
+            raise Refused("leaving")
+        if not service.divided_by_key:
+            return
+        if not self._lease.is_held:
+            raise Refused("no_lease")
+        table = self._tables.table
+        member = self._member()
+        pin = table.pins.get(service.name, {}).get(key)
+        if pin is not None and pin.member == member:
+            if (service.name, key) in self._closed_keys:
+                raise Refused("moving")
+            return
+        shards = table.shards.get(service.name)
+        if not member or shards is None or shards.owners[target.shard] != member:
+            raise Refused("wrong_owner")
+        if pin is not None:
+            raise Refused("wrong_owner")
+        if shards.epochs[target.shard] != target.epoch:
+            raise Refused("wrong_owner")
+        if (service.name, target.shard) in self._closed_shards:
+            raise Refused("moving")
+
+    def _take_slot_or_wait(self, request):
+        slots = self._slots(request.service)
+        if self._running < slots and not self._waiters:
+            self._running += 1
+            return None
+        preset = self._preset()
+        limit = request.service.queue * (preset.queue_share if preset else 1)
+        if preset and request.priority in preset.shed:
+            raise Refused("shed")
+        if len(self._waiters) >= limit:
+            raise Refused("overloaded")
+        waiter = _Waiter(deadline=request.deadline, number=next(self._numbers))
+        heapq.heappush(self._waiters, waiter)
+        return waiter
+
+    def _enter(self, service, key, target):
+        if key:
+            self._by_shard[(service, target.shard)] += 1
+            self._by_key[(service, key)] += 1
+        return Permit(service=service, key=key, shard=target.shard, epoch=target.epoch)
+
+    def _wake_next(self):
+        # The slot passes on with the wake-up, so that no newcomer takes it.
+        if self._waiters and self._running < self._last_slots:
+            self._running += 1
+            heapq.heappop(self._waiters).granted.set()
+
+    _last_slots = 1
+
+    def _slots(self, service):
+        slots = service.slots
+        preset = self._preset()
+        span = preset.slow_start_ms / 1000 if preset else 0
+        if self._warm_since is not None and span > 0:
+            warm = min(1.0, (self._clock() - self._warm_since) / span)
+            slots = max(1, int(slots * (COLD_SHARE + (1 - COLD_SHARE) * warm)))
+        self._last_slots = slots
+        return slots
+
+    def _preset(self):
+        table = self._tables.table
+        return table.declaration.find_preset(table.preset)
--- /dev/null
+++ b/guavastream/kernel/__init__.py
@@ -0,0 +1,8 @@
+"""What every part stands on: registries, settings, logs, metrics, checks."""
+
+from guavastream.kernel.checks import *
+from guavastream.kernel.logs import *
+from guavastream.kernel.metrics import *
+from guavastream.kernel.registry import *
+from guavastream.kernel.roles import *
+from guavastream.kernel.settings import *
--- /dev/null
+++ b/guavastream/kernel/metrics.py
@@ -0,0 +1,56 @@
+"""Metrics by statsd; nothing is sent unless a server is set."""
+
+from guavastream.kernel.checks import parse_address
+
+__all__ = ["METRICS", "make_metrics", "metrics_page"]
+
+METRICS = {
+    "door.requests": "Requests from callers, a counter.",
+    "door.answers.CODE": "Final outcomes by code (`ok`, or an error code), counters.",
+    "door.latency": "Time from request to whole answer, in ms.",
+    "door.attempts": "Attempts made for all requests, a counter.",
+    "guard.admitted": "Requests handed to the backend server, a counter.",
+    "guard.refused.CODE": "Requests refused as not run, counters.",
+    "guard.in_flight": "Requests at the backend server, a gauge.",
+    "lease.renewed": "Successful renewals, a counter.",
+    "lease.lost": "Leases that ran out at the holder, a counter.",
+    "peer.reconnects": "Peer connections replaced as silent, a counter.",
+    "peer.malformed": "Peer messages dropped as malformed, a counter.",
+    "control.elections": "Elections won by this process, a counter.",
+    "control.commits": "Commands committed while leading, a counter.",
+}
+
+
+class _NoMetrics:
+    def incr(self, stat, count=1):
+        """Drop a counter."""
+
+    def timing(self, stat, delta):
+        """Drop a timing."""
+
+    def gauge(self, stat, value):
+        """Drop a gauge."""
+
+
+def make_metrics(address):
+    """Return a statsd client for `address`, or one that drops everything."""
+    if not address:
+        return _NoMetrics()
+    import statsd
+
+    host, port = parse_address(address)
+    return statsd.StatsClient(host, port, prefix="guavastream")
+
+
+def metrics_page():
+    """Return docs/metrics.md, made from the table of metrics."""
+    lines = [
+        "# Metrics",
+        "",
+        "Sent by statsd over UDP to `--statsd`, with the prefix `guavastream.`.",
+        "",
+        "| name | meaning |",
+        "| --- | --- |",
+    ]
+    lines += [f"| `{name}` | {text} |" for name, text in METRICS.items()]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/guavastream/leases/client.py
@@ -0,0 +1,96 @@
+"""Finds the leading control host and calls it."""
+
+import asyncio
+
+import msgspec
+
+from guavastream.exception import CallTimeout, NotLeader, NotReady, PeerFailure
+from guavastream.leases.messages import Submit
+from guavastream.messages import encode_message
+
+__all__ = ["ControlClient"]
+
+CALL_SECONDS = 0.25
+PAUSE_SECONDS = 0.03
+
+
+class ControlClient:
+    """Calls control hosts until the leader answers.
+
+    Parameters
+    ----------
+    transport : Transport
+        Reaches the control hosts.
+    addresses : tuple of str
+        Peer addresses from the settings.
+    """
+
+    def __init__(self, *, transport, addresses):
+        self._transport = transport
+        self._addresses = list(addresses)
+        self._leader = self._addresses[0]
+
+    @property
+    def leader(self):
+        """Peer address of the leader as last known."""
+        return self._leader
+
+    async def call(self, request, *, timeout, attempt=CALL_SECONDS):
+        """Call the leader within `timeout` seconds.
+
+        Parameters
+        ----------
+        request : object
+            A registered message; it may arrive more than once.
+        attempt : float
+            Seconds that one control host is waited for.
+
+        Raises
+        ------
+        NotReady
+            If no leader answered in time.
+        PeerFailure
+            As the leader answered.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        while True:
+            remaining = deadline - loop.time()
+            if remaining <= 0:
+                raise NotReady("No leading control host answered.")
+            try:
+                return await self._transport.call(
+                    self._leader, request, timeout=min(attempt, remaining)
+                )
+            except NotLeader as error:
+                self._leader = error.leader or self._next()
+            except CallTimeout:
+                self._leader = self._next()
+            except PeerFailure as error:
+                if error.code != "not_ready":
+                    raise
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    async def submit(self, command, *, timeout, result=None):
+        """Have a command committed and return its decoded result.
+
+        Raises
+        ------
+        NotReady, PeerFailure
+            As `call`. After NotReady the command may still be committed.
+        """
+        tag, body = encode_message(command)
+        request = Submit(tag=tag, body=body)
+        answer = await self.call(request, timeout=timeout, attempt=timeout)
+        return msgspec.msgpack.decode(answer.result, type=result or object)
+
+    async def call_any(self, preferred, request, *, timeout):
+        """Call one control host, leading or not; `preferred` picks it."""
+        address = self._addresses[preferred % len(self._addresses)]
+        return await self._transport.call(address, request, timeout=timeout)
+
+    def _next(self):
+        addresses = self._addresses
+        if self._leader not in addresses:
+            return addresses[0]
+        return addresses[(addresses.index(self._leader) + 1) % len(addresses)]
--- /dev/null
+++ b/guavastream/messages/__init__.py
@@ -0,0 +1,4 @@
+"""Typed messages between the system's processes and how they travel."""
+
+from guavastream.messages.codec import *
+from guavastream.messages.transport import *
--- /dev/null
+++ b/guavastream/messages/zmq_transport.py
@@ -0,0 +1,242 @@
+"""Transport over pyzmq: one DEALER for each peer, one ROUTER to serve."""
+
+import asyncio
+import itertools
+
+import zmq
+import zmq.asyncio
+
+from guavastream.exception import BadMessage, CallTimeout
+from guavastream.kernel import part_logger
+from guavastream.messages.codec import (
+    MAX_MESSAGE_BYTES,
+    decode_message,
+    encode_message,
+)
+from guavastream.messages.transport import Transport, failure_of, raise_failure
+
+__all__ = ["ZmqServer", "ZmqTransport"]
+
+HEARTBEAT_MS = 400
+HEARTBEAT_TIMEOUT_MS = 1200
+SILENCE_SECONDS = 1.0
+HIGH_WATER_MARK = 1000
+MAX_HANDLERS = 4096
+STAMP_BYTES = 8
+
+log = part_logger("peer")
+
+
+def _configure(socket):
+    # A connection that something between the ends has forgotten stays open
+    # and silent. ZMTP heartbeats end it within HEARTBEAT_TIMEOUT_MS on both
+    # sides; libzmq then connects anew.
+    socket.setsockopt(zmq.LINGER, 0)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
+    socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
+    socket.setsockopt(zmq.RECONNECT_IVL, 20)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, 200)
+
+
+class _Channel:
+    """The connection to one peer, with the task that reads its answers."""
+
+    def __init__(self, *, context, address, clock, on_reconnect):
+        self._context = context
+        self._address = address
+        self._clock = clock
+        self._on_reconnect = on_reconnect
+        self._waiting = {}
+        self._heard = 0.0
+        self._open()
+
+    def _open(self):
+        self._socket = self._context.socket(zmq.DEALER)
+        _configure(self._socket)
+        self._socket.connect(f"tcp://{self._address}")
+        self._since = self._clock.now()
+        self._reader = asyncio.ensure_future(self._read(self._socket))
+
+    async def _read(self, socket):
+        while True:
+            frames = await socket.recv_multipart()
+            self._heard = self._clock.now()
+            if len(frames) != 4:
+                continue
+            number, stamp, tag, body = frames
+            self._clock.observe(stamp)
+            future = self._waiting.pop(number, None)
+            # A late answer finds nobody waiting and is dropped.
+            if future is not None and not future.done():
+                future.set_result((tag, body))
+
+    async def call(self, number, request, timeout):
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        frames = [number, self._clock.stamp(), *encode_message(request)]
+        try:
+            await self._socket.send_multipart(frames, flags=zmq.NOBLOCK)
+            tag, body = await asyncio.wait_for(future, timeout)
+        except (TimeoutError, zmq.Again):
+            self._replace_if_silent()
+            raise CallTimeout(f"{self._address} did not answer") from None
+        finally:
+            self._waiting.pop(number, None)
+        return raise_failure(decode_message(tag, body))
+
+    def _replace_if_silent(self):
+        # Heartbeats see a dead path, not a peer whose socket lives while its
+        # answers are lost; a fresh connection is the cure for both.
+        silent_since = max(self._heard, self._since)
+        if self._clock.now() - silent_since < SILENCE_SECONDS:
+            return
+        log.info("Replace silent connection to %s.", self._address)
+        self.close()
+        self._open()
+        self._on_reconnect(self._address)
+
+    def close(self):
+        self._reader.cancel()
+        self._socket.close()
+
+
+class _PeerClock:
+    """Loop time for timeouts and hybrid stamps for messages."""
+
+    def __init__(self, *, hybrid):
+        self._hybrid = hybrid
+        self.now = asyncio.get_running_loop().time
+
+    def stamp(self):
+        return self._hybrid.stamp().to_bytes(STAMP_BYTES, "big")
+
+    def observe(self, stamp):
+        if len(stamp) == STAMP_BYTES:
+            self._hybrid.observe(int.from_bytes(stamp, "big"))
+
+
+class ZmqTransport(Transport):
+    """Calls peers over pyzmq; create it inside a running loop.
+
+    Parameters
+    ----------
+    hybrid : HybridClock
+        Clock whose stamps travel with every message.
+    on_reconnect : callable, optional
+        Told the address of each connection that was replaced as silent.
+    """
+
+    def __init__(self, *, hybrid, on_reconnect=lambda address: None):
+        self._context = zmq.asyncio.Context.instance()
+        self._clock = _PeerClock(hybrid=hybrid)
+        self._on_reconnect = on_reconnect
+        self._channels = {}
+        self._numbers = itertools.count(1)
+
+    async def call(self, address, request, *, timeout):
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._channels[address] = _Channel(
+                context=self._context,
+                address=address,
+                clock=self._clock,
+                on_reconnect=self._on_reconnect,
+            )
+        number = next(self._numbers).to_bytes(STAMP_BYTES, "big")
+        return await channel.call(number, request, timeout)
+
+    def close(self):
+        """Close every connection."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+
+class ZmqServer:
+    """Serves calls: each request is handled by a task of its own.
+
+    Parameters
+    ----------
+    address : str
+        IP:PORT to bind; port 0 lets the system choose.
+    handler : callable
+        Coroutine function from a request message to its answer.
+    hybrid : HybridClock
+        Clock whose stamps travel with every message.
+    on_malformed : callable, optional
+        Called for each message that was dropped as malformed.
+    """
+
+    def __init__(self, *, address, handler, hybrid, on_malformed=lambda: None):
+        self._address = address
+        self._handler = handler
+        self._hybrid = hybrid
+        self._on_malformed = on_malformed
+        self._tasks = set()
+        self._socket = None
+        self._reader = None
+
+    @property
+    def address(self):
+        """IP:PORT that is bound."""
+        endpoint = self._socket.getsockopt_string(zmq.LAST_ENDPOINT)
+        return endpoint.removeprefix("tcp://")
+
+    def start(self):
+        """Bind and begin to serve.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound.
+        """
+        self._clock = _PeerClock(hybrid=self._hybrid)
+        self._socket = zmq.asyncio.Context.instance().socket(zmq.ROUTER)
+        _configure(self._socket)
+        self._socket.bind(f"tcp://{self._address}")
+        self._reader = asyncio.ensure_future(self._read())
+
+    async def _read(self):
+        while True:
+            frames = await self._socket.recv_multipart()
+            if len(frames) != 5 or len(self._tasks) >= MAX_HANDLERS:
+                self._on_malformed()
+                continue
+            task = asyncio.ensure_future(self._answer(*frames))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, peer, number, stamp, tag, body):
+        self._clock.observe(stamp)
+        try:
+            request = decode_message(tag, body)
+        except BadMessage as error:
+            self._on_malformed()
+            answer = failure_of(error)
+        else:
+            answer = await self._handle(request)
+        frames = [peer, number, self._clock.stamp(), *encode_message(answer)]
+        try:
+            await self._socket.send_multipart(frames, flags=zmq.NOBLOCK)
+        except zmq.ZMQError as error:
+            log.debug("Answer was not sent: %s.", error)
+
+    async def _handle(self, request):
+        try:
+            return await self._handler(request)
+        except Exception as error:
+            if not hasattr(error, "code"):
+                log.exception("Request %s failed.", type(request).__name__)
+            return failure_of(error)
+
+    def close(self):
+        """Stop serving."""
+        if self._reader:
+            self._reader.cancel()
+        for task in self._tasks:
+            task.cancel()
+        if self._socket:
+            self._socket.close()
--- /dev/null
+++ b/guavastream/operate/client.py
@@ -0,0 +1,79 @@
+"""Client of an operators' door, for the command line and the bench."""
+
+import msgspec
+import urllib3
+
+from guavastream.exception import GuavastreamError
+
+__all__ = ["OperatorClient", "OperatorError"]
+
+TIMEOUT_SECONDS = 45.0
+
+
+class OperatorError(GuavastreamError):
+    """An operators' door refused or could not be reached.
+
+    Parameters
+    ----------
+    code : str
+        Code of the answer.
+    text : str
+        For people.
+    answer : object
+        Body of the answer, plain values.
+    """
+
+    def __init__(self, *, code, text, answer=None):
+        self.code = code
+        self.answer = answer
+        super().__init__(text)
+
+
+class OperatorClient:
+    """Calls an operators' door.
+
+    Parameters
+    ----------
+    address : str
+        IP:PORT of the door.
+    token : str
+        Operators' token; empty for none.
+    """
+
+    def __init__(self, *, address, token=""):
+        self._address = address
+        self._headers = {"Content-Type": "application/json"}
+        if token:
+            self._headers["Authorization"] = f"Bearer {token}"
+        self._http = urllib3.PoolManager(retries=False)
+
+    def ask(self, path, **query):
+        """Return the plain values that a question is answered with."""
+        return self._call("GET", path, fields=query or None)
+
+    def tell(self, path, item):
+        """Send a typed item and return the answer's plain values."""
+        return self._call("POST", path, body=msgspec.json.encode(item))
+
+    def _call(self, method, path, **options):
+        try:
+            answer = self._http.request(
+                method,
+                f"http://{self._address}/{path}",
+                headers=self._headers,
+                timeout=TIMEOUT_SECONDS,
+                **options,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            text = f"{self._address} cannot be reached."
+            raise OperatorError(code="unreachable", text=text) from error
+        item = msgspec.json.decode(answer.data or b"null")
+        if answer.status >= 400:
+            said = item if isinstance(item, dict) else {}
+            nested = said.get("answer") or said
+            raise OperatorError(
+                code=nested.get("code", str(answer.status)),
+                text=nested.get("text", ""),
+                answer=item,
+            )
+        return item
--- /dev/null
+++ b/guavastream/placement/__init__.py
@@ -0,0 +1,4 @@
+"""Placement of shards on members."""
+
+from guavastream.placement.balanced import *
+from guavastream.placement.policy import *
--- /dev/null
+++ b/guavastream/routing/outcomes.py
@@ -0,0 +1,97 @@
+"""Whether a request ran, and every way in which it can be refused."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+__all__ = ["REFUSALS", "Ran", "Refused", "Refusal", "refusals_page"]
+
+
+class Ran(StrEnum):
+    """What is known about whether a request ran at the backend server."""
+
+    NOT_RUN = "not run"
+    UNKNOWN = "outcome unknown"
+    ANSWERED = "answer"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Refusal:
+    """One kind of final answer that is not the backend server's own."""
+
+    code: str
+    status: int
+    ran: Ran
+    text: str
+    retry_after: int = 0
+    elsewhere: bool = False
+
+
+def _not_run(code, status, text, retry_after=0, elsewhere=False):
+    return Refusal(
+        code=code,
+        status=status,
+        ran=Ran.NOT_RUN,
+        text=text,
+        retry_after=retry_after,
+        elsewhere=elsewhere,
+    )
+
+
+def _unknown(code, status, text):
+    return Refusal(code=code, status=status, ran=Ran.UNKNOWN, text=text)
+
+
+# `elsewhere` marks refusals after which another attempt may fare better.
+REFUSALS = {
+    refusal.code: refusal
+    for refusal in (
+        _not_run("unknown_service", 404, "No such service is declared."),
+        _not_run("bad_request", 400, "The request cannot be read."),
+        _not_run("missing_key", 400, "The request has no key where one is declared."),
+        _not_run("bad_deadline", 400, "Guavastream-Deadline-Ms is not a number."),
+        _not_run("not_ready", 503, "This process is not ready yet.", 1, True),
+        _not_run("no_owner", 503, "The key has no owner at this moment.", 1, True),
+        _not_run("wrong_owner", 503, "This process does not own the key.", 1, True),
+        _not_run("moving", 503, "The key is on its way to another owner.", 1, True),
+        _not_run("no_lease", 503, "The lease of this process has run out.", 1, True),
+        _not_run("leaving", 503, "The server takes no new work.", 1, True),
+        _not_run(
+            "overloaded", 503, "All slots and places in the queue are taken.", 1, True
+        ),
+        _not_run("shed", 503, "The preset sheds this priority class.", 2),
+        _not_run("unreachable", 503, "The server could not be connected to.", 1, True),
+        _not_run("server_refused", 503, "The server refused the order.", 1, True),
+        _not_run("too_many_hops", 503, "Processes disagree about the owner.", 1),
+        _not_run("deadline_passed", 504, "The deadline passed before it could run."),
+        _not_run("still_running", 409, "The same request is still running.", 1),
+        _unknown("no_answer", 504, "No answer came before the deadline."),
+        _unknown("answer_lost", 502, "The connection broke before an answer."),
+        _unknown("wrong_answer", 502, "The answer belonged to another request."),
+        _unknown("earlier_unknown", 409, "Whether the first attempt ran is not known."),
+    )
+}
+
+
+class Refused(Exception):
+    """Ends an attempt with a refusal.
+
+    Parameters
+    ----------
+    code : str
+        A key of `REFUSALS`.
+    """
+
+    def __init__(self, code):
+        self.refusal = REFUSALS[code]
+        super().__init__(code)
+
+
+def refusals_page():
+    """Return the table of docs/errors.md, made from `REFUSALS`."""
+    lines = ["| code | status | ran | meaning |", "| --- | --- | --- | --- |"]
+    for refusal in REFUSALS.values():
+        lines.append(
+            f"| `{refusal.code}` | {refusal.status} | {refusal.ran.value} "
+            f"| {refusal.text} |"
+        )
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/guavastream/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Small stand-ins for what stands outside the system."""
+
+from guavastream.standins.backend import *
--- /dev/null
+++ b/guavastream/state/commands.py
@@ -0,0 +1,146 @@
+"""Commands of the replicated log, each a typed message."""
+
+from guavastream.messages import message
+
+__all__ = [
+    "ApplyDeclaration",
+    "AssignShards",
+    "ChangeAnswer",
+    "FinishMoves",
+    "Noop",
+    "RegisterMember",
+    "RemoveMember",
+    "SetDrained",
+    "SetLeaving",
+    "StartMoves",
+    "Unpin",
+    "UsePreset",
+]
+
+
+@message
+class Noop:
+    """First command of each term; commits what earlier terms left."""
+
+
+@message
+class RegisterMember:
+    """A backend server and the process beside it ask to join.
+
+    `incarnation` is drawn anew at each start of the process, `boot` at each
+    start of the server. `door` is the IP:PORT where the process takes
+    requests.
+    """
+
+    host: str
+    zone: str
+    region: str
+    incarnation: str
+    boot: str
+    door: str
+    service: str
+    slots: int
+
+
+@message
+class SetLeaving:
+    """A member gets no new shards and gives up those it has."""
+
+    member: int
+
+
+@message
+class RemoveMember:
+    """A member's lease has ended; nobody owns what it owned."""
+
+    member: int
+
+
+@message
+class AssignShards:
+    """Shards that `previous` owned (0: nobody) go to `member`."""
+
+    service: str
+    shards: tuple[int, ...]
+    member: int
+    previous: int = 0
+
+
+@message
+class StartMoves:
+    """Owners are asked to release `shards` for `targets`, pair by pair."""
+
+    service: str
+    shards: tuple[int, ...]
+    targets: tuple[int, ...]
+
+
+@message
+class FinishMoves:
+    """`member` released `shards`; `pins` are keys whose sessions it keeps."""
+
+    service: str
+    member: int
+    shards: tuple[int, ...]
+    pins: tuple[str, ...] = ()
+
+
+@message
+class Unpin:
+    """The last session of each key has ended at `member`."""
+
+    service: str
+    member: int
+    keys: tuple[str, ...]
+
+
+@message
+class ApplyDeclaration:
+    """An operator's declaration, msgpack of `declare.Declaration`.
+
+    `expect` is the revision the operator saw, or -1 for any. `at` is wall
+    time in seconds, for people only.
+    """
+
+    change: str
+    expect: int
+    author: str
+    at: float
+    declaration: bytes
+
+
+@message
+class UsePreset:
+    """An operator puts a preset in force."""
+
+    change: str
+    expect: int
+    author: str
+    at: float
+    preset: str
+
+
+@message
+class SetDrained:
+    """An operator drains a host or availability zone, or ends that."""
+
+    change: str
+    expect: int
+    author: str
+    at: float
+    target: str
+    drained: bool
+
+
+@message
+class ChangeAnswer:
+    """Answer to an operator's change; a resend gets it again.
+
+    `code` is `ok`, or a code of docs/errors.md; `winner` describes the change
+    that a conflict was lost to.
+    """
+
+    revision: int
+    code: str = "ok"
+    text: str = ""
+    winner: str = ""
--- /dev/null
+++ b/guavastream/state/holder.py
@@ -0,0 +1,73 @@
+"""The newest table of a process, read by all its threads."""
+
+import asyncio
+import threading
+
+from guavastream.state.table import Table, decode_command, decode_table
+
+__all__ = ["TableHolder"]
+
+
+class TableHolder:
+    """Holds one immutable table and swaps it by reference.
+
+    Only the event loop replaces the table; any thread may read it or wait.
+
+    Examples
+    --------
+    >>> TableHolder().table.index
+    0
+    """
+
+    def __init__(self):
+        self._table = Table()
+        self._changed = threading.Condition()
+        self._events = []
+
+    @property
+    def table(self):
+        """The newest table."""
+        return self._table
+
+    def replace(self, table):
+        """Take a table unless it is older than the one held."""
+        # A process must never go back: an answer that was delayed may carry
+        # an older table than one that came on a faster connection.
+        if table.index <= self._table.index:
+            return
+        with self._changed:
+            self._table = table
+            self._changed.notify_all()
+        events, self._events = self._events, []
+        for event in events:
+            event.set()
+
+    def load(self, data):
+        """Take a whole encoded table."""
+        self.replace(decode_table(data))
+
+    def extend(self, commands):
+        """Apply pairs of index and encoded command; known ones are skipped."""
+        table = self._table
+        for index, data in commands:
+            if index > table.index:
+                table, _ = table.apply(index, decode_command(data))
+        self.replace(table)
+
+    async def wait(self, index, timeout):
+        """Wait in the event loop for a table at `index`; return whether it came."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        while self._table.index < index:
+            event = asyncio.Event()
+            self._events.append(event)
+            try:
+                await asyncio.wait_for(event.wait(), max(0, deadline - loop.time()))
+            except TimeoutError:
+                return False
+        return True
+
+    def wait_in_thread(self, index, timeout):
+        """Wait in a worker thread for a table after `index`."""
+        with self._changed:
+            return self._changed.wait_for(lambda: self._table.index > index, timeout)
--- /dev/null
+++ b/guavastream/timeline/__init__.py
@@ -0,0 +1,5 @@
+"""Time line of events over all processes, and its checkers."""
+
+from guavastream.timeline.checkers import *
+from guavastream.timeline.clock import *
+from guavastream.timeline.events import *
--- /dev/null
+++ b/guavastream/timeline/checkers.py
@@ -0,0 +1,3 @@
+"""Checkers over a time line."""
+
+__all__ = []
