--- a/guavastream/standins/__init__.py
+++ b/guavastream/standins/__init__.py
@@ -1,3 +1,4 @@
 """Small stand-ins for what stands outside the system."""
 
 from guavastream.standins.backend import *
+from guavastream.standins.network import *
--- /dev/null
+++ b/guavastream/standins/network.py
@@ -0,0 +1,124 @@
+"""A fake network between processes in one event loop, with faults on demand."""
+
+import asyncio
+import random
+
+from guavastream.exception import CallTimeout
+from guavastream.messages import (
+    Transport,
+    decode_message,
+    encode_message,
+    failure_of,
+    raise_failure,
+)
+
+__all__ = ["FakeNetwork", "run_paused"]
+
+DELAY_SECONDS = 0.0005
+
+
+def run_paused(coroutine):
+    """Run a coroutine on a clock that stands still while anything can run.
+
+    The clock jumps to the next timer when all tasks wait, so hours pass in
+    an instant and always in the same order.
+    """
+    import async_solipsism
+
+    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+        return runner.run(coroutine)
+
+
+class FakeNetwork:
+    """Delivers calls between addresses, and fails as it is told.
+
+    Parameters
+    ----------
+    seed : int
+        Of the random faults.
+    lost, doubled : float
+        Chance that a message is lost, or handled twice.
+    slowest : float
+        Upper bound of the delay of a message, seconds.
+    """
+
+    def __init__(self, *, seed=0, lost=0.0, doubled=0.0, slowest=DELAY_SECONDS):
+        self._rng = random.Random(seed)
+        self.lost = lost
+        self.doubled = doubled
+        self.slowest = slowest
+        self._handlers = {}
+        self._cut = set()
+        self._tasks = set()
+
+    def transport(self, address):
+        """Return a transport whose calls come from `address`."""
+        return _FakeTransport(network=self, address=address)
+
+    def serve(self, address, handler):
+        """Let `handler` answer what is sent to `address`."""
+        self._handlers[address] = handler
+
+    def remove(self, address):
+        """Take an address off the network, as the loss of its process does."""
+        self._handlers.pop(address, None)
+
+    def cut(self, source, target, *, both=True):
+        """Drop what goes from `source` to `target`, silently."""
+        self._cut.add((source, target))
+        if both:
+            self._cut.add((target, source))
+
+    def isolate(self, address, others):
+        """Cut an address off from all others in both directions."""
+        for other in others:
+            if other != address:
+                self.cut(address, other)
+
+    def heal(self):
+        """End all cuts."""
+        self._cut.clear()
+
+    async def call(self, source, target, request, timeout):
+        """Deliver one call; see `Transport.call`."""
+        answered = asyncio.get_running_loop().create_future()
+        copies = 2 if self._rng.random() < self.doubled else 1
+        for _ in range(copies):
+            task = asyncio.ensure_future(
+                self._deliver(source, target, encode_message(request), answered)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        try:
+            answer = await asyncio.wait_for(answered, timeout)
+        except TimeoutError:
+            raise CallTimeout(f"{target} did not answer") from None
+        return raise_failure(decode_message(*answer))
+
+    async def _deliver(self, source, target, encoded, answered):
+        if not await self._passes(source, target):
+            return
+        handler = self._handlers.get(target)
+        if handler is None:
+            return
+        try:
+            answer = await handler(decode_message(*encoded))
+        except Exception as error:
+            answer = failure_of(error)
+        if await self._passes(target, source) and not answered.done():
+            answered.set_result(encode_message(answer))
+
+    async def _passes(self, source, target):
+        if (source, target) in self._cut or self._rng.random() < self.lost:
+            return False
+        await asyncio.sleep(self._rng.uniform(0, self.slowest))
+        return (source, target) not in self._cut
+
+
+class _FakeTransport(Transport):
+    def __init__(self, *, network, address):
+        self._network = network
+        self._address = address
+
+    async def call(self, address, request, *, timeout):
+        return await self._network.call(self._address, address, request, timeout)
