--- /dev/null
+++ b/guavastream/commands/bench.py
@@ -0,0 +1,79 @@
+"""`demo` and `bench`: real processes on loopback, measured."""
+
+import dataclasses
+
+from guavastream.bench.cluster import DEPLOYMENTS
+from guavastream.commands.output import print_json, print_table
+from guavastream.commands.registry import command
+
+__all__ = []
+
+EXIT_BROKEN_PROMISE = 5
+
+
+@command(
+    "demo",
+    summary="Run a deployment on loopback through a bad day.",
+    example="guavastream demo --deployment island-trips",
+)
+def _setup_demo(parser):
+    parser.add_argument(
+        "--deployment", choices=sorted(DEPLOYMENTS), default="rosterdeck"
+    )
+    parser.add_argument(
+        "--seconds", type=float, default=25.0, help="time under load (25)"
+    )
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    return _demo
+
+
+def _demo(arguments):
+    from guavastream.bench.demo import run_demo
+
+    result = run_demo(arguments.deployment, seconds=arguments.seconds)
+    if arguments.json:
+        print_json(_plain(result))
+    else:
+        _print_demo(result)
+    return 0 if result.is_sound else EXIT_BROKEN_PROMISE
+
+
+def _plain(result):
+    item = dataclasses.asdict(result)
+    item["verdicts"] = [
+        {
+            "checker": name,
+            "promise": promise,
+            "events": count,
+            "findings": [str(finding) for finding in findings],
+        }
+        for name, promise, count, findings in result.verdicts
+    ]
+    return item
+
+
+def _print_demo(result):
+    print(f"\nRequests of {result.deployment} by outcome")
+    heads = ("request", "code", "ran", "count", "p50 ms", "p99 ms")
+    print_table(heads, result.requests)
+    print("\nLongest time without an answer for any probed key")
+    rows = [(phase, f"{gap:.3f} s") for phase, gap in result.unavailable.items()]
+    print_table(("phase", "unavailable"), rows)
+    print(f"\nChurn      {result.churn} shards changed hands")
+    print(f"Imbalance  {result.imbalance:.2f} (busiest server over the mean)")
+    print("\nWhat must always hold")
+    print_verdicts(result.verdicts)
+    for name in result.left_behind:
+        print(f"NOT STOPPED: {name}")
+
+
+def print_verdicts(rows):
+    """Print a line for each promise, and every finding."""
+    lines = [
+        ("held" if not findings else "BROKEN", promise, f"{count} events")
+        for _, promise, count, findings in rows
+    ]
+    print_table(("verdict", "promise", "checked"), lines)
+    for *_, findings in rows:
+        for finding in findings[:10]:
+            print(f"  {finding}")
--- a/guavastream/guard/handover.py
+++ b/guavastream/guard/handover.py
@@ -73,19 +73,17 @@
             came = [s for s, epoch in owned.items() if before.get(s) != epoch]
             if came:
                 self._admission.reopen(service, came)
-                self._record_shards("granted", service, came)
+                self._record_granted(service, {s: owned[s] for s in came})
             went = [s for s in before if s not in owned]
             if went:
-                self._record_shards("ended", service, went)
+                detail = {"shards": sorted(went)}
+                self._record("ended", service=service, detail=detail)
             self._owned[service] = owned
 
-    def _record_shards(self, kind, service, shards):
-        self._record(
-            kind,
-            service=service,
-            epoch=self._tables.table.index,
-            detail={"shards": sorted(shards), "member": self._membership.member},
-        )
+    def _record_granted(self, service, epochs):
+        named = {str(shard): epoch for shard, epoch in sorted(epochs.items())}
+        detail = {"epochs": named, "member": self._membership.member}
+        self._record("granted", service=service, detail=detail)
 
     async def _move(self, service, shards):
         member = self._membership.member
