--- a/guavastream/bench/cluster.py
+++ b/guavastream/bench/cluster.py
@@ -349,6 +349,8 @@
         """Kill one or both processes of a host."""
         if server:
             self.recorder.record("server_lost", server=host.boot)
+        if node:
+            self.recorder.record("node_lost", detail={"host": host.name})
         host.signal(signal.SIGKILL, node=node, server=server)
 
     def note_history(self):
--- a/guavastream/bench/demo.py
+++ b/guavastream/bench/demo.py
@@ -6,7 +6,15 @@
 
 from guavastream.bench.cluster import DEPLOYMENTS, Cluster
 from guavastream.bench.load import REQUEST_KINDS, Load, Prober
-from guavastream.bench.report import broken, churn, imbalance, outcomes, verdicts
+from guavastream.bench.report import (
+    PROBE_PREFIX,
+    broken,
+    churn,
+    imbalance,
+    outcomes,
+    verdicts,
+)
+from guavastream.timeline import write_events
 
 __all__ = ["DemoResult", "run_demo"]
 
@@ -35,7 +43,9 @@
         return not broken(self.verdicts) and not self.left_behind
 
 
-def run_demo(name, *, seconds, say=lambda text: print(text, file=sys.stderr)):
+def run_demo(
+    name, *, seconds, timeline="", say=lambda text: print(text, file=sys.stderr)
+):
     """Run the demo and return its `DemoResult`.
 
     Parameters
@@ -44,12 +54,14 @@
         A key of `DEPLOYMENTS`.
     seconds : float
         Time under load, shared by five phases.
+    timeline : str
+        File for the merged time line; none if empty.
     say : callable
         Takes one line of progress.
     """
     deployment = DEPLOYMENTS[name]
     kinds = REQUEST_KINDS[name]
-    spans = {}
+    spans, stamps = {}, {}
     with Cluster(deployment=deployment) as cluster:
         say(f"Starting {len(cluster.hosts)} backend servers and their processes.")
         cluster.start()
@@ -57,7 +69,7 @@
         probers = [
             Prober(
                 kind=kinds[0],
-                key=f"probe-{number}",
+                key=f"{PROBE_PREFIX}{number}",
                 doors=lambda: cluster.doors,
                 recorder=cluster.recorder,
             )
@@ -68,6 +80,7 @@
         for phase in PHASES:
             say(phase.__doc__)
             began = time.monotonic()
+            stamps[phase] = cluster.recorder.clock.stamp()
             phase(cluster, deployment)
             rest = began + seconds / len(PHASES) - time.monotonic()
             time.sleep(max(0.5, rest))
@@ -78,6 +91,9 @@
         say("Stopping everything gracefully.")
         left_behind = cluster.stop_all()
         events = cluster.timeline()
+    if timeline:
+        write_events(timeline, events)
+    calm = [e for e in events if stamps[_ordinary] < e.stamp < stamps[_drain]]
     return DemoResult(
         deployment=name,
         requests=outcomes(events),
@@ -86,7 +102,7 @@
             for phase, span in spans.items()
         },
         churn=churn(events, deployment.keyed),
-        imbalance=round(imbalance(events, deployment.keyed), 3),
+        imbalance=round(imbalance(calm, deployment.keyed), 3),
         verdicts=verdicts(events),
         left_behind=left_behind,
     )
--- a/guavastream/bench/report.py
+++ b/guavastream/bench/report.py
@@ -8,6 +8,9 @@
 __all__ = ["broken", "churn", "imbalance", "outcomes", "percentile", "verdicts"]
 
 
+PROBE_PREFIX = "probe-"
+
+
 def percentile(values, share):
     """Return a percentile by nearest rank; 0 for no values.
 
@@ -34,8 +37,17 @@
 
 
 def imbalance(events, service):
-    """Return max over mean of the requests that servers of a service ran."""
-    runs = Counter(e.server for e in events if e.kind == "ran" and e.service == service)
+    """Return max over mean of the requests that servers of a service ran.
+
+    Probes are left out: they ask for few keys often.
+    """
+    runs = Counter(
+        event.server
+        for event in events
+        if event.kind == "ran"
+        and event.service == service
+        and not event.key.startswith(PROBE_PREFIX)
+    )
     return max(runs.values()) / statistics.mean(runs.values()) if runs else 0.0
 
 
--- a/guavastream/commands/bench.py
+++ b/guavastream/commands/bench.py
@@ -24,13 +24,18 @@
         "--seconds", type=float, default=25.0, help="time under load (25)"
     )
     parser.add_argument("--json", action="store_true", help="print JSON")
+    parser.add_argument(
+        "--timeline", default="", metavar="FILE", help="keep the merged time line"
+    )
     return _demo
 
 
 def _demo(arguments):
     from guavastream.bench.demo import run_demo
 
-    result = run_demo(arguments.deployment, seconds=arguments.seconds)
+    result = run_demo(
+        arguments.deployment, seconds=arguments.seconds, timeline=arguments.timeline
+    )
     if arguments.json:
         print_json(_plain(result))
     else:
--- a/guavastream/commands/operators.py
+++ b/guavastream/commands/operators.py
@@ -9,8 +9,7 @@
 from guavastream.commands.output import print_json, print_table
 from guavastream.commands.registry import command
 from guavastream.declare import load_declaration
-from guavastream.exception import Finding, FindingsError
-from guavastream.operate import ChangeRequest, OperatorClient
+from guavastream.operate import ChangeRequest, OperatorClient, read_token
 
 __all__ = []
 
@@ -35,16 +34,7 @@
 
 
 def _client(arguments):
-    token = ""
-    if arguments.token_file:
-        try:
-            with open(arguments.token_file, encoding="utf-8") as file:
-                token = file.read().strip()
-        except OSError as error:
-            finding = Finding(
-                place="--token-file", code="unreadable", text=f"{error.strerror}."
-            )
-            raise FindingsError([finding]) from error
+    token = read_token(arguments.token_file)
     return OperatorClient(address=arguments.operator, token=token)
 
 
--- a/guavastream/control/messages.py
+++ b/guavastream/control/messages.py
@@ -44,10 +44,11 @@
 
 @message
 class Vote:
-    """Answer to `RequestVote`."""
+    """Answer to `RequestVote`; `age` is the voter's time without a leader, s."""
 
     term: int
     granted: bool
+    age: float = 0.0
 
 
 @message
--- a/guavastream/control/planner.py
+++ b/guavastream/control/planner.py
@@ -15,6 +15,7 @@
 __all__ = ["Planner"]
 
 TICK_SECONDS = 0.02
+SETTLE_SECONDS = 0.3
 
 log = part_logger("planner")
 
@@ -44,6 +45,8 @@
         self._record = record
         self._term = 0
         self._seen = None
+        self._first_seen = {}
+        self._clock = asyncio.get_running_loop().time
 
     def ensure_term(self):
         """Begin a new term of this leader, if there is one.
@@ -54,7 +57,9 @@
         if self._term != self._raft.term:
             self._term = self._raft.term
             self._seen = None
-            self._keeper.start(self._machine.table.members)
+            self._keeper.start(
+                self._machine.table.members, since=self._raft.predecessor_end
+            )
 
     async def run(self):
         """Tend the table while this control host leads, until cancelled."""
@@ -98,6 +103,8 @@
             churn_weight=service.weights.churn,
             imbalance_weight=service.weights.imbalance,
         )
+        if self._is_settling(view):
+            return
         plan = self._policy.plan(view)
         proposals = [
             self._propose(AssignShards(service=name, shards=shards, member=member))
@@ -109,6 +116,21 @@
             proposals.append(self._propose(command))
         await asyncio.gather(*proposals)
 
+    def _is_settling(self, view):
+        """Whether a service has only just got its first servers.
+
+        Handing all shards to the first one to join would move most of them
+        again as the others come, a moment later.
+        """
+        if any(view.shards.owners):
+            return False
+        now = self._clock()
+        settled = self._first_seen.setdefault(frozenset(view.capacity), now)
+        if now - settled < SETTLE_SECONDS:
+            self._seen = None
+            return True
+        return False
+
     async def _propose(self, command):
         return await self._raft.propose(encode_command(command))
 
--- a/guavastream/control/raft.py
+++ b/guavastream/control/raft.py
@@ -32,6 +32,8 @@
 BATCH = 256
 SNAPSHOT_EVERY = 2000
 SNAPSHOT_SECONDS = 5.0
+# Bound on the difference of two clocks' rates, as a share.
+DRIFT = 0.02
 
 log = part_logger("control")
 
@@ -44,10 +46,10 @@
     differ in rate, so that a leader cut off stops before another is elected.
     """
 
-    heartbeat: float = 0.05
-    election_min: float = 0.25
-    election_max: float = 0.4
-    lease: float = 0.22
+    heartbeat: float = 0.04
+    election_min: float = 0.2
+    election_max: float = 0.3
+    lease: float = 0.18
     call: float = 0.2
 
 
@@ -135,6 +137,7 @@
         self._write_lock = asyncio.Lock()
         self._kicks = {}
         self._granted = set()
+        self._last_heard = self._heard
         self._wake = asyncio.Event()
         self._step_down = asyncio.Event()
         self._advanced = asyncio.Event()
@@ -172,6 +175,18 @@
         """Whether this voter leads and has applied all that came before."""
         return self._leading and self._applied >= self._ready_index and self.has_lease()
 
+    @property
+    def predecessor_end(self):
+        """Time by which every earlier leader had stopped acting.
+
+        Notes
+        -----
+        An earlier leader acts only for `lease` seconds after a majority heard
+        it. That majority shares a voter with the one that elected this
+        leader, and each of those told how long ago it last heard one.
+        """
+        return self._last_heard + self._timing.lease * (1 + DRIFT)
+
     def has_lease(self):
         """Whether no other voter can have been elected by now.
 
@@ -291,6 +306,7 @@
         async with self._write_lock:
             if self._hears_leader():
                 return Vote(term=self.term, granted=False)
+            age = self._now() - self._heard
             if request.term > self.term:
                 await self._new_term(request.term)
             meta = self._storage.meta
@@ -302,7 +318,7 @@
                 await self._save_meta(voted_for=request.candidate)
             if granted:
                 self._heard = self._now()
-        return Vote(term=self.term, granted=granted)
+        return Vote(term=self.term, granted=granted, age=age)
 
     def _hears_leader(self):
         silence = self._now() - self._heard
@@ -435,6 +451,7 @@
     async def _ask_votes(self, term, *, pre):
         others = {v: a for v, a in self._voters.items() if v != self.voter}
         self._granted = {self.voter}
+        self._last_heard = self._heard
         needed = len(self._voters) // 2 + 1
         tasks = [
             asyncio.ensure_future(self._ask_vote(voter, address, term, pre))
@@ -466,6 +483,7 @@
             return
         if vote.granted:
             self._granted.add(voter)
+            self._last_heard = max(self._last_heard, self._now() - vote.age)
         elif vote.term > self.term:
             async with self._write_lock:
                 if vote.term > self.term:
--- a/guavastream/control/tests/test_votes.py
+++ b/guavastream/control/tests/test_votes.py
@@ -11,6 +11,7 @@
 from guavastream.standins import FakeNetwork, run_paused
 
 TIMING = RaftTiming()
+SILENCE = TIMING.election_min + 0.001
 ADDRESS = "10.0.0.1:1"
 
 
@@ -47,7 +48,7 @@
 
     async def scenario():
         raft = make_voter(tmp_path)
-        await asyncio.sleep(TIMING.election_min)
+        await asyncio.sleep(SILENCE)
         assert (await raft.handle(ask(raft, "b"))).granted
         again = Raft(
             storage=Storage(folder=str(tmp_path)),
@@ -56,9 +57,9 @@
             peers=(),
             machine=StateMachine(),
         )
-        await asyncio.sleep(TIMING.election_min)
+        await asyncio.sleep(SILENCE)
         assert not (await again.handle(ask(again, "c"))).granted
-        await asyncio.sleep(TIMING.election_min)
+        await asyncio.sleep(SILENCE)
         assert (await again.handle(ask(again, "b"))).granted
 
     run_paused(scenario())
@@ -73,7 +74,7 @@
     async def scenario():
         entries = [Entry(index=n, term=3) for n in (1, 2, 3)]
         raft = make_voter(tmp_path, entries=entries)
-        await asyncio.sleep(TIMING.election_min)
+        await asyncio.sleep(SILENCE)
         assert not (await raft.handle(ask(raft, "b", index=2))).granted
         assert not (
             await raft.handle(ask(raft, "b", index=9, index_term=2, pre=True))
--- a/guavastream/door/forward.py
+++ b/guavastream/door/forward.py
@@ -19,7 +19,6 @@
 # loss is over within one; what takes longer the caller is told.
 OWNER_WAIT_SECONDS = 2.0
 TABLE_WAIT_SECONDS = 0.05
-LOADED = ("overloaded", "server_refused", "unreachable")
 OWNERSHIP = ("no_owner", "wrong_owner", "moving", "no_lease", "not_ready", "leaving")
 
 
@@ -91,7 +90,7 @@
                 code, knowledge = failed.code, failed.knowledge
             if not self._may_retry(request, body, code, knowledge, hops, budget):
                 raise Refused(_final(code, knowledge))
-            if code in OWNERSHIP:
+            if self._waits(request, code):
                 left = patience - self._clock()
                 if left <= 0:
                     raise Refused(code)
@@ -111,13 +110,18 @@
         # With both at it, retries would multiply and requests could circle.
         if hops:
             return False
-        if code in OWNERSHIP:
+        if self._waits(request, code):
             return not self._is_hopeless(request.service.name)
-        if code in LOADED and request.service.divided_by_key:
+        if request.service.divided_by_key and refusal.ran is Ran.NOT_RUN:
             # There is no other server to try.
-            return code == "unreachable" and budget.spend()
+            return False
         return budget.spend()
 
+    def _waits(self, request, code):
+        """Whether the next attempt has to wait for another owner."""
+        lost = code == "unreachable" and request.service.divided_by_key
+        return lost or code in OWNERSHIP
+
     def _is_hopeless(self, service):
         return not self._tables.table.servers(service)
 
--- a/guavastream/door/role.py
+++ b/guavastream/door/role.py
@@ -4,13 +4,23 @@
 
 from guavastream.door.door import Door
 from guavastream.door.forward import Forwarder
-from guavastream.kernel import ROLES, Role
+from guavastream.kernel import ROLES, Role, part_logger
 from guavastream.routing import Chooser
 from guavastream.web import HttpServer
 
 __all__ = ["DoorRole"]
 
 
+LAME_SECONDS = 1.0
+BACKLOG_SECONDS = 0.1
+POLL_SECONDS = 0.02
+# A process that is not ready takes no connections, so that callers go
+# elsewhere at once; after this time it takes them to say so.
+READY_SECONDS = 3.0
+
+log = part_logger("door")
+
+
 @ROLES.register("door")
 class DoorRole(Role):
     """Serves callers and other doors at `--door`."""
@@ -44,7 +54,24 @@
             handler=door.handle,
             threads=node.settings.threads,
         )
+        try:
+            await asyncio.wait_for(node.membership.ready.wait(), READY_SECONDS)
+        except TimeoutError:
+            log.warning("No control host has confirmed the table yet.")
         self._server.start()
 
+    async def drain(self, deadline):
+        # Callers with open connections learn from their next answer that
+        # this one will close; closing at once would cut what they are just
+        # sending, and they could not know whether it ran.
+        clock = self._node.clock
+        self._server.drain()
+        await asyncio.sleep(LAME_SECONDS)
+        self._server.hold_new()
+        await asyncio.sleep(BACKLOG_SECONDS)
+        self._server.refuse_new()
+        while self._server.active and clock() < deadline:
+            await asyncio.sleep(POLL_SECONDS)
+
     async def stop(self):
         await asyncio.to_thread(self._server.stop)
--- a/guavastream/guard/handover.py
+++ b/guavastream/guard/handover.py
@@ -42,6 +42,7 @@
         self._record = record
         self._loop = asyncio.get_running_loop()
         self._owned = {}
+        self._released = {}
         admission.on_key_idle(self._key_idle)
 
     async def run(self):
@@ -50,16 +51,22 @@
             index = self._tables.table.index
             self._note_owned()
             moves = {}
-            for service, shard, _ in self._tables.table.moves_from(
-                self._membership.member or -1
-            ):
-                moves.setdefault(service, []).append(shard)
-            for service, shards in moves.items():
-                await self._move(service, shards)
+            for service, shard, epoch in self._pending_moves():
+                moves.setdefault(service, {})[shard] = epoch
+            for service, epochs in moves.items():
+                await self._move(service, epochs)
             self._admission.forget_keys()
             self._unpin_idle()
             await self._tables.wait(index + 1, WATCH_SECONDS)
 
+    def _pending_moves(self):
+        """Yield service, shard and epoch of what is yet to be released."""
+        table = self._tables.table
+        for service, shard, _ in table.moves_from(self._membership.member or -1):
+            epoch = table.shards[service].epochs[shard]
+            if self._released.get((service, shard)) != epoch:
+                yield service, shard, epoch
+
     def _note_owned(self):
         """Record what came and went, and reopen what came back."""
         table = self._tables.table
@@ -85,8 +92,9 @@
         detail = {"epochs": named, "member": self._membership.member}
         self._record("granted", service=service, detail=detail)
 
-    async def _move(self, service, shards):
+    async def _move(self, service, epochs):
         member = self._membership.member
+        shards = tuple(epochs)
         self._admission.close_shards(service, shards)
         await self._let_end(service, shards)
         count = len(self._tables.table.shards[service].owners)
@@ -94,7 +102,11 @@
             service, set(shards), lambda key: shard_of(key, count)
         )
         command = FinishMoves(
-            service=service, member=member, shards=tuple(shards), pins=tuple(pins)
+            service=service,
+            member=member,
+            shards=shards,
+            epochs=tuple(epochs.values()),
+            pins=tuple(pins),
         )
         # From here on the shards may be another's, whether or not an answer
         # comes; they stay closed until the table gives them back.
@@ -107,6 +119,8 @@
             await self._control.submit(command, timeout=SUBMIT_SECONDS)
         except GuavastreamError as error:
             log.warning("Release was not confirmed: %s.", error)
+            return
+        self._released.update(((service, s), e) for s, e in epochs.items())
 
     async def _let_end(self, service, shards):
         deadline = self._loop.time() + GRACE_SECONDS
@@ -127,7 +141,12 @@
             keys = [key for key, pin in pins.items() if pin.member == member]
             idle = [key for key in keys if self._admission.close_key(service, key)]
             if idle:
-                command = Unpin(service=service, member=member, keys=tuple(idle))
+                command = Unpin(
+                    service=service,
+                    member=member,
+                    keys=tuple(idle),
+                    epochs=tuple(pins[key].epoch for key in idle),
+                )
                 asyncio.ensure_future(self._submit(command))
 
     async def _submit(self, command):
--- a/guavastream/leases/lease.py
+++ b/guavastream/leases/lease.py
@@ -19,8 +19,8 @@
         Bound on the difference of two clocks' rates, as a share.
     """
 
-    duration: float = 0.7
-    interval: float = 0.12
+    duration: float = 0.6
+    interval: float = 0.1
     drift: float = 0.01
 
     @property
@@ -52,9 +52,9 @@
     --------
     >>> now = 10.0
     >>> lease = Lease(clock=lambda: now)
-    >>> lease.extend(10.7)
+    >>> lease.extend(10.6)
     >>> lease.is_held, round(lease.remaining, 1)
-    (True, 0.7)
+    (True, 0.6)
     """
 
     def __init__(self, *, clock):
@@ -103,10 +103,10 @@
     --------
     >>> now = 0.0
     >>> keeper = LeaseKeeper(clock=lambda: now, timing=LeaseTiming())
-    >>> keeper.start([4])
+    >>> keeper.start([4], since=0.0)
     >>> keeper.renew(4), keeper.renew(9)
     (True, False)
-    >>> now = 0.72
+    >>> now = 0.62
     >>> keeper.expired()
     [4]
     >>> keeper.renew(4)
@@ -119,13 +119,14 @@
         self._until = {}
         self._condemned = set()
 
-    def start(self, members):
+    def start(self, members, *, since):
         """Begin a term: each member may hold a lease of the leader before.
 
         A new leader does not know what was renewed last, so it waits a full
-        lease before it gives anything away; it may renew at once.
+        lease before it gives anything away; it may renew at once. `since` is
+        the clock's time after which no earlier leader renewed anything.
         """
-        until = self._clock() + self._timing.kept
+        until = min(since, self._clock()) + self._timing.kept
         self._until = dict.fromkeys(members, until)
         self._condemned = set()
 
--- a/guavastream/leases/membership.py
+++ b/guavastream/leases/membership.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from guavastream.exception import GuavastreamError
+from guavastream.exception import GuavastreamError, NotReady
 from guavastream.kernel import part_logger
 from guavastream.leases.lease import Lease, LeaseTiming
 from guavastream.leases.messages import Renew, Watch
@@ -18,6 +18,7 @@
 RENEW_SECONDS = 0.5
 SUBMIT_SECONDS = 2.0
 RETRY_SECONDS = 0.05
+CATCH_UP_SECONDS = 0.02
 
 log = part_logger("member")
 
@@ -215,11 +216,26 @@
             return
         # Extending before the table has caught up could keep alive an owner
         # whose shard was given away while it was out of touch.
-        if await self._tables.wait(answer.index, self._timing.duration):
-            self._ready.set()
-            if self._member and self._member == request.member:
-                self._lease.extend(sent + answer.duration)
-                self._had_lease = True
+        await self._catch_up(answer.index)
+        self._ready.set()
+        if self._member and self._member == request.member:
+            self._lease.extend(sent + answer.duration)
+            self._had_lease = True
+
+    async def _catch_up(self, index):
+        """Bring the table to `index`, if need be from the leader itself.
+
+        The control host that is watched may just have been lost, which shows
+        only when the watch runs out; waiting for that would cost the lease.
+        """
+        if self._tables.table.index >= index:
+            return
+        if await self._tables.wait(index, CATCH_UP_SECONDS):
+            return
+        request = Watch(index=self._tables.table.index, wait=0.0)
+        self._take(await self._control.call(request, timeout=RENEW_SECONDS))
+        if self._tables.table.index < index:
+            raise NotReady("The table is behind the leader's.")
 
     def _lose(self):
         if self._member:
--- a/guavastream/operate/client.py
+++ b/guavastream/operate/client.py
@@ -3,13 +3,33 @@
 import msgspec
 import urllib3
 
-from guavastream.exception import GuavastreamError
+from guavastream.exception import Finding, FindingsError, GuavastreamError
 
-__all__ = ["OperatorClient", "OperatorError"]
+__all__ = ["OperatorClient", "OperatorError", "read_token"]
 
 TIMEOUT_SECONDS = 45.0
 
 
+def read_token(path):
+    """Return the operators' token in a file, or an empty string for no path.
+
+    Raises
+    ------
+    FindingsError
+        If the file cannot be read.
+    """
+    if not path:
+        return ""
+    try:
+        with open(path, encoding="utf-8") as file:
+            return file.read().strip()
+    except OSError as error:
+        text = f"{error.strerror}."
+        raise FindingsError(
+            [Finding(place="--token-file", code="unreadable", text=text)]
+        ) from error
+
+
 class OperatorError(GuavastreamError):
     """An operators' door refused or could not be reached.
 
--- a/guavastream/state/commands.py
+++ b/guavastream/state/commands.py
@@ -77,21 +77,26 @@
 
 @message
 class FinishMoves:
-    """`member` released `shards`; `pins` are keys whose sessions it keeps."""
+    """`member` released `shards`, which it held under `epochs`, pair by pair.
+
+    `pins` are keys whose sessions it keeps.
+    """
 
     service: str
     member: int
     shards: tuple[int, ...]
+    epochs: tuple[int, ...]
     pins: tuple[str, ...] = ()
 
 
 @message
 class Unpin:
-    """The last session of each key has ended at `member`."""
+    """The last session of each key, pinned under `epochs`, has ended."""
 
     service: str
     member: int
     keys: tuple[str, ...]
+    epochs: tuple[int, ...]
 
 
 @message
--- a/guavastream/state/table.py
+++ b/guavastream/state/table.py
@@ -312,7 +312,15 @@
         return {}, None
     moves = dict(table.moves.get(command.service, {}))
     pins = dict(table.pins.get(command.service, {}))
-    released = [s for s in command.shards if shard_map.owners[s] == command.member]
+    # A release that was sent twice may arrive after the shard has come back
+    # to the same member. It serves again by then, so a release of an earlier
+    # epoch must not take it away.
+    released = [
+        shard
+        for shard, epoch in zip(command.shards, command.epochs, strict=True)
+        if shard_map.owners[shard] == command.member
+        and shard_map.epochs[shard] == epoch
+    ]
     count = len(shard_map.owners)
     for key in command.pins:
         shard = shard_of(key, count)
@@ -332,10 +340,11 @@
 
 @_handles(Unpin)
 def _unpin(table, index, command):
+    ended = dict(zip(command.keys, command.epochs, strict=True))
     pins = {
         key: pin
         for key, pin in table.pins.get(command.service, {}).items()
-        if not (key in command.keys and pin.member == command.member)
+        if not (ended.get(key) == pin.epoch and pin.member == command.member)
     }
     return {"pins": table.pins | {command.service: pins}}, None
 
--- /dev/null
+++ b/guavastream/state/tests/test_table.py
@@ -0,0 +1,278 @@
+"""Commands that come late, twice or in a race."""
+
+import msgspec
+from hypothesis import given, settings, strategies as st
+
+from guavastream.declare import parse_declaration
+from guavastream.state import (
+    ApplyDeclaration,
+    AssignShards,
+    FinishMoves,
+    RegisterMember,
+    RemoveMember,
+    SetDrained,
+    StartMoves,
+    Table,
+    Unpin,
+    UsePreset,
+    decode_table,
+    encode_table,
+    shard_of,
+)
+
+DECLARATION = parse_declaration(
+    """
+preset = "ordinary"
+[services.s]
+divided_by_key = true
+key = "path:2"
+shards = 8
+[presets.ordinary]
+[presets.peak]
+"""
+)
+ALL = tuple(range(8))
+
+
+def apply_all(table, *commands):
+    """Apply commands at the next indexes; return the table and last result."""
+    result = None
+    for command in commands:
+        table, result = table.apply(table.index + 1, command)
+    return table, result
+
+
+def declare(change="c1", expect=-1, at=0.0):
+    return ApplyDeclaration(
+        change=change,
+        expect=expect,
+        author="ada",
+        at=at,
+        declaration=msgspec.msgpack.encode(DECLARATION),
+    )
+
+
+def use(preset, change, expect=-1, author="ada"):
+    return UsePreset(change=change, expect=expect, author=author, at=0.0, preset=preset)
+
+
+def register(host, incarnation="i"):
+    return RegisterMember(
+        host=host,
+        zone="z",
+        region="",
+        incarnation=incarnation,
+        boot="b",
+        door="127.0.0.1:1",
+        service="s",
+        slots=4,
+    )
+
+
+def make_table():
+    """Return a table in which member 2 owns all shards, and 3 none."""
+    table, _ = apply_all(
+        Table(),
+        declare(),
+        register("h1"),
+        register("h2"),
+        AssignShards(service="s", shards=ALL, member=2),
+    )
+    return table
+
+
+def test_equal_revisions_race_and_the_loser_learns_the_winner():
+    """Two operators change revision 1 at the same moment."""
+    table, won = apply_all(make_table(), use("peak", "a", expect=1, author="bob"))
+    assert won.code == "ok"
+    table, lost = apply_all(table, use("ordinary", "b", expect=1, author="cy"))
+    assert (lost.code, lost.revision) == ("conflict", 2)
+    assert "bob" in lost.winner
+    assert table.preset == "peak"
+
+
+def test_resent_change_gets_its_first_answer_also_after_a_snapshot():
+    """An operator lost the answer and sends the change again, later."""
+    table, first = apply_all(make_table(), use("peak", "a", expect=1))
+    table, _ = apply_all(table, use("ordinary", "b", expect=2))
+    table = decode_table(encode_table(table))
+    table, again = apply_all(table, use("peak", "a", expect=1))
+    assert again == first
+    assert (table.preset, table.revision) == ("ordinary", 3)
+
+
+def test_resent_declaration_with_another_time_is_the_same_change():
+    table, first = apply_all(Table(), declare(at=1.0))
+    _, again = apply_all(table, declare(at=2.0))
+    assert again == first
+
+
+def test_change_id_with_another_content_is_an_error():
+    table, _ = apply_all(make_table(), use("peak", "a"))
+    table, reused = apply_all(table, use("ordinary", "a"))
+    assert reused.code == "change_id_reused"
+    assert table.preset == "peak"
+
+
+def test_number_of_shards_cannot_change_while_a_service_lives():
+    """Keys would hash to other shards, and so to owners that know nothing."""
+    table = make_table()
+    services = tuple(
+        msgspec.convert(msgspec.to_builtins(s) | {"shards": 16}, type(s))
+        for s in DECLARATION.services
+    )
+    changed = type(DECLARATION)(
+        services=services, presets=DECLARATION.presets, preset="ordinary"
+    )
+    command = ApplyDeclaration(
+        change="x",
+        expect=-1,
+        author="ada",
+        at=0.0,
+        declaration=msgspec.msgpack.encode(changed),
+    )
+    table, answer = apply_all(table, command)
+    assert answer.code == "refused"
+    assert len(table.shards["s"].owners) == 8
+
+
+def test_late_assignment_does_not_take_a_shard_from_its_owner():
+    """A leader decided from an older table; its command commits too late."""
+    table, _ = apply_all(make_table(), AssignShards(service="s", shards=(1,), member=3))
+    assert table.shards["s"].owners[1] == 2
+
+
+def test_release_sent_twice_does_not_take_a_shard_that_came_back():
+    """A shard goes from 2 to 3 and back; then 2's first release comes again.
+
+    Member 2 serves the shard by then, so giving it away would make a second
+    owner for as long as 2 has not heard of it.
+    """
+    table = make_table()
+    epoch = table.shards["s"].epochs[1]
+    release = FinishMoves(service="s", member=2, shards=(1,), epochs=(epoch,))
+    table, _ = apply_all(
+        table, StartMoves(service="s", shards=(1,), targets=(3,)), release
+    )
+    assert table.shards["s"].owners[1] == 3
+    back = FinishMoves(
+        service="s", member=3, shards=(1,), epochs=(table.shards["s"].epochs[1],)
+    )
+    table, _ = apply_all(
+        table, StartMoves(service="s", shards=(1,), targets=(2,)), back, release
+    )
+    assert table.shards["s"].owners[1] == 2
+
+
+def test_pinned_key_stays_while_its_shard_moves():
+    """A session holds a key; all other keys of its shard move at once."""
+    table = make_table()
+    key = "k"
+    shard = shard_of(key, 8)
+    epoch = table.shards["s"].epochs[shard]
+    table, _ = apply_all(
+        table,
+        StartMoves(service="s", shards=(shard,), targets=(3,)),
+        FinishMoves(
+            service="s", member=2, shards=(shard,), epochs=(epoch,), pins=(key,)
+        ),
+    )
+    assert table.shards["s"].owners[shard] == 3
+    assert (table.pins["s"][key].member, table.pins["s"][key].epoch) == (2, epoch)
+    late = Unpin(service="s", member=2, keys=(key,), epochs=(epoch - 1,))
+    table, _ = apply_all(table, late)
+    assert key in table.pins["s"]
+    table, _ = apply_all(
+        table, Unpin(service="s", member=2, keys=(key,), epochs=(epoch,))
+    )
+    assert not table.pins["s"]
+
+
+def test_removed_member_leaves_nothing_behind():
+    """A host is lost with shards, moves to it and pinned keys."""
+    table = make_table()
+    epoch = table.shards["s"].epochs[0]
+    table, _ = apply_all(
+        table,
+        StartMoves(service="s", shards=(0, 1), targets=(3, 3)),
+        FinishMoves(service="s", member=2, shards=(0,), epochs=(epoch,), pins=("k",)),
+        RemoveMember(member=3),
+    )
+    assert table.moves["s"] == {}
+    table, _ = apply_all(table, RemoveMember(member=2))
+    assert set(table.shards["s"].owners) == {0}
+    assert not table.pins["s"] and not table.members
+
+
+def test_member_registered_again_keeps_its_id_and_another_start_gets_a_new_one():
+    """A registration is resent; later the process restarts on the host."""
+    table, again = apply_all(make_table(), register("h1"))
+    assert again == 2
+    table, new = apply_all(table, register("h1", incarnation="j"))
+    assert new == table.index
+    assert table.members[2].leaving
+
+
+COMMANDS = st.one_of(
+    st.builds(register, st.sampled_from(["h1", "h2", "h3"]), st.sampled_from("ij")),
+    st.builds(RemoveMember, member=st.integers(1, 40)),
+    st.builds(
+        AssignShards,
+        service=st.just("s"),
+        shards=st.lists(st.integers(0, 7), max_size=4).map(tuple),
+        member=st.integers(1, 40),
+        previous=st.sampled_from([0, 2, 3]),
+    ),
+    st.builds(
+        lambda pairs: StartMoves(
+            service="s",
+            shards=tuple(a for a, _ in pairs),
+            targets=tuple(b for _, b in pairs),
+        ),
+        st.lists(st.tuples(st.integers(0, 7), st.integers(1, 40)), max_size=4),
+    ),
+    st.builds(
+        lambda member, pairs: FinishMoves(
+            service="s",
+            member=member,
+            shards=tuple(a for a, _ in pairs),
+            epochs=tuple(b for _, b in pairs),
+        ),
+        st.integers(1, 40),
+        st.lists(st.tuples(st.integers(0, 7), st.integers(1, 40)), max_size=4),
+    ),
+    st.builds(
+        use, st.sampled_from(["peak", "ordinary", "none"]), st.sampled_from("abc")
+    ),
+    st.builds(
+        SetDrained,
+        change=st.sampled_from("def"),
+        expect=st.integers(-1, 5),
+        author=st.just("x"),
+        at=st.just(0.0),
+        target=st.sampled_from(["h1", "z"]),
+        drained=st.booleans(),
+    ),
+)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.lists(COMMANDS, max_size=25))
+def test_no_sequence_of_commands_reuses_an_epoch_or_goes_back(commands):
+    """Whatever comes in whatever order, epochs and revisions only rise.
+
+    Every owner is a member, every epoch is the index of one command, and the
+    table survives its own encoding.
+    """
+    table = make_table()
+    for command in commands:
+        before = table
+        table, _ = table.apply(table.index + 1, command)
+        assert table.revision in (before.revision, before.revision + 1)
+        old, new = before.shards["s"], table.shards["s"]
+        for shard in ALL:
+            owner, epoch = new.owners[shard], new.epochs[shard]
+            assert owner == 0 or owner in table.members
+            if (owner, epoch) != (old.owners[shard], old.epochs[shard]):
+                assert epoch == table.index
+    assert decode_table(encode_table(table)) == table
--- a/guavastream/timeline/__init__.py
+++ b/guavastream/timeline/__init__.py
@@ -3,3 +3,5 @@
 from guavastream.timeline.checkers import *
 from guavastream.timeline.clock import *
 from guavastream.timeline.events import *
+from guavastream.timeline.picture import *
+from guavastream.timeline.select import *
--- a/guavastream/timeline/checkers.py
+++ b/guavastream/timeline/checkers.py
@@ -13,6 +13,9 @@
 
 LEAVE_SECONDS = 3.0
 IN_FORCE_SECONDS = 17.0
+# A caller may be told of a fault as long after it as a deadline lasts.
+EXPLAINED_SECONDS = 5.0
+FAULTS = ("server_lost", "node_lost", "node_paused", "path_cut")
 
 
 class Checker(abc.ABC):
@@ -210,12 +213,13 @@
     """What had begun at a server that is stopped as planned ends well."""
 
     promise = "a planned stop cuts no request and no session"
-    kinds = ("planned_stop", "run_started")
+    kinds = ("planned_stop", "run_started", "caller_told")
 
     def check(self, events):
         told = {e.request: e for e in events if e.kind == "caller_told"}
         stopped = {e.server for e in events if e.kind == "planned_stop"}
         lost = {e.server for e in events if e.kind == "server_lost"}
+        yield from self._unexplained(events)
         for event in events:
             if event.kind != "run_started" or event.server not in stopped - lost:
                 continue
@@ -227,6 +231,17 @@
                 text = f"{event.request} was cut ({answer.detail['code']})."
                 yield _found(event, "cut_by_plan", text)
 
+    def _unexplained(self, events):
+        """Find broken connections that no fault explains, only planned work."""
+        fault = -EXPLAINED_SECONDS
+        for event in events:
+            at = wall_seconds(event.stamp)
+            if event.kind in FAULTS:
+                fault = at
+            elif event.kind == "caller_told" and at - fault > EXPLAINED_SECONDS:
+                if event.detail["code"] == "connection_broken":
+                    yield _found(event, "cut_by_plan", f"{event.request} was cut.")
+
 
 @CHECKERS.register("configuration")
 class Configuration(Checker):
--- a/guavastream/timeline/events.py
+++ b/guavastream/timeline/events.py
@@ -9,7 +9,14 @@
 
 from guavastream.timeline.clock import LOGICAL_BITS, HybridClock
 
-__all__ = ["Event", "Recorder", "merge_events", "read_events", "wall_seconds"]
+__all__ = [
+    "Event",
+    "Recorder",
+    "merge_events",
+    "read_events",
+    "wall_seconds",
+    "write_events",
+]
 
 RING_SIZE = 4096
 
@@ -128,6 +135,13 @@
     return events
 
 
+def write_events(path, events):
+    """Write events to a file as JSON lines."""
+    with open(path, "wb") as file:
+        for event in events:
+            file.write(msgspec.json.encode(event) + b"\n")
+
+
 def merge_events(parts):
     """Merge lists of events into one causally ordered list.
 
--- a/guavastream/web/serve.py
+++ b/guavastream/web/serve.py
@@ -1,5 +1,6 @@
 """HTTP serving by cheroot: one exchange for each request, bodies streamed."""
 
+import os
 import threading
 from urllib.parse import parse_qs, unquote
 
@@ -8,6 +9,7 @@
 from cheroot.workers import threadpool
 
 from guavastream.kernel import parse_address, part_logger
+from guavastream.web.listen import drop_new_connections
 
 __all__ = ["CHUNK_BYTES", "Exchange", "HttpServer"]
 
@@ -47,10 +49,14 @@
     ----------
     req : cheroot.server.HTTPRequest
         The request, its headers read and its body not.
+    closing : bool
+        Whether the connection is to be closed after the answer.
     """
 
-    def __init__(self, *, req):
+    def __init__(self, *, req, closing=False):
         self._req = req
+        if closing:
+            req.close_connection = True
         self._rfile = req.rfile
         uri = req.uri.decode("latin-1")
         self._path, _, self._query = uri.partition("?")
@@ -235,6 +241,10 @@
         server.error_log = self._log_error
         self._server = server
         self._thread = None
+        self._active = 0
+        self._lock = threading.Lock()
+        self._draining = False
+        self._listener = None
 
     @property
     def address(self):
@@ -255,15 +265,51 @@
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
         self._thread.start()
 
+    @property
+    def active(self):
+        """Requests in progress."""
+        return self._active
+
+    def drain(self):
+        """Ask each caller, with its next answer, to connect elsewhere."""
+        self._draining = True
+
+    def hold_new(self):
+        """Let nobody begin to connect; who is connecting is still served.
+
+        Closing a listening socket cuts the connections that the kernel has
+        already accepted for it, and their callers, who may have sent a whole
+        request, cannot know that nothing was read. With new ones held off
+        for a moment none is left to be cut; theirs is a plain refusal.
+        """
+        drop_new_connections(self._server.socket)
+
+    def refuse_new(self):
+        """Close the listening socket; open connections go on."""
+        # The number of the descriptor stays taken: cheroot's selector still
+        # knows it, and must not meet it again as another connection.
+        self._listener, self._server.socket = self._server.socket, None
+        null = os.open(os.devnull, os.O_RDONLY)
+        os.dup2(null, self._listener.fileno())
+        os.close(null)
+
     def stop(self):
         """Close all connections and wait for the workers."""
         self._server.stop()
         self._thread.join(timeout=5)
 
     def _make_gateway(self, handler):
+        outer = self
+
         class _Gateway(cheroot_server.Gateway):
             def respond(self):
-                handler(Exchange(req=self.req))
+                with outer._lock:
+                    outer._active += 1
+                try:
+                    handler(Exchange(req=self.req, closing=outer._draining))
+                finally:
+                    with outer._lock:
+                        outer._active -= 1
 
         return _Gateway
 
