--- a/guavastream/control/planner.py
+++ b/guavastream/control/planner.py
@@ -122,7 +122,7 @@
         Handing all shards to the first one to join would move most of them
         again as the others come, a moment later.
         """
-        if any(view.shards.owners):
+        if any(view.shards.epochs):
             return False
         now = self._clock()
         settled = self._first_seen.setdefault(frozenset(view.capacity), now)
