Requests: at most once across resends, strict reading, silent connections

Causes, each shown by a test at the sockets: (1) cheroot takes folded lines, doubled and signed lengths and a length beside chunks; (2) an escaped or doubled-slash path made a swap count as repeatable; (3) POST and PATCH that were not declared counted as repeatable; (4) a request on a pooled connection that had gone silent waited out its whole deadline; (5) a resend after an owner's loss could run again. Change: a check in front of cheroot's header reader; classification of the decoded path; RFC 9110 defaults; a third of the time for a reused connection of a request that may repeat, then a fresh one; Idempotency-Key (UUIDv7) routed to the owner of its id, which keeps the outcome; a queue ordered by class, caller and deadline. The checker for planned stops no longer blames a stop for what a fault had cut before.

--- a/guavastream/bench/report.py
+++ b/guavastream/bench/report.py
@@ -46,7 +46,7 @@
         for event in events
         if event.kind == "ran"
         and event.service == service
-        and not event.key.startswith(PROBE_PREFIX)
+        and PROBE_PREFIX not in event.key
     )
     return max(runs.values()) / statistics.mean(runs.values()) if runs else 0.0
 
--- a/guavastream/declare/load.py
+++ b/guavastream/declare/load.py
@@ -140,11 +140,12 @@
             yield finding(field, "Must be 1 or more.")
     if service.queue < 0:
         yield finding("queue", "Must be 0 or more.")
-    for pattern in service.non_idempotent:
-        method, _, path = pattern.partition(" ")
-        if method not in METHODS or not path.startswith(f"/{service.name}"):
-            text = f"{pattern!r} is not METHOD /{service.name}/PATH."
-            yield finding("non_idempotent", text)
+    for field in ("non_idempotent", "idempotent", "priorities"):
+        for pattern in getattr(service, field):
+            method, _, path = pattern.partition(" ")
+            if method not in METHODS or not path.startswith(f"/{service.name}"):
+                text = f"{pattern!r} is not METHOD /{service.name}/PATH."
+                yield finding(field, text)
     for field in ("imbalance", "churn", "unavailable"):
         if getattr(service.weights, field) < 0:
             yield finding(f"weights.{field}", "Must be 0 or more.")
--- a/guavastream/declare/model.py
+++ b/guavastream/declare/model.py
@@ -45,8 +45,13 @@
         Longest silence within a request or answer body.
     non_idempotent : tuple of str
         Requests that must not repeat, as `METHOD PATH`; `*` ends a prefix.
+    idempotent : tuple of str
+        POST and PATCH requests that may repeat, written likewise; all others
+        of these methods must not (RFC 9110, 9.2.2).
     priority : str
         Class that presets name in their shedding order.
+    priorities : dict of str to str
+        Classes of single requests, by `METHOD PATH`.
     weights : Weights
         Weights of the placement policy.
     """
@@ -62,9 +67,20 @@
     deadline_ms: int = 5000
     idle_ms: int = 10000
     non_idempotent: tuple[str, ...] = ()
+    idempotent: tuple[str, ...] = ()
     priority: str = "normal"
+    priorities: dict[str, str] = field(default_factory=dict)
     weights: Weights = field(default_factory=Weights)
 
+    @property
+    def has_shards(self):
+        """Whether its servers own shards: of keys, or of operations.
+
+        Where requests must not repeat but have no key, the server that owns
+        an operation's id keeps its outcome.
+        """
+        return self.divided_by_key or bool(self.non_idempotent)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Preset:
--- a/guavastream/door/forward.py
+++ b/guavastream/door/forward.py
@@ -116,14 +116,14 @@
             return False
         if self._waits(request, code):
             return not self._is_hopeless(request.service.name)
-        if request.service.divided_by_key and refusal.ran is Ran.NOT_RUN:
+        if request.owned_key and refusal.ran is Ran.NOT_RUN:
             # There is no other server to try.
             return False
         return budget.spend()
 
     def _waits(self, request, code):
         """Whether the next attempt has to wait for another owner."""
-        lost = code == "unreachable" and request.service.divided_by_key
+        lost = code == "unreachable" and bool(request.owned_key)
         return lost or code in OWNERSHIP
 
     def _is_hopeless(self, service):
@@ -158,8 +158,8 @@
     def _choose(self, request, exchange, hops, avoid):
         table = self._tables.table
         service = request.service
-        if service.divided_by_key:
-            return find_owner(table, service.name, request.key)
+        if request.owned_key:
+            return find_owner(table, service.name, request.owned_key)
         if hops:
             # The door before chose this server; choosing again could circle.
             member = table.members.get(self._member())
@@ -196,7 +196,7 @@
 
     def _note_attempt(self, request, member):
         """Return what is told the connection, and what forgets it."""
-        if not (request.service.divided_by_key or request.idempotent):
+        if not (request.owned_key or request.idempotent):
             return None, lambda: None
         noted = []
 
@@ -214,7 +214,7 @@
 
     def _send_on(self, exchange, request, target, body, headers):
         headers = headers | own_headers(request, target, now=self._clock(), hops=1)
-        headers["Guavastream-Priority"] = request.priority
+        headers["Guavastream-Caller"] = request.caller
         headers |= dict(body.headers)
         note, forget = self._note_attempt(request, target.member.id)
         try:
@@ -227,6 +227,7 @@
                 seconds=max(0.001, request.deadline - self._clock()),
                 idle=request.service.idle_ms / 1000,
                 last=note,
+                may_repeat=request.idempotent,
             )
         finally:
             forget()
--- a/guavastream/guard/admission.py
+++ b/guavastream/guard/admission.py
@@ -1,11 +1,10 @@
 """Admission to the local backend server: ownership, slots, a short queue."""
 
-import heapq
-import itertools
 import threading
 from collections import Counter
 from dataclasses import dataclass
 
+from guavastream.guard.queue import Waiter, WaitQueue
 from guavastream.routing import Refused
 
 __all__ = ["Admission", "Permit"]
@@ -22,16 +21,7 @@
     key: str
     shard: int
     epoch: int
-
-
-class _Waiter:
-    def __init__(self, *, deadline, number):
-        self.deadline = deadline
-        self.number = number
-        self.granted = threading.Event()
-
-    def __lt__(self, other):
-        return (self.deadline, self.number) < (other.deadline, other.number)
+    caller: str = ""
 
 
 class Admission:
@@ -61,8 +51,9 @@
         self._closed_shards = set()
         self._closed_keys = set()
         self._leaving = False
-        self._waiters = []
-        self._numbers = itertools.count()
+        self._queue = WaitQueue()
+        self._by_caller = Counter()
+        self._last_slots = 1
         self._warm_since = None
         self._on_key_idle = lambda service, key: None
 
@@ -74,7 +65,7 @@
     @property
     def queued(self):
         """Requests that wait for a slot."""
-        return len(self._waiters)
+        return len(self._queue)
 
     def on_key_idle(self, callback):
         """Set what is told of a key whose last request has ended."""
@@ -103,26 +94,26 @@
         Refused
             As not run.
         """
-        service = request.service
         with self._lock:
-            self._check(service, request.key, target)
+            self._check(request, target)
             waiter = self._take_slot_or_wait(request)
             if waiter is None:
-                return self._enter(service.name, request.key, target)
-        granted = waiter.granted.wait(max(0, request.deadline - self._clock()))
+                return self._enter(request, target)
+        woken = waiter.woken.wait(max(0, request.deadline - self._clock()))
         with self._lock:
-            if not granted and not waiter.granted.is_set():
-                self._waiters.remove(waiter)
-                heapq.heapify(self._waiters)
+            if not woken and not waiter.woken.is_set():
+                self._queue.remove(waiter)
                 raise Refused("deadline_passed")
+            if waiter.code:
+                raise Refused(waiter.code)
             try:
                 # The wait may have lasted past the lease or into a move.
-                self._check(service, request.key, target)
+                self._check(request, target)
             except Refused:
                 self._running -= 1
                 self._wake_next()
                 raise
-            return self._enter(service.name, request.key, target)
+            return self._enter(request, target)
 
     def check_again(self, permit):
         """Make sure at the last instant that the permit still holds.
@@ -142,6 +133,9 @@
         """Give a permit back; the request has ended at the server."""
         with self._lock:
             self._running -= 1
+            self._by_caller[permit.caller] -= 1
+            if not self._by_caller[permit.caller]:
+                del self._by_caller[permit.caller]
             idle = False
             if permit.key:
                 place = (permit.service, permit.shard)
@@ -199,10 +193,11 @@
                 if key in pins.get(service, {})
             }
 
-    def _check(self, service, key, target):
+    def _check(self, request, target):
+        service, key = request.service, request.owned_key
         if self._leaving:
             raise Refused("leaving")
-        if not service.divided_by_key:
+        if not key:
             return
         if not self._lease.is_held:
             raise Refused("no_lease")
@@ -225,32 +220,38 @@
 
     def _take_slot_or_wait(self, request):
         slots = self._slots(request.service)
-        if self._running < slots and not self._waiters:
+        if self._running < slots and not self._queue:
             self._running += 1
             return None
         preset = self._preset()
-        limit = request.service.queue * (preset.queue_share if preset else 1)
-        if preset and request.priority in preset.shed:
-            raise Refused("shed")
-        if len(self._waiters) >= limit:
-            raise Refused("overloaded")
-        waiter = _Waiter(deadline=request.deadline, number=next(self._numbers))
-        heapq.heappush(self._waiters, waiter)
+        limit = int(request.service.queue * (preset.queue_share if preset else 1))
+        waiter = Waiter(
+            deadline=request.deadline,
+            importance=_importance(request.priority, preset),
+            caller=request.caller,
+        )
+        self._queue.add(waiter, limit)
         return waiter
 
-    def _enter(self, service, key, target):
+    def _enter(self, request, target):
+        service, key = request.service.name, request.owned_key
         if key:
             self._by_shard[(service, target.shard)] += 1
             self._by_key[(service, key)] += 1
-        return Permit(service=service, key=key, shard=target.shard, epoch=target.epoch)
+        self._by_caller[request.caller] += 1
+        return Permit(
+            service=service,
+            key=key,
+            shard=target.shard,
+            epoch=target.epoch,
+            caller=request.caller,
+        )
 
     def _wake_next(self):
         # The slot passes on with the wake-up, so that no newcomer takes it.
-        if self._waiters and self._running < self._last_slots:
+        if self._queue and self._running < self._last_slots:
             self._running += 1
-            heapq.heappop(self._waiters).granted.set()
-
-    _last_slots = 1
+            self._queue.pop(self._by_caller).woken.set()
 
     def _slots(self, service):
         slots = service.slots
@@ -265,3 +266,9 @@
     def _preset(self):
         table = self._tables.table
         return table.declaration.find_preset(table.preset)
+
+
+def _importance(priority, preset):
+    """Return the rank of a class: what the preset sheds first has the least."""
+    shed = preset.shed if preset else ()
+    return shed.index(priority) if priority in shed else len(shed)
--- a/guavastream/guard/guard.py
+++ b/guavastream/guard/guard.py
@@ -1,11 +1,14 @@
 """The only way to the local backend server."""
 
+from guavastream.guard.outcomes import StoredAnswer
 from guavastream.routing import Knowledge, Refused
 from guavastream.web import AttemptFailed
 
 __all__ = ["Guard", "GuardedAnswer", "own_headers"]
 
 MIN_SECONDS = 0.001
+MAX_KEPT_BYTES = 65536
+EARLIER = ("still_running", "earlier_unknown", "answer_not_kept")
 
 
 def own_headers(request, target, *, now, hops):
@@ -93,6 +96,30 @@
         release()
 
 
+class LongAnswer(GuardedAnswer):
+    """An answer too large to be kept, of which the beginning was read.
+
+    Parameters
+    ----------
+    answer : GuardedAnswer
+        The whole answer.
+    parts : list of bytes
+        What was read of it.
+    chunks : iterator of bytes
+        The rest.
+    """
+
+    def __init__(self, *, answer, parts, chunks):
+        super().__init__(answer=answer, release=lambda: None)
+        self._parts = parts
+        self._chunks = chunks
+
+    def chunks(self):
+        """Yield the body as it comes."""
+        yield from self._parts
+        yield from self._chunks
+
+
 class Guard:
     """Hands admitted requests to the server and watches what comes of them.
 
@@ -100,6 +127,8 @@
     ----------
     admission : Admission
         Decides what may pass.
+    outcomes : Outcomes
+        Remembers operations.
     membership : Membership
         Knows the server and the lease.
     sender : HttpSender
@@ -112,7 +141,10 @@
         Takes the kind and fields of an event.
     """
 
-    def __init__(self, *, admission, membership, sender, clock, metrics, record):
+    def __init__(
+        self, *, admission, outcomes, membership, sender, clock, metrics, record
+    ):
+        self._outcomes = outcomes
         self._admission = admission
         self._membership = membership
         self._sender = sender
@@ -155,15 +187,69 @@
             self._metrics.incr(f"guard.refused.{refused.refusal.code}")
             raise
         try:
+            earlier = self._begin(request, target)
+            if earlier is not None:
+                self._admission.release(permit)
+                return earlier
             answer = self._send(
                 announced, request, target, permit, method, path, headers, body
             )
-        except BaseException:
+        except BaseException as error:
+            self._note_failure(request, error)
             self._admission.release(permit)
             raise
-        return GuardedAnswer(
+        guarded = GuardedAnswer(
             answer=answer, release=lambda: self._admission.release(permit)
         )
+        return self._keep(request, guarded) if request.operation else guarded
+
+    def _begin(self, request, target):
+        """Return the answer that an operation had before, if it had one."""
+        if not request.operation:
+            return None
+        return self._outcomes.begin(
+            request.service.name, target.shard, request.operation
+        )
+
+    def _note_failure(self, request, error):
+        if not request.operation:
+            return
+        if isinstance(error, Refused):
+            # A resend that was refused says nothing about the first attempt.
+            if error.refusal.code not in EARLIER:
+                self._outcomes.not_run(request.service.name, request.operation)
+            return
+        sent = getattr(error, "knowledge", Knowledge.SENT) is Knowledge.SENT
+        note = self._outcomes.unknown if sent else self._outcomes.not_run
+        note(request.service.name, request.operation)
+
+    def _keep(self, request, answer):
+        """Read an operation's answer to its end before the caller gets it.
+
+        Whether the caller stays to hear it makes no difference then to what
+        a resend is told.
+        """
+        name, operation = request.service.name, request.operation
+        parts, size = [], 0
+        chunks = answer.chunks()
+        try:
+            for part in chunks:
+                parts.append(part)
+                size += len(part)
+                if size > MAX_KEPT_BYTES:
+                    self._outcomes.answered(name, operation, None)
+                    return LongAnswer(answer=answer, parts=parts, chunks=chunks)
+        except AttemptFailed:
+            self._outcomes.unknown(name, operation)
+            raise
+        stored = StoredAnswer(
+            status=answer.status,
+            reason=answer.reason,
+            fields=tuple(answer.headers()),
+            body=b"".join(parts),
+        )
+        self._outcomes.answered(name, operation, stored)
+        return stored
 
     def _send(self, announced, request, target, permit, method, path, headers, body):
         headers = headers | own_headers(request, target, now=self._clock(), hops=0)
@@ -195,6 +281,7 @@
             seconds=max(MIN_SECONDS, request.deadline - self._clock()),
             idle=request.service.idle_ms / 1000,
             last=check,
+            may_repeat=request.idempotent,
         )
         return self._vetted(answer, request)
 
--- a/guavastream/guard/handover.py
+++ b/guavastream/guard/handover.py
@@ -24,6 +24,8 @@
     ----------
     admission : Admission
         Stops admitting and knows what runs.
+    outcomes : Outcomes
+        Told of what comes, asked about what goes.
     membership : Membership
         Names this member.
     control : ControlClient
@@ -34,7 +36,8 @@
         Takes the kind and fields of an event.
     """
 
-    def __init__(self, *, admission, membership, control, tables, record):
+    def __init__(self, *, admission, outcomes, membership, control, tables, record):
+        self._outcomes = outcomes
         self._admission = admission
         self._membership = membership
         self._control = control
@@ -79,6 +82,9 @@
             before = self._owned.get(service, {})
             came = [s for s, epoch in owned.items() if before.get(s) != epoch]
             if came:
+                handed = table.handed.get(service, {})
+                for shard in came:
+                    self._outcomes.granted(service, shard, handed=handed.get(shard))
                 self._admission.reopen(service, came)
                 self._record_granted(service, {s: owned[s] for s in came})
             went = [s for s in before if s not in owned]
@@ -107,6 +113,7 @@
             shards=shards,
             epochs=tuple(epochs.values()),
             pins=tuple(pins),
+            recent=self._outcomes.recent(service, set(shards)),
         )
         # From here on the shards may be another's, whether or not an answer
         # comes; they stay closed until the table gives them back.
--- a/guavastream/guard/role.py
+++ b/guavastream/guard/role.py
@@ -6,6 +6,7 @@
 from guavastream.guard.admission import Admission
 from guavastream.guard.guard import Guard
 from guavastream.guard.handover import Handover
+from guavastream.guard.outcomes import Outcomes
 from guavastream.guard.server import ServerLink
 from guavastream.kernel import ROLES, Role, part_logger
 from guavastream.web import HttpServer
@@ -39,8 +40,10 @@
             tables=node.tables,
             clock=node.clock,
         )
+        outcomes = Outcomes()
         node.guard = Guard(
             admission=admission,
+            outcomes=outcomes,
             membership=node.membership,
             sender=node.sender,
             clock=node.clock,
@@ -49,6 +52,7 @@
         )
         self._handover = Handover(
             admission=admission,
+            outcomes=outcomes,
             membership=node.membership,
             control=node.control,
             tables=node.tables,
--- a/guavastream/guard/server.py
+++ b/guavastream/guard/server.py
@@ -178,9 +178,7 @@
             if announced is None or not lease.is_held:
                 continue
             service = self._tables.table.declaration.service(announced.service)
-            if service is None or not (
-                service.checks_grants and service.divided_by_key
-            ):
+            if service is None or not (service.checks_grants and service.has_shards):
                 continue
             table = self._tables.table
             if (table.index, lease.deadline) == sent:
--- a/guavastream/guard/tests/test_admission.py
+++ b/guavastream/guard/tests/test_admission.py
@@ -134,7 +134,7 @@
     rig.acquire()
     late_thread, late = rig.acquire_later(seconds=9)
     soon_thread, soon = rig.acquire_later(seconds=5)
-    assert rig.refused() == "overloaded"
+    assert rig.refused(seconds=10) == "overloaded"
     rig.admission.release(first)
     soon_thread.join()
     assert not late
--- a/guavastream/routing/outcomes.py
+++ b/guavastream/routing/outcomes.py
@@ -41,6 +41,10 @@
     return Refusal(code=code, status=status, ran=Ran.UNKNOWN, text=text)
 
 
+def _ran(code, status, text):
+    return Refusal(code=code, status=status, ran=Ran.ANSWERED, text=text)
+
+
 # `elsewhere` marks refusals after which another attempt may fare better.
 REFUSALS = {
     refusal.code: refusal
@@ -48,6 +52,7 @@
         _not_run("unknown_service", 404, "No such service is declared."),
         _not_run("bad_request", 400, "The request cannot be read."),
         _not_run("missing_key", 400, "The request has no key where one is declared."),
+        _not_run("bad_idempotency_key", 400, "Idempotency-Key is not a UUIDv7."),
         _not_run("bad_deadline", 400, "Guavastream-Deadline-Ms is not a number."),
         _not_run("not_ready", 503, "This process is not ready yet.", 1, True),
         _not_run("no_owner", 503, "The key has no owner at this moment.", 1, True),
@@ -67,6 +72,7 @@
         _unknown("no_answer", 504, "No answer came before the deadline."),
         _unknown("answer_lost", 502, "The connection broke before an answer."),
         _unknown("wrong_answer", 502, "The answer belonged to another request."),
+        _ran("answer_not_kept", 409, "It ran; its answer was too large to be kept."),
         _unknown("earlier_unknown", 409, "Whether the first attempt ran is not known."),
     )
 }
--- a/guavastream/standins/__init__.py
+++ b/guavastream/standins/__init__.py
@@ -2,3 +2,4 @@
 
 from guavastream.standins.backend import *
 from guavastream.standins.network import *
+from guavastream.standins.proxy import *
--- a/guavastream/standins/backend.py
+++ b/guavastream/standins/backend.py
@@ -45,6 +45,8 @@
         Further time of a request right after the start; falls to 0 in 2 s.
     checks_grants : bool
         Whether it checks who gives it an order.
+    tick : float
+        Seconds between looks at idle connections.
     """
 
     service: str
@@ -55,6 +57,7 @@
     work_ms: float = 5.0
     cold_ms: float = 0.0
     checks_grants: bool = True
+    tick: float = 0.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -73,6 +76,8 @@
         Further time of each request.
     load : float
         What its load endpoint says; negative for the truth.
+    echo : str
+        Request id that its answers name; empty for the right one.
     """
 
     healthy: bool = True
@@ -80,6 +85,7 @@
     silent: bool = False
     slow_ms: float = 0.0
     load: float = -1.0
+    echo: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -116,7 +122,10 @@
             host=f"{settings.service}/{self._boot}", path=settings.record
         )
         self._server = HttpServer(
-            address=settings.listen, handler=self._handle, threads=256
+            address=settings.listen,
+            handler=self._handle,
+            threads=256,
+            tick=settings.tick,
         )
         self._http = urllib3.PoolManager(retries=False)
 
@@ -130,16 +139,39 @@
         """Name of this start of the server."""
         return self._boot
 
+    @property
+    def running(self):
+        """Requests that run at this moment."""
+        return self._running
+
+    def recent(self):
+        """Return the latest events."""
+        return self._recorder.recent()
+
+    def serve(self):
+        """Serve without announcing."""
+        self._server.start()
+
+    def stop_serving(self):
+        """Close the server."""
+        self._server.stop()
+
+    def behave(self, behaviour):
+        """Change what the server does wrong."""
+        self._behaviour = behaviour
+        with self._thawed:
+            self._thawed.notify_all()
+
     def run(self):
         """Serve and announce until `stop`, then end what runs."""
-        self._server.start()
+        self.serve()
         while not self._stopped.wait(ANNOUNCE_SECONDS):
             self._announce()
         self._draining = True
         self._announce()
         while self._running:
             time.sleep(0.02)
-        self._server.stop()
+        self.stop_serving()
 
     def stop(self):
         """Begin the graceful stop."""
@@ -181,9 +213,7 @@
             self._serve(exchange)
 
     def _set_behaviour(self, exchange):
-        self._behaviour = exchange.json(Behaviour)
-        with self._thawed:
-            self._thawed.notify_all()
+        self.behave(exchange.json(Behaviour))
         exchange.respond(200, self._behaviour)
 
     def _take_grant(self, exchange):
@@ -228,12 +258,12 @@
             return
         self._recorder.record("run_started", **fields)
         digest, size = hashlib.sha256(), 0
-        while True:
-            data = exchange.read()
-            if not data:
-                break
+        while data := exchange.read():
             digest.update(data)
             size += len(data)
+        if exchange.length is not None and size < exchange.length:
+            self._recorder.record("run_dropped", **fields)
+            exchange.abort()
         self._work(exchange)
         # The order takes effect only here, so the grant must still hold: a
         # server that was frozen in its work finds that another one owns.
@@ -257,7 +287,7 @@
         if wanted:
             self._stream(exchange, request, wanted)
         else:
-            exchange.respond(200, item, _echo(request))
+            exchange.respond(200, item, _echo(self._behaviour.echo or request))
 
     def _work(self, exchange):
         age = time.monotonic() - self._started
--- /dev/null
+++ b/guavastream/standins/proxy.py
@@ -0,0 +1,95 @@
+"""A TCP proxy between two ends that cuts, delays, or goes silent for good."""
+
+import contextlib
+import socket
+import threading
+
+__all__ = ["FaultProxy"]
+
+CHUNK_BYTES = 65536
+
+
+class FaultProxy:
+    """Passes bytes between callers and a target until told otherwise.
+
+    Parameters
+    ----------
+    target : str
+        IP:PORT of the other end.
+    """
+
+    def __init__(self, *, target):
+        self._target = target
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._pairs = []
+        self._dead = set()
+        self._lock = threading.Lock()
+        self._passed = 0
+        self._limit = None
+        self._thread = threading.Thread(target=self._accept, daemon=True)
+        self._thread.start()
+
+    @property
+    def address(self):
+        """IP:PORT to connect to."""
+        host, port = self._listener.getsockname()
+        return f"{host}:{port}"
+
+    @property
+    def connections(self):
+        """How many connections were taken so far."""
+        return len(self._pairs)
+
+    def silence(self):
+        """Let all open connections go silent for good; new ones work.
+
+        Nothing is refused or closed: what is sent is taken and forgotten, as
+        by a path that has lost track of its connections.
+        """
+        with self._lock:
+            self._dead.update(range(len(self._pairs)))
+
+    def cut_answers_after(self, count):
+        """Close connections once `count` more bytes of answers have passed."""
+        self._passed, self._limit = 0, count
+
+    def close(self):
+        """Close everything."""
+        self._listener.close()
+        for pair in self._pairs:
+            for sock in pair:
+                sock.close()
+
+    def _accept(self):
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            host, _, port = self._target.rpartition(":")
+            far = socket.create_connection((host, int(port)))
+            number = len(self._pairs)
+            self._pairs.append((near, far))
+            for source, sink, answers in ((near, far, False), (far, near, True)):
+                threading.Thread(
+                    target=self._pass, args=(number, source, sink, answers), daemon=True
+                ).start()
+
+    def _pass(self, number, source, sink, answers):
+        with contextlib.suppress(OSError):
+            while data := source.recv(CHUNK_BYTES):
+                if number in self._dead:
+                    continue
+                if answers and self._limit is not None:
+                    data = data[: self._limit - self._passed]
+                    self._passed += len(data)
+                    sink.sendall(data)
+                    if self._passed >= self._limit:
+                        break
+                    continue
+                sink.sendall(data)
+        # A silent connection stays open at both ends.
+        if number not in self._dead:
+            for sock in (source, sink):
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
--- a/guavastream/state/commands.py
+++ b/guavastream/state/commands.py
@@ -79,7 +79,8 @@
 class FinishMoves:
     """`member` released `shards`, which it held under `epochs`, pair by pair.
 
-    `pins` are keys whose sessions it keeps.
+    `pins` are keys whose sessions it keeps; `recent` holds digests of the
+    latest operations on the shards (see `guard.outcomes`).
     """
 
     service: str
@@ -87,6 +88,7 @@
     shards: tuple[int, ...]
     epochs: tuple[int, ...]
     pins: tuple[str, ...] = ()
+    recent: tuple[int, ...] = ()
 
 
 @message
--- a/guavastream/state/table.py
+++ b/guavastream/state/table.py
@@ -129,11 +129,14 @@
         Hosts and zones drained by operators.
     members : dict of int to Member
     shards : dict of str to ShardMap
-        For each service divided by key.
+        For each service whose servers own shards.
     moves : dict of str to dict of int to int
         For each service the shards on the move and their targets.
     pins : dict of str to dict of str to Pin
         For each service the pinned keys.
+    handed : dict of str to dict of int to tuple
+        For each service and shard that came by a planned move, digests of
+        the latest operations at the owner before.
     answers : dict of str to tuple
         Change id to the digest of its content and its answer; the oldest of
         more than 4,096 are dropped.
@@ -150,6 +153,7 @@
     shards: dict = field(default_factory=dict)
     moves: dict = field(default_factory=dict)
     pins: dict = field(default_factory=dict)
+    handed: dict = field(default_factory=dict)
     answers: dict = field(default_factory=dict)
     history: tuple[Change, ...] = ()
 
@@ -278,7 +282,17 @@
         service: {key: pin for key, pin in held.items() if pin.member != gone}
         for service, held in table.pins.items()
     }
-    return {"members": members, "shards": shards, "moves": moves, "pins": pins}, None
+    handed = {
+        service: {
+            shard: digests
+            for shard, digests in service_handed.items()
+            if table.shards[service].owners[shard] != gone
+        }
+        for service, service_handed in table.handed.items()
+        if service in table.shards
+    }
+    changes = {"members": members, "shards": shards, "moves": moves, "pins": pins}
+    return changes | {"handed": handed}, None
 
 
 @_handles(AssignShards)
@@ -290,6 +304,8 @@
     # owner that came in between: only shards still with `previous` go over.
     shards = [s for s in command.shards if shard_map.owners[s] == command.previous]
     shard_map = shard_map.assign(shards, command.member, index)
+    # A shard that was released to nobody in particular keeps what its last
+    # owner left; one whose owner was lost has nothing (see RemoveMember).
     return {"shards": table.shards | {command.service: shard_map}}, tuple(shards)
 
 
@@ -315,6 +331,7 @@
     # A release that was sent twice may arrive after the shard has come back
     # to the same member. It serves again by then, so a release of an earlier
     # epoch must not take it away.
+    handed = dict(table.handed.get(command.service, {}))
     released = [
         shard
         for shard, epoch in zip(command.shards, command.epochs, strict=True)
@@ -331,10 +348,12 @@
         target = moves.pop(shard, NOBODY)
         target = target if target in table.members else NOBODY
         shard_map = shard_map.assign([shard], target, index)
+        handed[shard] = command.recent
     return {
         "shards": table.shards | {command.service: shard_map},
         "moves": table.moves | {command.service: moves},
         "pins": table.pins | {command.service: pins},
+        "handed": table.handed | {command.service: handed},
     }, None
 
 
@@ -407,7 +426,7 @@
         made = msgspec.msgpack.decode(command.declaration, type=Declaration)
         shards = {}
         for service in made.services:
-            if not service.divided_by_key:
+            if not service.has_shards:
                 continue
             old = table.shards.get(service.name)
             if old is not None and len(old.owners) != service.shards:
@@ -460,6 +479,7 @@
     shards: dict[str, tuple[bytes, bytes]]
     moves: dict[str, dict[int, int]]
     pins: dict[str, dict[str, Pin]]
+    handed: dict[str, dict[int, tuple[int, ...]]]
     answers: dict[str, tuple[int, ChangeAnswer]]
     history: tuple[Change, ...]
 
@@ -484,6 +504,7 @@
             shards=shards,
             moves=table.moves,
             pins=table.pins,
+            handed=table.handed,
             answers=table.answers,
             history=table.history,
         )
@@ -513,6 +534,7 @@
         shards=shards,
         moves=wire.moves,
         pins=wire.pins,
+        handed=wire.handed,
         answers=wire.answers,
         history=wire.history,
     )
--- a/guavastream/timeline/checkers.py
+++ b/guavastream/timeline/checkers.py
@@ -217,16 +217,18 @@
 
     def check(self, events):
         told = {e.request: e for e in events if e.kind == "caller_told"}
-        stopped = {e.server for e in events if e.kind == "planned_stop"}
+        stopped = {e.server: e.stamp for e in events if e.kind == "planned_stop"}
         lost = {e.server for e in events if e.kind == "server_lost"}
         yield from self._unexplained(events)
         for event in events:
-            if event.kind != "run_started" or event.server not in stopped - lost:
+            if event.kind != "run_started" or event.server not in stopped.keys() - lost:
                 continue
             answer = told.get(event.request)
             # A caller that was stopped itself, or left, was told nothing.
             if answer is None or answer.detail["code"] in ("ok", "gone"):
                 continue
+            if answer.stamp < stopped[event.server]:
+                continue
             if answer.detail["ran"] != "not run":
                 text = f"{event.request} was cut ({answer.detail['code']})."
                 yield _found(event, "cut_by_plan", text)
--- a/guavastream/timeline/tests/test_checkers.py
+++ b/guavastream/timeline/tests/test_checkers.py
@@ -160,7 +160,10 @@
 
 
 def test_sound_time_line_has_no_findings():
-    """A move, a frozen server's dropped run and a refused swap break nothing."""
+    """A move, a frozen server's dropped run and a refused swap break nothing.
+
+    Nor does a request that a fault cut before its server was stopped.
+    """
     events = make_events(
         granted(1, 5),
         run("run_started", "a", "x", 5),
@@ -173,6 +176,10 @@
         told("a"),
         told("b", idempotent=False),
         told("c", idempotent=False, code="overloaded", ran="not run"),
+        run("run_started", "d", "z", 7, key="l"),
+        ("server_lost", {"server": "x"}),
+        told("d", code="connection_broken", ran="outcome unknown"),
+        ("planned_stop", {"server": "z"}),
         in_force(1, "p"),
         in_force(2, "q"),
         in_force(2, "q", host="i"),
--- a/guavastream/web/send.py
+++ b/guavastream/web/send.py
@@ -16,6 +16,7 @@
 
 CONNECT_SECONDS = 0.5
 MAX_IDLE_SECONDS = 2.0
+PATIENCE = 1 / 3
 HOP_BY_HOP = frozenset(
     (
         "connection",
@@ -71,6 +72,7 @@
     """A connection that looks once more before the first byte goes out."""
 
     used_at = 0.0
+    reused = False
 
     def cut(self):
         """End what goes on over the connection; safe from any thread."""
@@ -79,19 +81,33 @@
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
 
+    def getresponse(self):
+        # A pooled connection may have gone silent for good. Its answer is
+        # waited for only so long that a new one still has time to serve.
+        patience = getattr(_thread, "patience", None)
+        if self.reused and patience is not None:
+            self.timeout = patience
+        return super().getresponse()
+
     def send(self, data):
+        if getattr(_thread, "is_first", False):
+            _thread.is_first = False
+            self._begin()
+        self.used_at = time.monotonic()
+        super().send(data)
+
+    def _begin(self):
         if self.sock is not None and time.monotonic() - self.used_at > MAX_IDLE_SECONDS:
             # Something between the ends may have forgotten it meanwhile; a
             # fresh connection costs a millisecond, a dead one the request.
             self.sock.close()
             self.sock = None
-        if self.sock is None:
+        self.reused = self.sock is not None
+        if not self.reused:
             self.connect()
         check, _thread.check = getattr(_thread, "check", None), None
         if check is not None:
             check(self)
-        self.used_at = time.monotonic()
-        super().send(data)
 
 
 class _Pool(urllib3.HTTPConnectionPool):
@@ -182,7 +198,19 @@
         self._pools = {}
         self._lock = threading.Lock()
 
-    def send(self, address, method, target, headers, body, *, seconds, idle, last=None):
+    def send(
+        self,
+        address,
+        method,
+        target,
+        headers,
+        body,
+        *,
+        seconds,
+        idle,
+        last=None,
+        may_repeat=False,
+    ):
         """Send one request and return its `Answer`.
 
         Parameters
@@ -198,6 +226,9 @@
         last : callable, optional
             Called with the connection when it stands, right before the first
             byte goes out; what it raises ends the attempt as not sent.
+        may_repeat : bool
+            Whether another attempt may follow. A silent pooled connection is
+            then given up after a third of the time.
 
         Raises
         ------
@@ -206,7 +237,8 @@
         """
         pool = self._pool(address)
         timeout = Timeout(connect=min(CONNECT_SECONDS, seconds), read=seconds)
-        _thread.check = last
+        _thread.check, _thread.is_first = last, True
+        _thread.patience = seconds * PATIENCE if may_repeat else None
         try:
             response = pool.urlopen(
                 method,
@@ -226,6 +258,7 @@
         ) as error:
             raise AttemptFailed(Knowledge.NOT_SENT, "unreachable") from error
         except urllib3.exceptions.ReadTimeoutError as error:
+            self._distrust(address)
             raise AttemptFailed(Knowledge.SENT, "no_answer") from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise AttemptFailed(Knowledge.SENT, "answer_lost") from error
@@ -239,6 +272,16 @@
                 pool.close()
             self._pools.clear()
 
+    def _distrust(self, address):
+        """Keep no idle connection to an address that has not answered.
+
+        What made one of them silent has probably made the others so.
+        """
+        with self._lock:
+            pool = self._pools.pop(address, None)
+        if pool is not None:
+            pool.close()
+
     def _pool(self, address):
         pool = self._pools.get(address)
         if pool is None:
--- a/guavastream/web/serve.py
+++ b/guavastream/web/serve.py
@@ -9,6 +9,7 @@
 from cheroot.workers import threadpool
 
 from guavastream.kernel import parse_address, part_logger
+from guavastream.web.headers import StrictConnection
 from guavastream.web.listen import drop_new_connections
 
 __all__ = ["CHUNK_BYTES", "Exchange", "HttpServer"]
@@ -232,9 +233,11 @@
         Most requests in progress.
     max_body : int
         Bound of a request body in bytes; 0 for none.
+    tick : float
+        Seconds between looks at idle connections, and at the end.
     """
 
-    def __init__(self, *, address, handler, threads=64, max_body=0):
+    def __init__(self, *, address, handler, threads=64, max_body=0, tick=0.5):
         server = cheroot_server.HTTPServer(
             parse_address(address), self._make_gateway(handler)
         )
@@ -244,7 +247,9 @@
         server.keep_alive_conn_limit = 4096
         server.max_request_header_size = MAX_HEADER_BYTES
         server.max_request_body_size = max_body
+        server.expiration_interval = tick
         server.error_log = self._log_error
+        server.ConnectionClass = StrictConnection
         self._server = server
         self._thread = None
         self._active = 0
