The last attempt no longer speaks for those before it; overload and more

Change: one record of all attempts decides about another one and about the final answer, for doors and the callers' library; not run is told of an operation only where its owner's outcomes were asked.

--- a/guavastream/bench/cluster.py
+++ b/guavastream/bench/cluster.py
@@ -44,10 +44,13 @@
     zones: tuple[str, ...]
     servers: tuple[ServerSpec, ...]
     keyed: str
+    text: str = ""
 
     @property
     def declaration(self):
         """Text of its file of declarations."""
+        if self.text:
+            return self.text
         folder = resources.files("guavastream.deployments")
         return (folder / f"{self.name}.toml").read_text(encoding="utf-8")
 
@@ -119,6 +122,7 @@
         )
         self.node = None
         self.server = None
+        self.announce = ""
         self.starts = 0
         self.paused = False
 
@@ -155,6 +159,8 @@
             f"--slots={self.spec.slots}",
             f"--work-ms={self.spec.work_ms}",
         ]
+        if self.announce:
+            words.append(f"--announce={self.announce}")
         if not self.spec.checks_grants:
             words.append("--no-checks")
         self.server = self._spawn("server", ["standin", *words])
--- a/guavastream/bench/load.py
+++ b/guavastream/bench/load.py
@@ -162,12 +162,20 @@
         self._rng = rng
         self._http = urllib3.PoolManager(retries=False, num_pools=64, maxsize=4)
 
-    def send(self, kind, key, *, door="", headers=None):
-        """Send one request and return what was told."""
-        request = uuid.uuid4().hex
+    def send(self, kind, key, *, request="", headers=None):
+        """Send one request and return what was told.
+
+        Parameters
+        ----------
+        request : str
+            Its id; a fresh one by default.
+        headers : dict, optional
+            Further headers.
+        """
+        request = request or uuid.uuid4().hex
         body = request.encode() * (kind.size // 32)
         started = time.monotonic()
-        told = self._send(kind, key, request, body, door, headers or {})
+        told = self._send(kind, key, request, body, headers or {})
         self._recorder.record(
             "caller_told",
             service=kind.service,
@@ -185,8 +193,8 @@
         )
         return told
 
-    def _send(self, kind, key, request, body, door, headers):
-        door = door or self._rng.choice(self._doors())
+    def _send(self, kind, key, request, body, headers):
+        door = self._rng.choice(self._doors())
         headers = {"Guavastream-Request-Id": request, **headers}
         if body:
             headers["Content-Length"] = str(len(body))
@@ -202,7 +210,10 @@
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ):
-            return Told(code="door_unreachable", ran=NOT_RUN)
+            # Of a resend's earlier sendings this says nothing.
+            resent = "Idempotency-Key" in headers
+            ran = UNKNOWN if resent else NOT_RUN
+            return Told(code="door_unreachable", ran=ran)
         except (urllib3.exceptions.HTTPError, OSError):
             return Told(code="connection_broken", ran=UNKNOWN)
         return _judge(answer, body)
--- a/guavastream/client/caller.py
+++ b/guavastream/client/caller.py
@@ -11,12 +11,14 @@
 from guavastream.declare import Declaration, Service
 from guavastream.exception import GuavastreamError
 from guavastream.routing import (
+    REFUSALS,
+    Attempts,
     Classified,
     Knowledge,
+    Ran,
     Refused,
     RetryBudget,
     classify,
-    may_try_again,
 )
 from guavastream.state import shard_of
 from guavastream.web import AttemptFailed, HttpSender
@@ -26,7 +28,15 @@
 ROUTES_SECONDS = 1.0
 OWNER_WAIT_SECONDS = 2.0
 PAUSE_SECONDS = 0.02
-LEARNS = ("no_owner", "wrong_owner", "moving", "no_lease", "leaving", "not_ready")
+LEARNS = (
+    "no_owner",
+    "wrong_owner",
+    "moving",
+    "no_lease",
+    "leaving",
+    "not_ready",
+    "unreachable",
+)
 
 
 class RequestFailed(GuavastreamError):
@@ -97,6 +107,12 @@
     pins: dict[str, int]
 
 
+def _failed(refused, request):
+    operation = getattr(request, "operation", "")
+    ran = refused.told_ran(operation).value
+    return RequestFailed(code=refused.refusal.code, ran=ran)
+
+
 class Caller:
     """Sends requests with one hop less than through an arbitrary door.
 
@@ -143,23 +159,24 @@
         budget = self._budgets.setdefault(name, RetryBudget())
         budget.earn()
         patience = min(request.deadline, time.monotonic() + OWNER_WAIT_SECONDS)
+        attempts = Attempts(idempotent=request.idempotent)
+        replayable = body is None or isinstance(body, bytes)
         while True:
             try:
                 return self._attempt(request, method, path, fields, body)
-            except RequestFailed as failed:
-                code, ran = failed.code, failed.ran
-                knowledge = Knowledge.NOT_RUN if ran == "not run" else Knowledge.SENT
+            except Refused as refused:
+                attempts.note(
+                    refused.refusal.code,
+                    Knowledge.NOT_RUN,
+                    confirmed=refused.confirmed,
+                )
             except AttemptFailed as failed:
-                code, knowledge = failed.code, failed.knowledge
-                sent = knowledge is Knowledge.SENT
-                ran = "outcome unknown" if sent else "not run"
-            replayable = body is None or isinstance(body, bytes)
-            allowed = may_try_again(knowledge, idempotent=request.idempotent)
-            learns = code in LEARNS or code == "unreachable"
-            if not (allowed and replayable and time.monotonic() < patience):
-                raise RequestFailed(code=code, ran=ran)
-            if not learns and not budget.spend():
-                raise RequestFailed(code=code, ran=ran)
+                attempts.note(failed.code, failed.knowledge)
+            may_wait = time.monotonic() < patience
+            if not (attempts.may_try_again and replayable and may_wait):
+                raise _failed(attempts.final(), request)
+            if attempts.code not in LEARNS and not budget.spend():
+                raise _failed(attempts.final(), request)
             time.sleep(PAUSE_SECONDS)
             self._learn(name)
 
@@ -175,8 +192,7 @@
         try:
             return classify(request, declaration, now=time.monotonic())
         except Refused as refused:
-            refusal = refused.refusal
-            raise RequestFailed(code=refusal.code, ran=refusal.ran.value) from None
+            raise _failed(refused, request) from None
 
     def _attempt(self, request, method, path, fields, body):
         door = self._door_for(request)
@@ -197,9 +213,11 @@
             may_repeat=request.idempotent,
         )
         code = answer.header("Guavastream-Code")
-        if code:
-            said = msgspec.json.decode(b"".join(answer.chunks()))
-            raise RequestFailed(code=code, ran=said["ran"])
+        if code in REFUSALS:
+            answer.finish(whole=False)
+            if REFUSALS[code].ran is Ran.NOT_RUN:
+                raise Refused(code, confirmed=answer.header("Guavastream-Ran") == "no")
+            raise AttemptFailed(Knowledge.SENT, code)
         if answer.header("Guavastream-Request-Id") != request.id:
             answer.finish(whole=False)
             raise AttemptFailed(Knowledge.SENT, "wrong_answer")
@@ -216,14 +234,14 @@
             )
             member = routes.members.get(str(owner))
             if member is None:
-                raise RequestFailed(code="no_owner", ran="not run")
+                raise Refused("no_owner")
             return member["door"]
         return self._next_door(routes)
 
     def _next_door(self, routes):
         live = [m for m in routes.members.values() if not m["drained"]]
         if not live:
-            raise RequestFailed(code="no_owner", ran="not run")
+            raise Refused("no_owner")
         near = [m for m in live if m["zone"] == self._zone] or live
         self._turn += 1
         return near[self._turn % len(near)]["door"]
--- a/guavastream/commands/bench.py
+++ b/guavastream/commands/bench.py
@@ -46,7 +46,7 @@
 
 @command(
     "bench",
-    summary="Measure on real processes: " + ", ".join(BENCHES.names) + ".",
+    summary="Measure on real processes.",
     example="guavastream bench owner-loss --events 5",
 )
 def _setup_bench(parser):
--- a/guavastream/commands/processes.py
+++ b/guavastream/commands/processes.py
@@ -38,6 +38,9 @@
     parser.add_argument("--service", required=True, help="service it serves")
     parser.add_argument("--listen", required=True, help="IP:PORT")
     parser.add_argument("--guard", required=True, help="IP:PORT of its guard")
+    parser.add_argument(
+        "--announce", default="", metavar="IP:PORT", help="address to announce"
+    )
     parser.add_argument("--record", default="", help="file for its events")
     parser.add_argument("--slots", type=int, default=20, help="requests at a time")
     parser.add_argument(
@@ -61,6 +64,7 @@
             service=arguments.service,
             listen=arguments.listen,
             guard=arguments.guard,
+            announce=arguments.announce,
             record=arguments.record,
             slots=arguments.slots,
             work_ms=arguments.work_ms,
--- a/guavastream/door/door.py
+++ b/guavastream/door/door.py
@@ -69,7 +69,7 @@
             self._forward(exchange, request)
         except Refused as refused:
             code = refused.refusal.code
-            self._refuse(exchange, request, refused.refusal)
+            self._refuse(exchange, request, refused)
         except (AttemptFailed, BodyFailed) as error:
             code = getattr(error, "code", "caller_gone")
             self._end(exchange, request, code)
@@ -97,15 +97,18 @@
         finally:
             answer.finish(whole=False)
 
-    def _refuse(self, exchange, request, refusal):
+    def _refuse(self, exchange, request, refused):
+        refusal = refused.refusal
+        operation = request.operation if request else ""
+        ran = refused.told_ran(operation)
         item = RefusalBody(
             code=refusal.code,
-            ran=refusal.ran.value,
+            ran=ran.value,
             text=refusal.text,
             request=request.id if request else "",
         )
         headers = [("Guavastream-Code", refusal.code)]
-        if refusal.ran is Ran.NOT_RUN:
+        if ran is Ran.NOT_RUN:
             headers.append(("Guavastream-Ran", "no"))
         if refusal.retry_after:
             headers.append(("Retry-After", str(refusal.retry_after)))
--- a/guavastream/door/forward.py
+++ b/guavastream/door/forward.py
@@ -5,13 +5,13 @@
 from guavastream.guard import own_headers
 from guavastream.routing import (
     REFUSALS,
+    Attempts,
     Knowledge,
     Ran,
     Refused,
     RetryBudget,
     Target,
     find_owner,
-    may_try_again,
 )
 from guavastream.web import AttemptFailed, BodyFailed
 
@@ -21,6 +21,7 @@
 # loss is over within one; what takes longer the caller is told.
 OWNER_WAIT_SECONDS = 2.0
 TABLE_WAIT_SECONDS = 0.05
+SERVER_ERRORS = 500
 OWNERSHIP = ("no_owner", "wrong_owner", "moving", "no_lease", "not_ready", "leaving")
 
 
@@ -84,29 +85,33 @@
             budget.earn()
         patience = min(request.deadline, self._clock() + OWNER_WAIT_SECONDS)
         avoid = set()
+        attempts = Attempts(idempotent=request.idempotent)
         while True:
             index = self._tables.table.index
             try:
                 return self._attempt(exchange, request, body, headers, hops, avoid)
             except Refused as refused:
-                code, knowledge = refused.refusal.code, Knowledge.NOT_RUN
+                attempts.note(
+                    refused.refusal.code,
+                    Knowledge.NOT_RUN,
+                    confirmed=refused.confirmed,
+                )
             except AttemptFailed as failed:
-                code, knowledge = failed.code, failed.knowledge
-            if not self._may_retry(request, body, code, knowledge, hops, budget):
-                raise Refused(_final(code, knowledge))
-            if self._waits(request, code):
+                attempts.note(failed.code, failed.knowledge)
+            if not self._may_retry(request, body, attempts, hops, budget):
+                raise attempts.final()
+            if self._waits(request, attempts.code):
                 left = patience - self._clock()
                 if left <= 0:
-                    raise Refused(code)
+                    raise attempts.final()
                 self._tables.wait_in_thread(index, min(TABLE_WAIT_SECONDS, left))
             if self._clock() >= request.deadline:
-                raise Refused(_final(code, knowledge))
+                raise attempts.final()
 
-    def _may_retry(self, request, body, code, knowledge, hops, budget):
-        if not may_try_again(knowledge, idempotent=request.idempotent):
-            return False
-        if not body.replayable:
+    def _may_retry(self, request, body, attempts, hops, budget):
+        if not (attempts.may_try_again and body.replayable):
             return False
+        code = attempts.code
         refusal = REFUSALS[code]
         if refusal.ran is Ran.NOT_RUN and not refusal.elsewhere:
             return False
@@ -142,7 +147,7 @@
                 raise Refused("wrong_owner")
             else:
                 answer = self._send_on(exchange, request, target, body, headers)
-            failed = False
+            failed = answer.status >= SERVER_ERRORS
             return answer
         except BodyFailed:
             failed = False
@@ -151,8 +156,7 @@
             failed = refused.refusal.code not in ("shed", "overloaded")
             raise
         finally:
-            if failed:
-                avoid.add(member.id)
+            avoid.add(member.id)
             self._chooser.end(member.id, failed=failed)
 
     def _choose(self, request, exchange, hops, avoid):
@@ -235,7 +239,7 @@
         if code in REFUSALS:
             answer.finish(whole=False)
             if REFUSALS[code].ran is Ran.NOT_RUN:
-                raise Refused(code)
+                raise Refused(code, confirmed=answer.header("Guavastream-Ran") == "no")
             raise AttemptFailed(Knowledge.SENT, code)
         if answer.header("Guavastream-Request-Id") != request.id:
             answer.finish(whole=False)
@@ -247,10 +251,3 @@
         if budget is None:
             budget = self._budgets.setdefault(service, RetryBudget())
         return budget
-
-
-def _final(code, knowledge):
-    """Return the code that says the truth about the last attempt."""
-    if knowledge is Knowledge.SENT and REFUSALS[code].ran is Ran.NOT_RUN:
-        return "answer_lost"
-    return code
--- a/guavastream/door/tests/test_path.py
+++ b/guavastream/door/tests/test_path.py
@@ -143,6 +143,21 @@
     assert len(host.ran()) == 1
 
 
+def test_lost_answer_is_not_turned_into_not_run_by_a_later_attempt(make_path):
+    """A page runs and its answer is lost; the retry finds the server gone.
+
+    The last attempt was not even sent, but the first one ran: "not run"
+    would be a lie.
+    """
+    host = make_path(proxied=True)[0]
+    assert call(host, "GET", "/pages/rosters/k")[0] == 200
+    host.proxy.refuse_new()
+    host.proxy.cut_answers_after(0)
+    status, _, item = call(host, "GET", "/pages/rosters/k")
+    assert (status, item["ran"]) == (502, "outcome unknown")
+    assert len(host.ran()) == 2
+
+
 def test_failing_connection_before_sending_is_not_run(make_path):
     """The server is gone; nothing could be sent, so it truly did not run."""
     host = make_path("swaps")[0]
@@ -199,6 +214,25 @@
     assert len(host.ran()) == 1
 
 
+def test_resend_refused_on_its_way_does_not_say_not_run(make_path):
+    """A swap ran and its answer was lost; the resend finds no owner.
+
+    Told "not run", the caller would post the swap anew under another id. A
+    first sending that the owner itself refuses is told so.
+    """
+    host = make_path("swaps")[0]
+    headers = {"Idempotency-Key": make_id(), "Guavastream-Deadline-Ms": "100"}
+    assert call(host, "POST", "/swaps/a", b"", headers)[0] == 200
+    host.membership.lease.drop()
+    status, _, item = call(host, "POST", "/swaps/a", b"", headers)
+    assert (status, item["code"]) == (503, "no_lease")
+    assert item["ran"] == "outcome unknown"
+    host.membership.lease.extend(time.monotonic() + 60)
+    host.server.stop_serving()
+    fresh = {"Idempotency-Key": make_id()}
+    assert call(host, "POST", "/swaps/b", b"", fresh)[2]["ran"] == "not run"
+
+
 def test_resent_swap_after_its_owner_was_lost_is_unknown(make_path):
     """The new owner has no table of outcomes; the id is older than its grant."""
     hosts = make_path("swaps", count=2)
--- a/guavastream/guard/guard.py
+++ b/guavastream/guard/guard.py
@@ -8,6 +8,9 @@
 
 MIN_SECONDS = 0.001
 MAX_KEPT_BYTES = 65536
+SERVER_ERRORS = 500
+# Refusals that come after ownership was checked.
+WHILE_OWNING = ("overloaded", "shed", "deadline_passed")
 EARLIER = ("still_running", "earlier_unknown", "answer_not_kept")
 
 
@@ -96,6 +99,10 @@
         release()
 
 
+def _is_not_sent(error):
+    return getattr(error, "knowledge", None) is Knowledge.NOT_SENT
+
+
 class LongAnswer(GuardedAnswer):
     """An answer too large to be kept, of which the beginning was read.
 
@@ -144,6 +151,7 @@
     def __init__(
         self, *, admission, outcomes, membership, sender, clock, metrics, record
     ):
+        self._served_at = float("-inf")
         self._outcomes = outcomes
         self._admission = admission
         self._membership = membership
@@ -157,6 +165,11 @@
         """What decides about requests."""
         return self._admission
 
+    @property
+    def served_at(self):
+        """The clock's time of the last good answer of the server."""
+        return self._served_at
+
     def serve(self, request, target, *, method, path, headers, body):
         """Run a request at the server and return its answer.
 
@@ -185,7 +198,7 @@
             permit = self._admission.acquire(request, target)
         except Refused as refused:
             self._metrics.incr(f"guard.refused.{refused.refusal.code}")
-            raise
+            raise self._confirmed(request, target, refused) from None
         try:
             earlier = self._begin(request, target)
             if earlier is not None:
@@ -197,12 +210,24 @@
         except BaseException as error:
             self._note_failure(request, error)
             self._admission.release(permit)
+            if request.operation and _is_not_sent(error):
+                raise Refused(error.code, confirmed=True) from error
             raise
         guarded = GuardedAnswer(
             answer=answer, release=lambda: self._admission.release(permit)
         )
         return self._keep(request, guarded) if request.operation else guarded
 
+    def _confirmed(self, request, target, refused):
+        """Return a refusal that says whether the operation never ran."""
+        owned = refused.refusal.code in WHILE_OWNING
+        if not (request.operation and owned):
+            return refused
+        name, operation = request.service.name, request.operation
+        if self._outcomes.is_new(name, target.shard, operation):
+            return Refused(refused.refusal.code, confirmed=True)
+        return refused
+
     def _begin(self, request, target):
         """Return the answer that an operation had before, if it had one."""
         if not request.operation:
@@ -218,9 +243,10 @@
             # A resend that was refused says nothing about the first attempt.
             if error.refusal.code not in EARLIER:
                 self._outcomes.not_run(request.service.name, request.operation)
+                error.confirmed = True
             return
-        sent = getattr(error, "knowledge", Knowledge.SENT) is Knowledge.SENT
-        note = self._outcomes.unknown if sent else self._outcomes.not_run
+        not_sent = _is_not_sent(error)
+        note = self._outcomes.not_run if not_sent else self._outcomes.unknown
         note(request.service.name, request.operation)
 
     def _keep(self, request, answer):
@@ -283,7 +309,10 @@
             last=check,
             may_repeat=request.idempotent,
         )
-        return self._vetted(answer, request)
+        answer = self._vetted(answer, request)
+        if answer.status < SERVER_ERRORS:
+            self._served_at = self._clock()
+        return answer
 
     def _vetted(self, answer, request):
         echoed = answer.header("Guavastream-Request-Id")
--- a/guavastream/guard/outcomes.py
+++ b/guavastream/guard/outcomes.py
@@ -139,6 +139,17 @@
             raise Refused("answer_not_kept")
         return found.answer
 
+    def is_new(self, service, shard, operation):
+        """Whether an operation is known not to have come here or before."""
+        with self._lock:
+            if (service, operation) in self._outcomes:
+                return False
+            try:
+                self._doubt(service, shard, operation, made_at(operation))
+            except Refused:
+                return False
+            return True
+
     def not_run(self, service, operation):
         """Forget an operation that did not run; it may be tried again."""
         with self._lock:
--- a/guavastream/guard/role.py
+++ b/guavastream/guard/role.py
@@ -63,6 +63,7 @@
             admission=admission,
             tables=node.tables,
             sender=node.sender,
+            served_at=lambda: node.guard.served_at,
             on_drain=node.stop,
         )
         self._server = HttpServer(
--- a/guavastream/guard/server.py
+++ b/guavastream/guard/server.py
@@ -17,6 +17,8 @@
 PROBE_SECONDS = 0.25
 PROBE_TIMEOUT_SECONDS = 0.3
 PROBES_LOST = 2
+SERVER_ERRORS = 500
+TRUSTED_SECONDS = 1.0
 GRANT_TIMEOUT_SECONDS = 0.3
 GRANT_SECONDS = 0.02
 MAX_ANNOUNCEMENT_BYTES = 65536
@@ -77,11 +79,14 @@
         Says what the server owns.
     sender : HttpSender
         Reaches the server.
+    served_at : callable
+        Gives the clock's time of the last good answer of the server.
     on_drain : callable
         Called once when the server asks for its graceful stop.
     """
 
-    def __init__(self, *, membership, admission, tables, sender, on_drain):
+    def __init__(self, *, membership, admission, tables, sender, served_at, on_drain):
+        self._served_at = served_at
         self._membership = membership
         self._admission = admission
         self._tables = tables
@@ -167,7 +172,11 @@
             )
         except AttemptFailed as error:
             return False, error.code == "unreachable"
-        return answer < 500, False
+        if answer < SERVER_ERRORS:
+            return True, False
+        # It answers, and says that it is not well. What it says may lag or
+        # mislead; as long as requests are answered, it stays.
+        return self._loop.time() - self._served_at() < TRUSTED_SECONDS, False
 
     async def _renew_grant(self):
         sent = None
--- a/guavastream/routing/attempts.py
+++ b/guavastream/routing/attempts.py
@@ -3,9 +3,9 @@
 import threading
 from enum import Enum
 
-from guavastream.routing.outcomes import Ran
+from guavastream.routing.outcomes import REFUSALS, Ran, Refused
 
-__all__ = ["Knowledge", "RetryBudget", "may_try_again"]
+__all__ = ["Attempts", "Knowledge", "RetryBudget", "may_try_again"]
 
 
 class Knowledge(Enum):
@@ -39,11 +39,62 @@
     return knowledge is Knowledge.SENT and idempotent
 
 
-def outcome_of(knowledge):
-    """Return what a caller may be told after a last attempt."""
-    if knowledge in (Knowledge.NOT_SENT, Knowledge.NOT_RUN):
-        return Ran.NOT_RUN
-    return Ran.UNKNOWN if knowledge is Knowledge.SENT else Ran.ANSWERED
+class Attempts:
+    """All that is known of one request's attempts.
+
+    Parameters
+    ----------
+    idempotent : bool
+        Whether the request may run more than once.
+
+    Examples
+    --------
+    >>> attempts = Attempts(idempotent=True)
+    >>> attempts.note("answer_lost", Knowledge.SENT)
+    >>> attempts.note("unreachable", Knowledge.NOT_SENT)
+    >>> attempts.final().refusal.code
+    'answer_lost'
+    """
+
+    def __init__(self, *, idempotent):
+        self._idempotent = idempotent
+        self._code = ""
+        self._knowledge = None
+        self._confirmed = False
+        self._sent_code = ""
+
+    @property
+    def code(self):
+        """Code of the last attempt."""
+        return self._code
+
+    @property
+    def knowledge(self):
+        """What is known of the last attempt."""
+        return self._knowledge
+
+    @property
+    def may_try_again(self):
+        """Whether what is known allows another attempt."""
+        return may_try_again(self._knowledge, idempotent=self._idempotent)
+
+    def note(self, code, knowledge, *, confirmed=False):
+        """Note how an attempt ended; see `Refused` for `confirmed`."""
+        self._code, self._knowledge, self._confirmed = code, knowledge, confirmed
+        if knowledge is Knowledge.SENT:
+            self._sent_code = code
+
+    def final(self):
+        """Return the refusal that says the truth about all attempts.
+
+        One attempt that was sent may have run. That a later one could not
+        even be sent must not turn this into "not run".
+        """
+        if not self._sent_code:
+            return Refused(self._code, confirmed=self._confirmed)
+        if REFUSALS[self._sent_code].ran is Ran.NOT_RUN:
+            return Refused("answer_lost")
+        return Refused(self._sent_code)
 
 
 class RetryBudget:
--- a/guavastream/routing/choose.py
+++ b/guavastream/routing/choose.py
@@ -4,14 +4,12 @@
 import threading
 from dataclasses import dataclass
 
+from guavastream.routing.health import Observations
 from guavastream.routing.outcomes import Refused
 from guavastream.state import Member, shard_of
 
 __all__ = ["Chooser", "Target", "find_owner"]
 
-# Time after which an observed failure of a member no longer counts, seconds.
-SUSPICION_SECONDS = 1.0
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Target:
@@ -67,10 +65,9 @@
 
     def __init__(self, *, zone, clock, rng=None):
         self._zone = zone
-        self._clock = clock
         self._rng = rng or random.Random()
         self._in_flight = {}
-        self._suspect = {}
+        self._seen = Observations(clock=clock)
         self._lock = threading.Lock()
 
     def choose(self, table, service, *, avoid=()):
@@ -84,13 +81,9 @@
         servers = [m for m in table.servers(service) if not table.is_drained(m)]
         if not servers:
             raise Refused("no_owner")
-        now = self._clock()
-        fresh = [
-            m
-            for m in servers
-            if m.id not in avoid and self._suspect.get(m.id, 0) <= now
-        ]
-        pool = fresh or [m for m in servers if m.id not in avoid] or servers
+        usable = self._seen.usable(servers)
+        pool = [m for m in usable if m.id not in avoid]
+        pool = pool or [m for m in servers if m.id not in avoid] or servers
         drawn = self._rng.sample(pool, min(2, len(pool)))
         return Target(member=min(drawn, key=self._burden))
 
@@ -100,12 +93,12 @@
             self._in_flight[member] = self._in_flight.get(member, 0) + 1
 
     def end(self, member, *, failed):
-        """Count the end of an attempt; a failure makes the member suspect."""
+        """Count the end of an attempt and what is learned from it."""
         with self._lock:
             self._in_flight[member] = self._in_flight.get(member, 1) - 1
-        if failed:
-            self._suspect[member] = self._clock() + SUSPICION_SECONDS
+        self._seen.note(member, failed=failed)
 
     def _burden(self, member):
         near = member.zone == self._zone
-        return (self._in_flight.get(member.id, 0) / member.slots, not near)
+        load = (self._in_flight.get(member.id, 0) + 1) / member.slots
+        return (load * self._seen.burden(member.id), not near)
--- a/guavastream/routing/outcomes.py
+++ b/guavastream/routing/outcomes.py
@@ -37,8 +37,10 @@
     )
 
 
-def _unknown(code, status, text):
-    return Refusal(code=code, status=status, ran=Ran.UNKNOWN, text=text)
+def _unknown(code, status, text, retry_after=0):
+    return Refusal(
+        code=code, status=status, ran=Ran.UNKNOWN, text=text, retry_after=retry_after
+    )
 
 
 def _ran(code, status, text):
@@ -68,10 +70,10 @@
         _not_run("server_refused", 503, "The server refused the order.", 1, True),
         _not_run("too_many_hops", 503, "Processes disagree about the owner.", 1),
         _not_run("deadline_passed", 504, "The deadline passed before it could run."),
-        _not_run("still_running", 409, "The same request is still running.", 1),
         _unknown("no_answer", 504, "No answer came before the deadline."),
         _unknown("answer_lost", 502, "The connection broke before an answer."),
         _unknown("wrong_answer", 502, "The answer belonged to another request."),
+        _unknown("still_running", 409, "The same request is still running.", 1),
         _ran("answer_not_kept", 409, "It ran; its answer was too large to be kept."),
         _unknown("earlier_unknown", 409, "Whether the first attempt ran is not known."),
     )
@@ -85,12 +87,27 @@
     ----------
     code : str
         A key of `REFUSALS`.
+    confirmed : bool
+        Whether the owner's outcomes were asked, so that "not run" holds for
+        every earlier sending of the same operation too.
     """
 
-    def __init__(self, code):
+    def __init__(self, code, *, confirmed=False):
         self.refusal = REFUSALS[code]
+        self.confirmed = confirmed
         super().__init__(code)
 
+    def told_ran(self, operation):
+        """Return what to tell the caller of a request.
+
+        A resend that is refused on its way says nothing about the sendings
+        before it. "Not run" would make its caller post the swap anew under
+        another id, though the first sending ran.
+        """
+        if operation and self.refusal.ran is Ran.NOT_RUN and not self.confirmed:
+            return Ran.UNKNOWN
+        return self.refusal.ran
+
 
 def refusals_page():
     """Return the table of docs/errors.md, made from `REFUSALS`."""
--- a/guavastream/standins/backend.py
+++ b/guavastream/standins/backend.py
@@ -13,7 +13,7 @@
 from guavastream.timeline import Recorder
 from guavastream.web import Exchange, HttpServer
 
-__all__ = ["Behaviour", "StandinServer", "StandinSettings"]
+__all__ = ["Behaviour", "StandinServer", "StandinSettings", "behaviour_body"]
 
 ANNOUNCE_SECONDS = 0.5
 ANNOUNCE_TIMEOUT_SECONDS = 1.0
@@ -35,6 +35,8 @@
         IP:PORT.
     guard : str
         IP:PORT of the guard beside it.
+    announce : str
+        IP:PORT that it announces; its own by default.
     record : str
         File for its events.
     slots : int
@@ -52,6 +54,7 @@
     service: str
     listen: str
     guard: str
+    announce: str = ""
     record: str = ""
     slots: int = 20
     work_ms: float = 5.0
@@ -180,7 +183,7 @@
     def _announce(self):
         said = {
             "service": self._settings.service,
-            "address": self.address,
+            "address": self._settings.announce or self.address,
             "boot": self._boot,
             "slots": self._settings.slots,
             "draining": self._draining,
--- a/guavastream/standins/proxy.py
+++ b/guavastream/standins/proxy.py
@@ -53,9 +53,16 @@
         """Close connections once `count` more bytes of answers have passed."""
         self._passed, self._limit = 0, count
 
+    def refuse_new(self):
+        """Refuse connections from now on; open ones go on."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._thread.join()
+        self._listener.close()
+
     def close(self):
         """Close everything."""
-        self._listener.close()
+        self.refuse_new()
         for pair in self._pairs:
             for sock in pair:
                 sock.close()
