Forwarding without urllib3's pool and response on top of http.client

Cause: a profile of one hop put a third of its own time into urlopen, the pool and the response object, which decide what is decided elsewhere. Change: urllib3's connection makes the connection, http.client writes and reads on it; a pool of our own keeps idle ones. Ruled out: the header parser of the email package and cheroot's reader, the two largest rows left, are the libraries' own.

--- a/guavastream/bench/scenario.py
+++ b/guavastream/bench/scenario.py
@@ -105,12 +105,16 @@
         )
 
 
-def keyed_only(*, count=5, checks_grants=True):
+def keyed_only(*, count=5, slots=20, work_ms=3.0):
     """Return the deployment that has only the crew rosters."""
     full = DEPLOYMENTS["rosterdeck"]
-    spec = ServerSpec(service=full.keyed, count=count, checks_grants=checks_grants)
+    spec = ServerSpec(service=full.keyed, count=count, slots=slots, work_ms=work_ms)
     return Deployment(
-        name=full.name, zones=full.zones, servers=(spec,), keyed=full.keyed
+        name=full.name,
+        zones=full.zones,
+        servers=(spec,),
+        keyed=full.keyed,
+        text=full.declaration.replace("slots = 20", f"slots = {slots}"),
     )
 
 
--- a/guavastream/web/send.py
+++ b/guavastream/web/send.py
@@ -1,12 +1,12 @@
 """Hands requests to a backend server or another door over HTTP."""
 
 import contextlib
+import http.client
 import socket
 import threading
 import time
 
 import urllib3
-from urllib3.util import Timeout
 
 from guavastream.kernel import parse_address
 from guavastream.routing import Knowledge
@@ -65,14 +65,18 @@
     """The caller's side of a request body broke, not the server's."""
 
 
-_thread = threading.local()
+_Plain = http.client.HTTPConnection
 
 
 class _Connection(urllib3.connection.HTTPConnection):
-    """A connection that looks once more before the first byte goes out."""
+    """A connection of urllib3's that sends one request after the other.
+
+    Requests are written and answers read by `http.client` itself: the pool,
+    the retries and the response object of urllib3 on top of it cost a third
+    of the time of a short request and decide what is decided here.
+    """
 
     used_at = 0.0
-    reused = False
 
     def cut(self):
         """End what goes on over the connection; safe from any thread."""
@@ -81,37 +85,88 @@
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
 
-    def getresponse(self):
-        # A pooled connection may have gone silent for good. Its answer is
-        # waited for only so long that a new one still has time to serve.
-        patience = getattr(_thread, "patience", None)
-        if self.reused and patience is not None:
-            self.timeout = patience
-        return super().getresponse()
-
-    def send(self, data):
-        if getattr(_thread, "is_first", False):
-            _thread.is_first = False
-            self._begin()
+    def prepare(self, seconds):
+        """Connect, unless a fresh enough connection stands; return if it did.
+
+        Raises
+        ------
+        urllib3.exceptions.HTTPError
+            If no connection could be made.
+        """
+        if self.sock is not None:
+            is_fresh = time.monotonic() - self.used_at < MAX_IDLE_SECONDS
+            if is_fresh and self.is_connected:
+                return True
+            # The other end has closed it, or something between the ends may
+            # have forgotten it: a fresh connection costs a millisecond, a
+            # dead one the request.
+            self.close()
+        self.timeout = min(CONNECT_SECONDS, seconds)
+        self.connect()
+        return False
+
+    def transmit(self, method, target, headers, body, seconds):
+        """Send a request; a body that is an iterable is streamed."""
         self.used_at = time.monotonic()
-        super().send(data)
+        self.sock.settimeout(seconds)
+        names = {name.lower() for name in headers}
+        self.putrequest(
+            method, target, skip_host="host" in names, skip_accept_encoding=True
+        )
+        for name, value in headers.items():
+            _Plain.putheader(self, name, value)
+        chunked = "transfer-encoding" in names
+        if isinstance(body, bytes):
+            body = (body,)
+        _Plain.endheaders(self, body, encode_chunked=chunked)
+
+    def receive(self, seconds):
+        """Return the head of the answer, as `http.client` reads it."""
+        self.sock.settimeout(seconds)
+        return _Plain.getresponse(self)
+
+
+class _Pool:
+    """Idle connections to one address, the last used first.
+
+    Parameters
+    ----------
+    address : str
+        IP:PORT.
+    limit : int
+        Connections kept.
+    """
+
+    def __init__(self, *, address, limit):
+        self._host, self._port = parse_address(address)
+        self._limit = limit
+        self._idle = []
+        self._lock = threading.Lock()
+        self._closed = False
 
-    def _begin(self):
-        if self.sock is not None and time.monotonic() - self.used_at > MAX_IDLE_SECONDS:
-            # Something between the ends may have forgotten it meanwhile; a
-            # fresh connection costs a millisecond, a dead one the request.
-            self.sock.close()
-            self.sock = None
-        self.reused = self.sock is not None
-        if not self.reused:
-            self.connect()
-        check, _thread.check = getattr(_thread, "check", None), None
-        if check is not None:
-            check(self)
+    def take(self):
+        """Return an idle connection, or a new one that is yet to connect."""
+        with self._lock:
+            if self._idle:
+                return self._idle.pop()
+        return _Connection(self._host, self._port, socket_options=SOCKET_OPTIONS)
 
+    def give_back(self, connection):
+        """Keep a connection whose last answer was read to its end."""
+        with self._lock:
+            keep = len(self._idle) < self._limit and not self._closed
+            if keep and connection.sock is not None:
+                self._idle.append(connection)
+                return
+        connection.close()
 
-class _Pool(urllib3.HTTPConnectionPool):
-    ConnectionCls = _Connection
+    def close(self):
+        """Close the idle connections and keep no more."""
+        with self._lock:
+            self._closed = True
+            idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
 
 
 class Answer:
@@ -119,13 +174,19 @@
 
     Parameters
     ----------
-    response : urllib3.response.BaseHTTPResponse
+    response : http.client.HTTPResponse
         Status and headers have arrived.
+    connection : _Connection
+        Where the body comes from.
+    pool : _Pool
+        Where the connection goes afterwards.
     """
 
-    def __init__(self, *, response):
+    def __init__(self, *, response, connection, pool):
         self._response = response
-        self._left = response.length_remaining
+        self._connection = connection
+        self._pool = pool
+        self._left = response.length
 
     @property
     def status(self):
@@ -160,28 +221,30 @@
         """
         whole = False
         try:
-            while True:
-                data = self._response.read1(CHUNK_BYTES)
-                if not data:
-                    break
+            while data := self._response.read1(CHUNK_BYTES):
                 if self._left is not None:
                     self._left -= len(data)
                 yield data
             if self._left:
                 raise AttemptFailed(Knowledge.SENT, "answer_lost")
             whole = True
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except (http.client.HTTPException, OSError) as error:
             raise AttemptFailed(Knowledge.SENT, "answer_lost") from error
         finally:
             self.finish(whole=whole)
 
     def finish(self, *, whole):
         """Return the connection to the pool, or close it if in any doubt."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        self._response.close()
         # A connection whose answer was not read to its end could hand the
         # rest of it to the next request.
-        if not whole:
-            self._response.close()
-        self._response.release_conn()
+        if whole:
+            self._pool.give_back(connection)
+        else:
+            connection.close()
 
 
 class HttpSender:
@@ -236,34 +299,25 @@
             With what is known of the attempt.
         """
         pool = self._pool(address)
-        timeout = Timeout(connect=min(CONNECT_SECONDS, seconds), read=seconds)
-        _thread.check, _thread.is_first = last, True
-        _thread.patience = seconds * PATIENCE if may_repeat else None
+        connection = pool.take()
         try:
-            response = pool.urlopen(
-                method,
-                target,
-                body=body,
-                headers=headers,
-                retries=False,
-                redirect=False,
-                timeout=timeout,
-                preload_content=False,
-                decode_content=False,
-                chunked=False,
+            reused = self._connect(connection, seconds)
+            if last is not None:
+                last(connection)
+            # A pooled connection may have gone silent for good. Its answer
+            # is waited for only so long that a new one has time to serve.
+            patience = seconds * PATIENCE if reused and may_repeat else seconds
+            response = self._exchange(
+                connection, method, target, headers, body, seconds, patience
             )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as error:
-            raise AttemptFailed(Knowledge.NOT_SENT, "unreachable") from error
-        except urllib3.exceptions.ReadTimeoutError as error:
-            self._distrust(address)
-            raise AttemptFailed(Knowledge.SENT, "no_answer") from error
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise AttemptFailed(Knowledge.SENT, "answer_lost") from error
-        _bound_silence(response, idle)
-        return Answer(response=response)
+        except BaseException as error:
+            connection.close()
+            if getattr(error, "code", "") == "no_answer":
+                self._distrust(address)
+            raise
+        if connection.sock is not None:
+            connection.sock.settimeout(idle)
+        return Answer(response=response, connection=connection, pool=pool)
 
     def close(self):
         """Close every idle connection."""
@@ -272,6 +326,25 @@
                 pool.close()
             self._pools.clear()
 
+    def _connect(self, connection, seconds):
+        try:
+            return connection.prepare(seconds)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise AttemptFailed(Knowledge.NOT_SENT, "unreachable") from error
+
+    def _exchange(self, connection, method, target, headers, body, seconds, patience):
+        try:
+            try:
+                connection.transmit(method, target, headers, body, seconds)
+            except (BrokenPipeError, ConnectionResetError):
+                # An early answer may stand behind a refused upload.
+                pass
+            return connection.receive(patience)
+        except TimeoutError as error:
+            raise AttemptFailed(Knowledge.SENT, "no_answer") from error
+        except (http.client.HTTPException, OSError) as error:
+            raise AttemptFailed(Knowledge.SENT, "answer_lost") from error
+
     def _distrust(self, address):
         """Keep no idle connection to an address that has not answered.
 
@@ -286,21 +359,7 @@
         pool = self._pools.get(address)
         if pool is None:
             with self._lock:
-                pool = self._pools.get(address)
-                if pool is None:
-                    host, port = parse_address(address)
-                    pool = _Pool(
-                        host,
-                        port,
-                        maxsize=self._connections,
-                        block=False,
-                        socket_options=SOCKET_OPTIONS,
-                    )
-                    self._pools[address] = pool
+                pool = self._pools.setdefault(
+                    address, _Pool(address=address, limit=self._connections)
+                )
         return pool
-
-
-def _bound_silence(response, idle):
-    sock = getattr(response.connection, "sock", None)
-    if sock is not None:
-        sock.settimeout(idle)
--- a/guavastream/web/serve.py
+++ b/guavastream/web/serve.py
@@ -1,5 +1,6 @@
 """HTTP serving by cheroot: one exchange for each request, bodies streamed."""
 
+import functools
 import os
 import threading
 from urllib.parse import parse_qs, unquote
@@ -79,7 +80,7 @@
         """Path without query, not decoded."""
         return self._path
 
-    @property
+    @functools.cached_property
     def segments(self):
         """Decoded segments of the path."""
         return [unquote(part) for part in self._path.split("/")[1:]]
