Grants reach the server again, and only when they are needed

Change: bytes carry their length; a grant that is not taken is a warning; grants go out on change and while requests run.

--- a/guavastream/guard/server.py
+++ b/guavastream/guard/server.py
@@ -14,16 +14,14 @@
 ANNOUNCE_PATH = "/announce"
 GRANT_PATH = "/.guavastream/grant"
 HEALTH_PATH = "/.guavastream/health"
-PROBE_SECONDS = 0.4
+PROBE_SECONDS = 0.5
 PROBE_TIMEOUT_SECONDS = 0.3
 PROBES_LOST = 2
+CLIENT_ERRORS = 400
 SERVER_ERRORS = 500
 TRUSTED_SECONDS = 1.0
 GRANT_TIMEOUT_SECONDS = 0.3
-# A grant is sent again when something changed, and before it ends; each
-# request carries the newest end of the lease besides.
 GRANT_SECONDS = 0.2
-GRANT_PAUSE_SECONDS = 0.02
 MAX_ANNOUNCEMENT_BYTES = 65536
 
 log = part_logger("server")
@@ -194,10 +192,12 @@
             if service is None or not (service.checks_grants and service.has_shards):
                 continue
             table = self._tables.table
-            if (table.index, lease.deadline) == sent:
-                await asyncio.sleep(GRANT_PAUSE_SECONDS)
+            # What comes new carries the end of the lease itself; only what
+            # runs already needs to hear that the lease goes on.
+            changed = (table.index, self._membership.member) != sent
+            if not changed and not self._admission.running:
                 continue
-            sent = (table.index, lease.deadline)
+            sent = (table.index, self._membership.member)
             grant = self._grant(table, announced, lease.deadline)
             await asyncio.to_thread(self._send_grant, announced, grant)
 
@@ -219,9 +219,14 @@
     def _send_grant(self, announced, grant):
         body = msgspec.json.encode(grant)
         try:
-            self._send(announced, "PUT", GRANT_PATH, body, GRANT_TIMEOUT_SECONDS)
+            status = self._send(
+                announced, "PUT", GRANT_PATH, body, GRANT_TIMEOUT_SECONDS
+            )
         except AttemptFailed as error:
-            log.debug("Grant was not taken: %s.", error)
+            log.warning("Grant did not arrive: %s.", error)
+            return
+        if status >= CLIENT_ERRORS:
+            log.warning("Grant was not taken: status %d.", status)
 
     def _send(self, announced, method, path, body, seconds):
         headers = {"Content-Type": "application/json"}
--- /dev/null
+++ b/guavastream/guard/tests/test_server.py
@@ -0,0 +1,170 @@
+"""What a guard and its backend server say to each other."""
+
+import asyncio
+import json
+import time
+from array import array
+
+import pytest
+
+from guavastream.declare import Declaration, Service
+from guavastream.guard import ServerLink
+from guavastream.leases import Announced, Lease
+from guavastream.standins import Behaviour, StandinServer, StandinSettings
+from guavastream.state import ShardMap, Table, TableHolder
+from guavastream.web import HttpSender, HttpServer
+
+TICK = 0.01
+SAID = {"service": "s", "address": "127.0.0.1:9", "boot": "b"}
+SERVICE = Service(name="s", divided_by_key=True, key="path:3", shards=2)
+
+
+class FakeMembership:
+    """Knows one server and notes what becomes of it."""
+
+    def __init__(self, announced):
+        self.member = 4
+        self.announced = announced
+        self.departed = asyncio.Event()
+        self.lease = Lease(clock=time.monotonic)
+        self.lease.extend(time.monotonic() + 60)
+
+    def announce(self, announced):
+        self.announced = announced
+
+    async def depart(self):
+        self.departed.set()
+
+
+class FakeAdmission:
+    running = 0
+
+    def started(self):
+        """Ignore a cold start."""
+
+
+class Rig:
+    def __init__(self):
+        settings = StandinSettings(
+            service="s", listen="127.0.0.1:0", guard="127.0.0.1:1", tick=TICK
+        )
+        self.server = StandinServer(settings=settings)
+        self.server.serve()
+        self.tables = TableHolder()
+        shards = ShardMap(owners=array("I", [4, 9]), epochs=array("Q", [7, 8]))
+        self.tables.replace(
+            Table(
+                index=9,
+                declaration=Declaration(services=(SERVICE,)),
+                shards={"s": shards},
+            )
+        )
+        self.membership = FakeMembership(
+            Announced(service="s", address=self.server.address, boot="b", slots=2)
+        )
+        self.served_at = float("-inf")
+        self.link = ServerLink(
+            membership=self.membership,
+            admission=FakeAdmission(),
+            tables=self.tables,
+            sender=HttpSender(),
+            served_at=lambda: self.served_at,
+            on_drain=lambda: None,
+        )
+
+    async def run(self, until):
+        task = asyncio.ensure_future(self.link.run())
+        try:
+            await asyncio.wait_for(until, 10)
+        finally:
+            task.cancel()
+            await asyncio.to_thread(self.server.stop_serving)
+
+
+def test_server_hears_what_it_owns():
+    """A session outlives the lease of its beginning, which was renewed.
+
+    The server learns of it by grants only; one that never arrives makes it
+    drop every long upload as fenced.
+    """
+
+    async def scenario():
+        rig = Rig()
+
+        async def granted():
+            while rig.server.grant.version < 0:
+                await asyncio.sleep(0)
+
+        await rig.run(granted())
+        assert rig.server.grant.epochs == {"0": 7}
+        assert rig.server.grant.until_ns == int(rig.membership.lease.deadline * 1e9)
+
+    asyncio.run(scenario())
+
+
+def test_server_that_takes_no_connections_is_given_up():
+    async def scenario():
+        rig = Rig()
+        await asyncio.to_thread(rig.server.stop_serving)
+        await rig.run(rig.membership.departed.wait())
+
+    asyncio.run(scenario())
+
+
+def test_slandered_server_stays_while_its_answers_are_good():
+    """The health endpoint says it is not well; requests say that it is."""
+
+    async def scenario():
+        rig = Rig()
+        rig.server.behave(Behaviour(healthy=False))
+        announced = rig.membership.announced
+        rig.served_at = asyncio.get_running_loop().time() + 60
+        assert rig.link._ask_health(announced) == (True, False)
+        rig.served_at = float("-inf")
+        assert rig.link._ask_health(announced) == (False, False)
+        await asyncio.to_thread(rig.server.stop_serving)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "code"),
+    [
+        ({"service": "s", "address": "127.0.0.1:9", "boot": "b"}, 200, "ok"),
+        (
+            {"service": "x", "address": "127.0.0.1:9", "boot": "b"},
+            404,
+            "unknown_service",
+        ),
+        ({"service": "s", "address": "nowhere", "boot": "b"}, 400, "bad_announcement"),
+        ({"service": "s"}, 400, "bad_announcement"),
+        ("nonsense", 400, "bad_announcement"),
+    ],
+)
+def test_announcement_is_checked(body, status, code):
+    async def scenario():
+        rig = Rig()
+        http = HttpServer(
+            address="127.0.0.1:0", handler=rig.link.handle, threads=4, tick=TICK
+        )
+        http.start()
+
+        def announce():
+            sender = HttpSender()
+            answer = sender.send(
+                http.address,
+                "POST",
+                "/announce",
+                {},
+                json.dumps(body).encode(),
+                seconds=5,
+                idle=5,
+            )
+            return answer.status, json.loads(b"".join(answer.chunks()))
+
+        got, item = await asyncio.to_thread(announce)
+        assert (got, item["code"]) == (status, code)
+        await asyncio.to_thread(http.stop)
+        await asyncio.to_thread(rig.server.stop_serving)
+
+    asyncio.run(scenario())
--- a/guavastream/standins/backend.py
+++ b/guavastream/standins/backend.py
@@ -142,6 +142,11 @@
         """Name of this start of the server."""
         return self._boot
 
+    @property
+    def grant(self):
+        """The newest grant."""
+        return self._grant
+
     @property
     def running(self):
         """Requests that run at this moment."""
--- a/guavastream/web/send.py
+++ b/guavastream/web/send.py
@@ -117,6 +117,8 @@
             self.putheader(name, value)
         chunked = "transfer-encoding" in names
         if isinstance(body, bytes):
+            if "content-length" not in names:
+                self.putheader("Content-Length", str(len(body)))
             body = (body,)
         self.endheaders(body, encode_chunked=chunked)
 
--- a/guavastream/web/serve.py
+++ b/guavastream/web/serve.py
@@ -242,7 +242,9 @@
         server = cheroot_server.HTTPServer(
             parse_address(address), self._make_gateway(handler)
         )
-        server.requests = _GrowingPool(server, min=FIRST_THREADS, max=threads)
+        server.requests = _GrowingPool(
+            server, min=min(FIRST_THREADS, threads), max=threads
+        )
         server.timeout = SOCKET_TIMEOUT_SECONDS
         server.request_queue_size = 512
         server.keep_alive_conn_limit = 4096
