--- a/guavastream/commands/registry.py
+++ b/guavastream/commands/registry.py
@@ -10,6 +10,7 @@
 MODULES = {
     "guavastream.commands.processes": ("run", "standin"),
     "guavastream.commands.check": ("check",),
+    "guavastream.commands.pages": ("pages",),
     "guavastream.commands.operators": (
         "apply",
         "diff",
