--- a/guavastream/daemon/node.py
+++ b/guavastream/daemon/node.py
@@ -14,6 +14,7 @@
 __all__ = ["Node", "run_node"]
 
 # Order of start; a drain goes the same way, the stop the other way round.
+REQUEST_EVENTS = ("admitted", "answered")
 ORDER = ("control", "guard", "operator", "door")
 
 log = part_logger("node")
@@ -36,7 +37,6 @@
             path=settings.timeline,
             limit=settings.timeline_mb << 20,
         )
-        self.record = self.recorder.record
         self.metrics = make_metrics(settings.statsd)
         self.transport = ZmqTransport(
             hybrid=self.recorder.clock, on_reconnect=self._note_reconnect
@@ -63,6 +63,12 @@
         self._stopping = asyncio.Event()
         self._failed = None
 
+    def record(self, kind, **fields):
+        """Record an event, and count it unless it is one of a request."""
+        if kind not in REQUEST_EVENTS:
+            self.metrics.incr(f"events.{kind}")
+        return self.recorder.record(kind, **fields)
+
     def spawn(self, coroutine):
         """Run a task for as long as the process; its failure ends it."""
         task = asyncio.ensure_future(coroutine)
--- a/guavastream/door/forward.py
+++ b/guavastream/door/forward.py
@@ -98,6 +98,8 @@
                 )
             except AttemptFailed as failed:
                 attempts.note(failed.code, failed.knowledge)
+            if exchange.gone:
+                raise BodyFailed("the caller went away")
             if not self._may_retry(request, body, attempts, hops, budget):
                 raise attempts.final()
             if self._waits(request, attempts.code):
@@ -183,6 +185,7 @@
             path=exchange.target,
             headers=headers,
             body=body,
+            tie=exchange.tie,
         )
 
     def abandon(self, members):
@@ -198,13 +201,14 @@
         for connection in lost:
             connection.cut()
 
-    def _note_attempt(self, request, member):
+    def _note_attempt(self, exchange, request, member):
         """Return what is told the connection, and what forgets it."""
         if not (request.owned_key or request.idempotent):
-            return None, lambda: None
+            return exchange.tie, lambda: None
         noted = []
 
         def note(connection):
+            exchange.tie(connection)
             noted.append(connection)
             with self._lock:
                 self._attempts.setdefault(member, set()).add(connection)
@@ -220,7 +224,7 @@
         headers = headers | own_headers(request, target, now=self._clock(), hops=1)
         headers["Guavastream-Caller"] = request.caller
         headers |= dict(body.headers)
-        note, forget = self._note_attempt(request, target.member.id)
+        note, forget = self._note_attempt(exchange, request, target.member.id)
         try:
             answer = self._sender.send(
                 target.member.door,
--- a/guavastream/door/role.py
+++ b/guavastream/door/role.py
@@ -55,6 +55,7 @@
             address=node.settings.door,
             handler=door.handle,
             threads=node.settings.threads,
+            watches=True,
         )
         try:
             await asyncio.wait_for(node.membership.ready.wait(), READY_SECONDS)
--- a/guavastream/door/tests/rig.py
+++ b/guavastream/door/tests/rig.py
@@ -113,7 +113,11 @@
             record=self._record,
         )
         self.http = HttpServer(
-            address="127.0.0.1:0", handler=door.handle, threads=32, tick=TICK
+            address="127.0.0.1:0",
+            handler=door.handle,
+            threads=32,
+            tick=TICK,
+            watches=True,
         )
         self.http.start()
 
--- a/guavastream/door/tests/test_path.py
+++ b/guavastream/door/tests/test_path.py
@@ -318,6 +318,27 @@
     assert not host.ran()
 
 
+@pytest.mark.parametrize("door", [0, 1])
+def test_caller_that_gives_up_frees_its_slot(make_path, door):
+    """A caller closes its connection while the server is at work.
+
+    Its slot is free at once, also through a second process, and not only at
+    the deadline: callers that give up resend.
+    """
+    hosts = make_path(count=2)
+    hosts[0].server.behave(Behaviour(silent=True))
+    address = hosts[door].http.address.split(":")
+    with socket.create_connection((address[0], int(address[1]))) as sock:
+        sock.sendall(b"GET /pages/rosters/k HTTP/1.1\r\nHost: x\r\n\r\n")
+        while not hosts[0].admission.running:
+            pass
+    while hosts[0].admission.running:
+        pass
+    while not (told := [f for kind, f in hosts[door].events if kind == "answered"]):
+        pass
+    assert told[0]["detail"]["code"] == "caller_gone"
+
+
 def test_answer_to_another_request_is_dropped(make_path):
     """The server answers with the id of another request: crossed or late."""
     host = make_path("swaps")[0]
--- a/guavastream/guard/guard.py
+++ b/guavastream/guard/guard.py
@@ -170,7 +170,7 @@
         """The clock's time of the last good answer of the server."""
         return self._served_at
 
-    def serve(self, request, target, *, method, path, headers, body):
+    def serve(self, request, target, *, method, path, headers, body, tie):
         """Run a request at the server and return its answer.
 
         Parameters
@@ -183,6 +183,8 @@
             End-to-end headers of the caller.
         body : Body
             Request body.
+        tie : callable
+            Told the connection to the server, to be cut if the caller goes.
 
         Raises
         ------
@@ -205,7 +207,7 @@
                 self._admission.release(permit)
                 return earlier
             answer = self._send(
-                announced, request, target, permit, method, path, headers, body
+                announced, request, target, permit, method, path, headers, body, tie
             )
         except BaseException as error:
             self._note_failure(request, error)
@@ -277,7 +279,9 @@
         self._outcomes.answered(name, operation, stored)
         return stored
 
-    def _send(self, announced, request, target, permit, method, path, headers, body):
+    def _send(
+        self, announced, request, target, permit, method, path, headers, body, tie
+    ):
         headers = headers | own_headers(request, target, now=self._clock(), hops=0)
         if target.epoch >= 0:
             until = self._membership.lease.deadline
@@ -287,6 +291,7 @@
 
         def check(connection):
             self._admission.check_again(permit)
+            tie(connection)
             self._metrics.incr("guard.admitted")
             self._record(
                 "admitted",
--- a/guavastream/kernel/metrics.py
+++ b/guavastream/kernel/metrics.py
@@ -11,13 +11,9 @@
     "door.attempts": "Attempts made for all requests, a counter.",
     "guard.admitted": "Requests handed to the backend server, a counter.",
     "guard.refused.CODE": "Requests refused as not run, counters.",
-    "guard.in_flight": "Requests at the backend server, a gauge.",
-    "lease.renewed": "Successful renewals, a counter.",
-    "lease.lost": "Leases that ran out at the holder, a counter.",
     "peer.reconnects": "Peer connections replaced as silent, a counter.",
     "peer.malformed": "Peer messages dropped as malformed, a counter.",
-    "control.elections": "Elections won by this process, a counter.",
-    "control.commits": "Commands committed while leading, a counter.",
+    "events.KIND": "Events by kind (see events.md), but for requests; counters.",
 }
 
 
--- a/guavastream/standins/backend.py
+++ b/guavastream/standins/backend.py
@@ -116,7 +116,6 @@
         self._slots = threading.Semaphore(settings.slots)
         self._running = 0
         self._lock = threading.Lock()
-        self._cancelled = set()
         self._draining = False
         self._stopped = threading.Event()
         self._thawed = threading.Condition()
@@ -212,9 +211,6 @@
         elif exchange.path == "/.guavastream/load":
             load = self._behaviour.load
             exchange.respond(200, {"load": load if load >= 0 else self._running})
-        elif exchange.path.startswith("/.guavastream/requests/"):
-            self._cancelled.add(exchange.segments[-1])
-            exchange.respond(202, {"code": "ok"})
         elif exchange.path == "/.standin/behaviour":
             self._set_behaviour(exchange)
         else:
@@ -275,7 +271,7 @@
         self._work(exchange)
         # The order takes effect only here, so the grant must still hold: a
         # server that was frozen in its work finds that another one owns.
-        if request in self._cancelled or not self._may_act(exchange, fields):
+        if not self._may_act(exchange, fields):
             self._recorder.record("run_dropped", **fields)
             self._answer_refusal(exchange, request, "fenced")
             return
--- a/guavastream/web/serve.py
+++ b/guavastream/web/serve.py
@@ -12,6 +12,7 @@
 from guavastream.kernel import parse_address, part_logger
 from guavastream.web.headers import StrictConnection
 from guavastream.web.listen import drop_new_connections
+from guavastream.web.watch import CallerWatch
 
 __all__ = ["CHUNK_BYTES", "Exchange", "HttpServer"]
 
@@ -53,10 +54,14 @@
         The request, its headers read and its body not.
     closing : bool
         Whether the connection is to be closed after the answer.
+    watch : CallerWatch, optional
+        Notices when the caller goes away.
     """
 
-    def __init__(self, *, req, closing=False):
+    def __init__(self, *, req, closing=False, watch=None):
         self._req = req
+        self._watch = watch
+        self._gone = False
         self._closing = closing
         if closing:
             req.close_connection = True
@@ -85,6 +90,22 @@
         """Decoded segments of the path."""
         return [unquote(part) for part in self._path.split("/")[1:]]
 
+    @property
+    def gone(self):
+        """Whether the caller was seen to go away."""
+        return self._gone
+
+    def tie(self, connection):
+        """Cut a connection that works for this request if its caller goes."""
+        if self._watch is None:
+            return
+
+        def cut():
+            self._gone = True
+            connection.cut()
+
+        self._watch.watch(self._req.conn.socket, cut)
+
     @property
     def closing(self):
         """Whether the server takes no more requests on this connection."""
@@ -236,9 +257,14 @@
         Bound of a request body in bytes; 0 for none.
     tick : float
         Seconds between looks at idle connections, and at the end.
+    watches : bool
+        Whether to look out for callers that go away.
     """
 
-    def __init__(self, *, address, handler, threads=64, max_body=0, tick=0.5):
+    def __init__(
+        self, *, address, handler, threads=64, max_body=0, tick=0.5, watches=False
+    ):
+        self._watch = CallerWatch() if watches else None
         server = cheroot_server.HTTPServer(
             parse_address(address), self._make_gateway(handler)
         )
@@ -320,8 +346,13 @@
                 with outer._lock:
                     outer._active += 1
                 try:
-                    handler(Exchange(req=self.req, closing=outer._draining))
+                    exchange = Exchange(
+                        req=self.req, closing=outer._draining, watch=outer._watch
+                    )
+                    handler(exchange)
                 finally:
+                    if outer._watch is not None:
+                        outer._watch.forget(self.req.conn.socket)
                     with outer._lock:
                         outer._active -= 1
 
