A late cut no longer touches the next request on a connection

Cause, found while looking for a test that failed once in eight runs: the watch for callers that leave, and the end of attempts at lost members, cut a connection by itself, also when it had gone back to the pool and carried another caller's request. Change: a cut belongs to one use of a connection.

--- a/guavastream/door/forward.py
+++ b/guavastream/door/forward.py
@@ -197,9 +197,9 @@
         answer may still come.
         """
         with self._lock:
-            lost = [c for m in members for c in self._attempts.pop(m, ())]
-        for connection in lost:
-            connection.cut()
+            lost = [cut for m in members for cut in self._attempts.pop(m, ())]
+        for cut in lost:
+            cut()
 
     def _note_attempt(self, exchange, request, member):
         """Return what is told the connection, and what forgets it."""
@@ -209,14 +209,14 @@
 
         def note(connection):
             exchange.tie(connection)
-            noted.append(connection)
+            noted.append(connection.make_cutter())
             with self._lock:
-                self._attempts.setdefault(member, set()).add(connection)
+                self._attempts.setdefault(member, set()).add(noted[-1])
 
         def forget():
             with self._lock:
-                for connection in noted:
-                    self._attempts.get(member, set()).discard(connection)
+                for cut in noted:
+                    self._attempts.get(member, set()).discard(cut)
 
         return note, forget
 
--- a/guavastream/web/send.py
+++ b/guavastream/web/send.py
@@ -75,12 +75,33 @@
 
     used_at = 0.0
 
-    def cut(self):
-        """End what goes on over the connection; safe from any thread."""
-        sock = self.sock
-        if sock is not None:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+    def __init__(self, host, port):
+        super().__init__(host, port)
+        self._use = 0
+        self._lock = threading.Lock()
+
+    def make_cutter(self):
+        """Return what ends the present use of the connection, from any thread.
+
+        Once the answer has been read it does nothing: the connection may
+        carry another caller's request by then, and cutting that one because
+        the first caller has left would be the worst of errors.
+        """
+        use = self._use
+
+        def cut():
+            with self._lock:
+                if self._use != use or self.sock is None:
+                    return
+                with contextlib.suppress(OSError):
+                    self.sock.shutdown(socket.SHUT_RDWR)
+
+        return cut
+
+    def end_use(self):
+        """Note that the present request is over."""
+        with self._lock:
+            self._use += 1
 
     def prepare(self, seconds):
         """Connect, unless a fresh enough connection stands; return if it did.
@@ -248,6 +269,7 @@
         if connection is None:
             return
         self._response.close()
+        connection.end_use()
         # A connection whose answer was not read to its end could hand the
         # rest of it to the next request.
         if whole:
--- a/guavastream/web/serve.py
+++ b/guavastream/web/serve.py
@@ -100,9 +100,11 @@
         if self._watch is None:
             return
 
+        end = connection.make_cutter()
+
         def cut():
             self._gone = True
-            connection.cut()
+            end()
 
         self._watch.watch(self._req.conn.socket, cut)
 
