Silent uploads end; peers over a path that forgets are tested

Cause: a caller's silence within a body was bounded by the server's 10 s, not by the service's idle_ms; the pyzmq transport had no test with real sockets. Change: reads of a body wait idle_ms; tests of silent uploads, silent peers, malformed messages and a frozen server that answers late; the conflict names the winner, diff compares like with like.

--- a/guavastream/bench/process.py
+++ b/guavastream/bench/process.py
@@ -28,7 +28,7 @@
     with open(f"/proc/{pid}/status", encoding="ascii") as file:
         for line in file:
             if line.startswith("VmHWM"):
-                return int(line.split()[1]) / 1000
+                return int(line.split()[1]) * 1024 / 1e6
     return 0.0
 
 
--- a/guavastream/commands/operators.py
+++ b/guavastream/commands/operators.py
@@ -114,7 +114,9 @@
     _add_common(parser)
 
     def run(arguments):
-        wanted = msgspec.to_builtins(load_declaration(arguments.file))
+        made = load_declaration(arguments.file)
+        # Through JSON, as the other side: tuples would differ from lists.
+        wanted = msgspec.json.decode(msgspec.json.encode(made))
         present = _client(arguments).ask("table")
         rows = list(_differences("", present["declaration"], wanted))
         if arguments.json:
@@ -129,6 +131,10 @@
     return run
 
 
+def _cell(value):
+    return ", ".join(value) if isinstance(value, list) else value
+
+
 def _differences(place, old, new):
     if isinstance(old, list) and isinstance(new, list) and place in SECTIONS:
         old = {item["name"]: item for item in old}
@@ -168,7 +174,10 @@
         print_json({"preset": present["preset"], "presets": presets})
         return 0
     rows = [
-        ("*" if preset["name"] == present["preset"] else "", *preset.values())
+        (
+            "*" if preset["name"] == present["preset"] else "",
+            *map(_cell, preset.values()),
+        )
         for preset in presets
     ]
     print_table(("in force", *(presets[0] if presets else ())), rows)
--- a/guavastream/door/door.py
+++ b/guavastream/door/door.py
@@ -79,7 +79,7 @@
         self._end(exchange, request, code)
 
     def _forward(self, exchange, request):
-        body = Body(exchange=exchange)
+        body = Body(exchange=exchange, idle=request.service.idle_ms / 1000)
         headers = _end_to_end(exchange)
         answer = self._forwarder.run(exchange, request, body, headers)
         fields = [
--- a/guavastream/door/tests/test_path.py
+++ b/guavastream/door/tests/test_path.py
@@ -320,6 +320,43 @@
     assert not host.ran()
 
 
+def test_upload_that_falls_silent_ends(make_path):
+    """A caller stops in the middle of its upload and keeps the connection.
+
+    It must not hold a slot for ever, nor reach the server as a whole bundle.
+    """
+    host = make_path()[0]
+    head = (
+        b"PUT /pages/rosters/k HTTP/1.1\r\nHost: x\r\n"
+        b"Content-Length: 200000\r\n\r\n" + b"x" * 100_000
+    )
+    address = host.http.address.split(":")
+    with socket.create_connection((address[0], int(address[1]))) as sock:
+        sock.sendall(head)
+        while sock.recv(65536):
+            pass
+    assert not host.admission.running
+    assert not host.ran()
+
+
+def test_frozen_server_that_answers_everything_at_once_harms_nobody(make_path):
+    """A server freezes with swaps in hand, comes back and answers them all.
+
+    Their callers have long been told that the outcome is unknown; the next
+    caller must get its own answer and no other.
+    """
+    host = make_path("swaps")[0]
+    host.server.behave(Behaviour(silent=True))
+    for number in range(2):
+        status, _, item = call(host, "POST", f"/swaps/{number}")
+        assert (status, item["ran"]) == (504, "outcome unknown")
+    host.server.behave(Behaviour())
+    for _ in range(3):
+        status, headers, item = call(host, "POST", "/swaps/own")
+        assert status == 200
+        assert item["request"] == headers["Guavastream-Request-Id"]
+
+
 @pytest.mark.parametrize("door", [0, 1])
 def test_caller_that_gives_up_frees_its_slot(make_path, door):
     """A caller closes its connection while the server is at work.
--- /dev/null
+++ b/guavastream/messages/tests/test_zmq.py
@@ -0,0 +1,103 @@
+"""The pyzmq transport over real sockets, through a path that forgets."""
+
+import asyncio
+
+import pytest
+import zmq
+import zmq.asyncio
+
+from guavastream.exception import CallTimeout, NotLeader, PeerFailure
+from guavastream.messages import message
+from guavastream.messages.zmq_transport import ZmqServer, ZmqTransport
+from guavastream.standins import FaultProxy
+from guavastream.timeline import HybridClock
+
+
+@message
+class Echo:
+    """A question that is answered with itself."""
+
+    text: str
+
+
+async def answer(request):
+    if request.text == "not me":
+        raise NotLeader(leader="elsewhere")
+    if request.text == "broken":
+        raise ValueError("cannot")
+    return request
+
+
+def with_server(scenario):
+    async def run():
+        server = ZmqServer(address="127.0.0.1:0", handler=answer, hybrid=HybridClock())
+        server.start()
+        replaced = []
+        transport = ZmqTransport(hybrid=HybridClock(), on_reconnect=replaced.append)
+        try:
+            await scenario(server, transport, replaced)
+        finally:
+            transport.close()
+            server.close()
+
+    asyncio.run(run())
+
+
+def test_calls_get_their_own_answers_and_errors():
+    async def scenario(server, transport, replaced):
+        calls = [
+            transport.call(server.address, Echo(text=str(n)), timeout=5)
+            for n in range(50)
+        ]
+        answers = await asyncio.gather(*calls)
+        assert [item.text for item in answers] == [str(n) for n in range(50)]
+        with pytest.raises(NotLeader) as caught:
+            await transport.call(server.address, Echo(text="not me"), timeout=5)
+        assert caught.value.leader == "elsewhere"
+        with pytest.raises(PeerFailure):
+            await transport.call(server.address, Echo(text="broken"), timeout=5)
+
+    with_server(scenario)
+
+
+def test_silent_connection_between_peers_is_replaced():
+    """A path forgets the connection: nothing comes, nothing is refused.
+
+    New connections work. Calls on the old one time out until it is given up,
+    and then succeed again.
+    """
+
+    async def scenario(server, transport, replaced):
+        proxy = FaultProxy(target=server.address)
+        await transport.call(proxy.address, Echo(text="a"), timeout=5)
+        proxy.silence()
+        lost = 0
+        while True:
+            try:
+                await transport.call(proxy.address, Echo(text="b"), timeout=0.3)
+                break
+            except CallTimeout:
+                lost += 1
+        assert lost
+        assert proxy.connections > 1
+        proxy.close()
+
+    with_server(scenario)
+
+
+def test_malformed_message_is_counted_and_the_peer_told():
+    async def scenario(server, transport, replaced):
+        counted = []
+        server._on_malformed = lambda: counted.append(1)
+        socket = zmq.asyncio.Context.instance().socket(zmq.DEALER)
+        socket.connect(f"tcp://{server.address}")
+        await socket.send_multipart([b"1", b"2", b"Nonsense", b"\xff"])
+        frames = await socket.recv_multipart()
+        assert frames[2] == b"Failure"
+        await socket.send_multipart([b"too short"])
+        await transport.call(server.address, Echo(text="still here"), timeout=5)
+        while len(counted) < 2:
+            await asyncio.sleep(0)
+        socket.close(0)
+
+    with_server(scenario)
--- a/guavastream/operate/client.py
+++ b/guavastream/operate/client.py
@@ -94,9 +94,10 @@
         if answer.status >= 400:
             said = item if isinstance(item, dict) else {}
             nested = said.get("answer") or said
+            text = nested.get("text", "")
+            if nested.get("winner"):
+                text += f" The last change was {nested['winner']}."
             raise OperatorError(
-                code=nested.get("code", str(answer.status)),
-                text=nested.get("text", ""),
-                answer=item,
+                code=nested.get("code", str(answer.status)), text=text, answer=item
             )
         return item
--- a/guavastream/web/body.py
+++ b/guavastream/web/body.py
@@ -17,10 +17,14 @@
     ----------
     exchange : Exchange
         The request.
+    idle : float
+        Longest silence of the caller within the body, seconds. A slow body
+        that goes on is never too slow.
     """
 
-    def __init__(self, *, exchange):
+    def __init__(self, *, exchange, idle):
         self._exchange = exchange
+        self._idle = idle
         self._length = exchange.length
         self._head = None
         self._whole = self._length == 0
@@ -86,7 +90,8 @@
 
     def _read(self, size):
         try:
-            data = self._exchange.read(size)
+            with self._exchange.silence_bound(self._idle):
+                data = self._exchange.read(size)
         except (OSError, ValueError) as error:
             raise BodyFailed(str(error)) from error
         # cheroot ends a body early without an error when the caller is gone;
--- a/guavastream/web/serve.py
+++ b/guavastream/web/serve.py
@@ -1,5 +1,6 @@
 """HTTP serving by cheroot: one exchange for each request, bodies streamed."""
 
+import contextlib
 import functools
 import os
 import threading
@@ -150,6 +151,17 @@
             for name, value in self._req.inheaders.items()
         ]
 
+    @contextlib.contextmanager
+    def silence_bound(self, seconds):
+        """Bound how long one read may wait for the caller."""
+        sock = self._req.conn.socket
+        usual = sock.gettimeout()
+        sock.settimeout(seconds)
+        try:
+            yield
+        finally:
+            sock.settimeout(usual)
+
     def read(self, size=CHUNK_BYTES):
         """Read up to `size` bytes of the body; empty at its end.
 
