Voter and leader, table, commands and wire: one job a module

Change: what a voter keeps and promises stands apart from standing for election and leading; what commands do and how tables are encoded stand apart from the table. No behaviour changes.

--- a/guavastream/control/__init__.py
+++ b/guavastream/control/__init__.py
@@ -6,3 +6,4 @@
 from guavastream.control.role import *
 from guavastream.control.service import *
 from guavastream.control.storage import *
+from guavastream.control.voter import *
--- a/guavastream/control/machine.py
+++ b/guavastream/control/machine.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from guavastream.control.raft import StateMachine
+from guavastream.control.voter import StateMachine
 from guavastream.state import Table, decode_command, decode_table, encode_table
 
 __all__ = ["TableMachine"]
--- a/guavastream/state/holder.py
+++ b/guavastream/state/holder.py
@@ -3,7 +3,8 @@
 import asyncio
 import threading
 
-from guavastream.state.table import Table, decode_command, decode_table
+from guavastream.state.table import Table
+from guavastream.state.wire import decode_command, decode_table
 
 __all__ = ["TableHolder"]
 
--- /dev/null
+++ b/guavastream/state/wire.py
@@ -0,0 +1,98 @@
+"""Tables and commands as bytes, for the log and for watchers."""
+
+from array import array
+from dataclasses import dataclass
+
+import msgspec
+
+from guavastream.declare import Declaration
+from guavastream.messages import decode_message, encode_message
+from guavastream.state.commands import ChangeAnswer
+from guavastream.state.table import Change, Member, Pin, ShardMap, Table
+
+__all__ = ["decode_command", "decode_table", "encode_command", "encode_table"]
+
+
+def encode_command(command):
+    """Return a command as bytes for the log."""
+    return msgspec.msgpack.encode(encode_message(command))
+
+
+def decode_command(data):
+    """Return the command that `encode_command` wrote."""
+    tag, body = msgspec.msgpack.decode(data)
+    return decode_message(tag, body)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Wire:
+    """A table as it is encoded: arrays as bytes, in the host's byte order."""
+
+    index: int
+    revision: int
+    declaration: Declaration
+    preset: str
+    drained: tuple[str, ...]
+    members: tuple[Member, ...]
+    shards: dict[str, tuple[bytes, bytes]]
+    moves: dict[str, dict[int, int]]
+    pins: dict[str, dict[str, Pin]]
+    handed: dict[str, dict[int, tuple[int, ...]]]
+    answers: dict[str, tuple[int, ChangeAnswer]]
+    history: tuple[Change, ...]
+
+
+_table_decoder = msgspec.msgpack.Decoder(_Wire)
+
+
+def encode_table(table):
+    """Return a whole table as bytes."""
+    shards = {
+        name: (item.owners.tobytes(), item.epochs.tobytes())
+        for name, item in table.shards.items()
+    }
+    return msgspec.msgpack.encode(
+        _Wire(
+            index=table.index,
+            revision=table.revision,
+            declaration=table.declaration,
+            preset=table.preset,
+            drained=table.drained,
+            members=tuple(table.members.values()),
+            shards=shards,
+            moves=table.moves,
+            pins=table.pins,
+            handed=table.handed,
+            answers=table.answers,
+            history=table.history,
+        )
+    )
+
+
+def decode_table(data):
+    """Return the table that `encode_table` wrote.
+
+    Examples
+    --------
+    >>> decode_table(encode_table(Table(index=3))).index
+    3
+    """
+    wire = _table_decoder.decode(data)
+    shards = {
+        name: ShardMap(owners=array("I", owners), epochs=array("Q", epochs))
+        for name, (owners, epochs) in wire.shards.items()
+    }
+    return Table(
+        index=wire.index,
+        revision=wire.revision,
+        declaration=wire.declaration,
+        preset=wire.preset,
+        drained=wire.drained,
+        members={member.id: member for member in wire.members},
+        shards=shards,
+        moves=wire.moves,
+        pins=wire.pins,
+        handed=wire.handed,
+        answers=wire.answers,
+        history=wire.history,
+    )
