One judge of a door's answer, for doors and the callers' library

Cause: the same ten lines stood in both; three tests built members by hand. Change: web.vet_answer and standins.make_member. No behaviour changes.

--- a/guavastream/client/caller.py
+++ b/guavastream/client/caller.py
@@ -11,17 +11,15 @@
 from guavastream.declare import Declaration, Service
 from guavastream.exception import GuavastreamError
 from guavastream.routing import (
-    REFUSALS,
     Attempts,
     Classified,
     Knowledge,
-    Ran,
     Refused,
     RetryBudget,
     classify,
 )
 from guavastream.state import shard_of
-from guavastream.web import AttemptFailed, HttpSender
+from guavastream.web import AttemptFailed, HttpSender, vet_answer
 
 __all__ = ["Caller", "Reply", "RequestFailed"]
 
@@ -212,15 +210,7 @@
             idle=request.service.idle_ms / 1000,
             may_repeat=request.idempotent,
         )
-        code = answer.header("Guavastream-Code")
-        if code in REFUSALS:
-            answer.finish(whole=False)
-            if REFUSALS[code].ran is Ran.NOT_RUN:
-                raise Refused(code, confirmed=answer.header("Guavastream-Ran") == "no")
-            raise AttemptFailed(Knowledge.SENT, code)
-        if answer.header("Guavastream-Request-Id") != request.id:
-            answer.finish(whole=False)
-            raise AttemptFailed(Knowledge.SENT, "wrong_answer")
+        answer = vet_answer(answer, request)
         return Reply(
             status=answer.status, headers=answer.headers(), chunks=answer.chunks()
         )
--- a/guavastream/door/forward.py
+++ b/guavastream/door/forward.py
@@ -13,7 +13,7 @@
     Target,
     find_owner,
 )
-from guavastream.web import AttemptFailed, BodyFailed
+from guavastream.web import AttemptFailed, BodyFailed, vet_answer
 
 __all__ = ["Forwarder"]
 
@@ -239,16 +239,7 @@
             )
         finally:
             forget()
-        code = answer.header("Guavastream-Code")
-        if code in REFUSALS:
-            answer.finish(whole=False)
-            if REFUSALS[code].ran is Ran.NOT_RUN:
-                raise Refused(code, confirmed=answer.header("Guavastream-Ran") == "no")
-            raise AttemptFailed(Knowledge.SENT, code)
-        if answer.header("Guavastream-Request-Id") != request.id:
-            answer.finish(whole=False)
-            raise AttemptFailed(Knowledge.SENT, "wrong_answer")
-        return answer
+        return vet_answer(answer, request)
 
     def _budget(self, service):
         budget = self._budgets.get(service)
--- a/guavastream/door/tests/rig.py
+++ b/guavastream/door/tests/rig.py
@@ -15,8 +15,9 @@
     FaultProxy,
     StandinServer,
     StandinSettings,
+    make_member,
 )
-from guavastream.state import Member, ShardMap, Table
+from guavastream.state import ShardMap, Table
 from guavastream.web import HttpSender, HttpServer
 
 SERVICES = (
@@ -137,13 +138,8 @@
 
 def make_table(hosts, *, index=1, owner=1):
     members = {
-        number: Member(
-            id=number,
-            host=f"h{number}",
-            zone="z",
-            region="",
-            incarnation="i",
-            boot="b",
+        number: make_member(
+            number,
             door=host.http.address,
             service=host.membership.announced.service,
             slots=20,
--- a/guavastream/door/tests/test_attempts.py
+++ b/guavastream/door/tests/test_attempts.py
@@ -9,7 +9,8 @@
 from guavastream.door import Forwarder
 from guavastream.kernel import make_metrics
 from guavastream.routing import Chooser, Classified, Knowledge, Ran, Refused
-from guavastream.state import Member, ShardMap, Table, TableHolder
+from guavastream.standins import make_member
+from guavastream.state import ShardMap, Table, TableHolder
 from guavastream.web import AttemptFailed
 
 SERVICE = Service(name="s")
@@ -54,20 +55,7 @@
 
 def make_forwarder(guards):
     tables = TableHolder()
-    members = {
-        n: Member(
-            id=n,
-            host=f"h{n}",
-            zone="z",
-            region="",
-            incarnation="i",
-            boot="b",
-            door="127.0.0.1:1",
-            service="s",
-            slots=1,
-        )
-        for n in range(1, MEMBERS + 1)
-    }
+    members = {n: make_member(n) for n in range(1, MEMBERS + 1)}
     shards = ShardMap(owners=array("I", [1]), epochs=array("Q", [1]))
     tables.replace(
         Table(
--- a/guavastream/guard/tests/test_admission.py
+++ b/guavastream/guard/tests/test_admission.py
@@ -9,7 +9,8 @@
 from guavastream.guard import Admission
 from guavastream.leases import Lease
 from guavastream.routing import Classified, Refused, Target
-from guavastream.state import Member, Pin, ShardMap, Table, TableHolder, shard_of
+from guavastream.standins import make_member
+from guavastream.state import Pin, ShardMap, Table, TableHolder, shard_of
 
 ME = 4
 SERVICE = Service(
@@ -27,19 +28,7 @@
         index=index,
         declaration=Declaration(services=(SERVICE,), presets=(preset,), preset="p"),
         preset="p",
-        members={
-            ME: Member(
-                id=ME,
-                host="h",
-                zone="z",
-                region="",
-                incarnation="i",
-                boot="b",
-                door="127.0.0.1:1",
-                service="s",
-                slots=2,
-            )
-        },
+        members={ME: make_member(ME)},
         shards={"s": ShardMap(owners=owners, epochs=epochs)},
         pins={"s": pins or {}},
     )
