Attempts take refusals themselves; benches share their figures and spans

Cause: the doors and the callers' library noted a refusal in the same five lines; two benches built one figure twice and kept spans as triples with an unused middle; two tests spelt one half upload. Change: one piece for each.

--- a/guavastream/bench/ownership.py
+++ b/guavastream/bench/ownership.py
@@ -114,30 +114,39 @@
             spans, before = [], []
             for _ in range(self._events):
                 clock = cluster.recorder.clock
-                before.append((clock.stamp(), time.sleep(1), clock.stamp()))
+                before.append(_usual_second(clock))
                 host = cluster.leader()
                 began = clock.stamp()
                 cluster.kill(host)
                 time.sleep(1.5)
-                spans.append((began, None, clock.stamp()))
+                spans.append((began, clock.stamp()))
                 cluster.restart(host)
                 cluster.wait_settled()
                 time.sleep(SETTLED_SECONDS)
             cluster.note_history()
             cluster.stop_all()
             timeline = cluster.timeline()
-        return [
-            Figure.of(
-                "requests failed or over 100 ms",
-                [_disturbed(timeline, *span) for span in spans],
-                unit="",
-                aim=0,
-                baseline=max(_disturbed(timeline, *span) for span in before),
-            )
-        ], timeline
+        return [_disturbed_figure(timeline, spans, before)], timeline
+
+
+def _usual_second(clock):
+    """Return the stamps around a second in which nothing is done."""
+    since = clock.stamp()
+    time.sleep(1)
+    return since, clock.stamp()
 
 
-def _disturbed(timeline, since, _, until):
+def _disturbed_figure(timeline, spans, before):
+    return Figure.of(
+        "requests failed or over 100 ms",
+        [_disturbed(timeline, *span) for span in spans],
+        unit="",
+        aim=0,
+        baseline=max(_disturbed(timeline, *span) for span in before),
+    )
+
+
+def _disturbed(timeline, since, until):
     return sum(
         event.detail["code"] != "ok" or event.detail["ms"] > GAP_LIMIT * 1000
         for event in timeline
@@ -160,11 +169,11 @@
             for number in range(self._events):
                 host = cluster.hosts[-1 - number % 2]
                 sessions.start()
-                before.append((clock.stamp(), time.sleep(1), clock.stamp()))
+                before.append(_usual_second(clock))
                 began = clock.stamp()
                 cluster.change("drain", host.name)
                 time.sleep(1)
-                spans.append((began, None, clock.stamp()))
+                spans.append((began, clock.stamp()))
                 sessions.join()
                 cluster.wait_settled()
                 cluster.change("undrain", host.name)
@@ -193,7 +202,7 @@
         ], timeline
 
 
-def _latencies(timeline, since, _, until):
+def _latencies(timeline, since, until):
     return [
         event.detail["ms"]
         for event in timeline
@@ -203,7 +212,7 @@
     ]
 
 
-def _failed(timeline, since, _, until):
+def _failed(timeline, since, until):
     return sum(
         event.kind == "caller_told"
         and since <= event.stamp <= until
@@ -301,7 +310,7 @@
                 controls = [host for host in cluster.hosts if host.has_disk]
                 leader = cluster.leader()
                 lost, other = [host for host in controls if host is not leader]
-                before.append((clock.stamp(), time.sleep(1), clock.stamp()))
+                before.append(_usual_second(clock))
                 since = clock.stamp()
                 cluster.kill(lost)
                 lost.wait(5)
@@ -314,7 +323,7 @@
                 cluster.kill(other)
                 time.sleep(0.5)
                 cluster.change("preset", "ordinary")
-                spans.append((since, None, clock.stamp()))
+                spans.append((since, clock.stamp()))
                 cluster.restart(other)
                 cluster.wait_settled()
             cluster.note_history()
@@ -322,13 +331,7 @@
             timeline = cluster.timeline()
         return [
             Figure.of("adding a voter", took),
-            Figure.of(
-                "requests failed or over 100 ms",
-                [_disturbed(timeline, *span) for span in spans],
-                unit="",
-                aim=0,
-                baseline=max(_disturbed(timeline, *span) for span in before),
-            ),
+            _disturbed_figure(timeline, spans, before),
         ], timeline
 
     def _add(self, cluster, host):
--- a/guavastream/client/caller.py
+++ b/guavastream/client/caller.py
@@ -13,7 +13,6 @@
 from guavastream.routing import (
     Attempts,
     Classified,
-    Knowledge,
     Refused,
     RetryBudget,
     classify,
@@ -163,11 +162,7 @@
             try:
                 return self._attempt(request, method, path, fields, body)
             except Refused as refused:
-                attempts.note(
-                    refused.refusal.code,
-                    Knowledge.NOT_RUN,
-                    confirmed=refused.confirmed,
-                )
+                attempts.note_refused(refused)
             except AttemptFailed as failed:
                 attempts.note(failed.code, failed.knowledge)
             may_wait = time.monotonic() < patience
--- a/guavastream/door/forward.py
+++ b/guavastream/door/forward.py
@@ -6,7 +6,6 @@
 from guavastream.routing import (
     REFUSALS,
     Attempts,
-    Knowledge,
     Ran,
     Refused,
     RetryBudget,
@@ -91,11 +90,7 @@
             try:
                 return self._attempt(exchange, request, body, headers, hops, avoid)
             except Refused as refused:
-                attempts.note(
-                    refused.refusal.code,
-                    Knowledge.NOT_RUN,
-                    confirmed=refused.confirmed,
-                )
+                attempts.note_refused(refused)
             except AttemptFailed as failed:
                 attempts.note(failed.code, failed.knowledge)
             if exchange.gone:
--- a/guavastream/door/tests/test_path.py
+++ b/guavastream/door/tests/test_path.py
@@ -71,6 +71,10 @@
     assert call(host, "GET", "/pages/rosters/k")[0] == 200
 
 
+HALF_UPLOAD = (
+    b"PUT /pages/rosters/k HTTP/1.1\r\nHost: x\r\n"
+    b"Content-Length: 200000\r\n\r\n" + b"x" * 100_000
+)
 SMUGGLED = {
     "two lengths": b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
     "length and chunks": (
@@ -306,13 +310,9 @@
 def test_caller_that_goes_away_in_its_upload_ends_the_run(make_path):
     """Half a bundle must not reach the server as a whole one."""
     host = make_path()[0]
-    head = (
-        b"PUT /pages/rosters/k HTTP/1.1\r\nHost: x\r\n"
-        b"Content-Length: 200000\r\n\r\n" + b"x" * 100_000
-    )
     address = host.http.address.split(":")
     with socket.create_connection((address[0], int(address[1]))) as sock:
-        sock.sendall(head)
+        sock.sendall(HALF_UPLOAD)
         while not host.admission.running:
             pass
     while host.admission.running:
@@ -326,13 +326,9 @@
     It must not hold a slot for ever, nor reach the server as a whole bundle.
     """
     host = make_path()[0]
-    head = (
-        b"PUT /pages/rosters/k HTTP/1.1\r\nHost: x\r\n"
-        b"Content-Length: 200000\r\n\r\n" + b"x" * 100_000
-    )
     address = host.http.address.split(":")
     with socket.create_connection((address[0], int(address[1]))) as sock:
-        sock.sendall(head)
+        sock.sendall(HALF_UPLOAD)
         while sock.recv(65536):
             pass
     assert not host.admission.running
--- a/guavastream/routing/attempts.py
+++ b/guavastream/routing/attempts.py
@@ -84,6 +84,10 @@
         if knowledge is Knowledge.SENT:
             self._sent_code = code
 
+    def note_refused(self, refused):
+        """Note an attempt that ended with a `Refused`."""
+        self.note(refused.refusal.code, Knowledge.NOT_RUN, confirmed=refused.confirmed)
+
     def final(self):
         """Return the refusal that says the truth about all attempts.
 
