A malformed hop count is one clear refusal

Cause, found by reading the change again: Guavastream-Hops from a caller was taken for a number; any other text ended in a 500 without a code or a word about whether the request ran. Change: it is refused as bad_request, not run. Conclusion: kept, with a case in the test of bad input.

--- a/guavastream/door/forward.py
+++ b/guavastream/door/forward.py
@@ -21,6 +21,7 @@
 OWNER_WAIT_SECONDS = 2.0
 TABLE_WAIT_SECONDS = 0.05
 SERVER_ERRORS = 500
+MAX_HOPS_DIGITS = 3
 OWNERSHIP = ("no_owner", "wrong_owner", "moving", "no_lease", "not_ready", "leaving")
 
 
@@ -78,7 +79,7 @@
         BodyFailed
             If the caller's body broke.
         """
-        hops = int(exchange.header("Guavastream-Hops") or 0)
+        hops = _hops_of(exchange)
         budget = self._budget(request.service.name)
         if not hops:
             budget.earn()
@@ -241,3 +242,11 @@
         if budget is None:
             budget = self._budgets.setdefault(service, RetryBudget())
         return budget
+
+
+def _hops_of(exchange):
+    """Return how many doors a request has passed; a caller may write anything."""
+    said = exchange.header("Guavastream-Hops") or "0"
+    if not (said.isascii() and said.isdecimal() and len(said) <= MAX_HOPS_DIGITS):
+        raise Refused("bad_request")
+    return int(said)
--- a/guavastream/door/tests/test_path.py
+++ b/guavastream/door/tests/test_path.py
@@ -59,6 +59,7 @@
         ("GET", "/pages/x/" + "k" * 600, {}, 400, "missing_key"),
         ("GET", "/pages/x/k", {"Guavastream-Deadline-Ms": "z"}, 400, "bad_deadline"),
         ("GET", "/pages/../swaps/x", {}, 400, "bad_request"),
+        ("GET", "/pages/x/k", {"Guavastream-Hops": "many"}, 400, "bad_request"),
         ("POST", "/pages/pairings/k", {"Idempotency-Key": "1"}, 400, None),
     ],
 )
