--- /dev/null
+++ b/guavastream/control/fleet.py
@@ -0,0 +1,193 @@
+"""What a control host of a fleet answers, and how its voters are replaced."""
+
+import asyncio
+
+import msgspec
+
+from guavastream.control.messages import (
+    AppendEntries,
+    Hello,
+    InstallSnapshot,
+    RequestVote,
+)
+from guavastream.exception import GuavastreamError, NotLeader, NotReady, PeerFailure
+from guavastream.fleet import (
+    Beat,
+    ChangeRoutes,
+    Depart,
+    JoinVoters,
+    LoadReport,
+    ReadRoutes,
+    RoutesRead,
+    encode_command,
+)
+from guavastream.kernel import part_logger
+from guavastream.leases import Submit, Submitted
+from guavastream.leases.messages import Watch, Watched
+from guavastream.messages import decode_message
+
+__all__ = ["FleetService", "VoterKeeper"]
+
+VOTER_MESSAGES = (Hello, RequestVote, AppendEntries, InstallSnapshot)
+# A control host that has not heard a leader for this long does not pass on
+# what it knows as new: whoever watches it asks another one.
+FRESH_SECONDS = 1.0
+# Time after which a silent voter makes room, if one more than wanted votes.
+# A restart or a short cut must not cost a vote.
+UNHEARD_SECONDS = 3.0
+TEND_SECONDS = 0.4
+CATCH_UP_SECONDS = 5.0
+
+log = part_logger("control")
+
+
+class FleetService:
+    """Dispatches the messages that reach a control host.
+
+    Parameters
+    ----------
+    raft : Raft
+        This voter.
+    machine : TableMachine
+        Its book.
+    granter : Granter
+        Answers heartbeats while this voter leads.
+    voters : VoterKeeper
+        Takes in new voters while this voter leads.
+    losses : int
+        Disks that may be lost at once; no change is acknowledged on fewer
+        synced disks than one more.
+    """
+
+    def __init__(self, *, raft, machine, granter, voters, losses):
+        self._raft = raft
+        self._machine = machine
+        self._granter = granter
+        self._voters = voters
+        self._losses = losses
+
+    async def handle(self, request):
+        """Answer one message.
+
+        Raises
+        ------
+        NotLeader, NotReady, PeerFailure
+            Carried to the caller by the transport.
+        """
+        if isinstance(request, VOTER_MESSAGES):
+            return await self._raft.handle(request)
+        if isinstance(request, Watch):
+            return await self._watch(request)
+        self._require_lead()
+        self._granter.ensure_term()
+        if isinstance(request, Beat):
+            return await self._granter.beat(request)
+        if isinstance(request, Depart):
+            await self._granter.depart(request.id)
+            return request
+        if isinstance(request, LoadReport):
+            self._granter.note_load(request)
+            return request
+        if isinstance(request, ReadRoutes):
+            return RoutesRead(config=self._machine.table.config)
+        if isinstance(request, Submit):
+            return await self._submit(request)
+        if isinstance(request, JoinVoters):
+            await self._voters.join(request)
+            return request
+        raise PeerFailure(f"{type(request).__name__} is not for control hosts.")
+
+    def _require_lead(self):
+        if not self._raft.is_leader:
+            raise NotLeader(leader=self._raft.leader_address)
+
+    async def _watch(self, request):
+        machine = self._machine
+        if machine.table.index <= request.index:
+            await self._raft.wait_applied(machine.table.index, request.wait)
+        if self._raft.leader_age > FRESH_SECONDS:
+            raise NotReady("No leader is heard here.")
+        hosts = tuple(self._raft.voters.values())
+        commands = machine.since(request.index)
+        if commands is None:
+            return Watched(table=machine.dump(), hosts=hosts)
+        return Watched(commands=commands, hosts=hosts)
+
+    async def _submit(self, request):
+        command = decode_message(request.tag, request.body)
+        if not isinstance(command, ChangeRoutes):
+            raise PeerFailure(f"{type(command).__name__} is not for submission.")
+        if len(self._raft.voters) // 2 < self._losses:
+            raise NotReady("Too few voters to bear the losses that are allowed.")
+        result = await self._raft.propose(encode_command(command))
+        encoded = msgspec.msgpack.encode(result)
+        return Submitted(index=self._machine.table.index, result=encoded)
+
+
+class VoterKeeper:
+    """Takes control hosts in and lets lost ones go, without an operator.
+
+    Parameters
+    ----------
+    raft : Raft
+        This voter.
+    control : ControlClient
+        Reaches the leader.
+    address : str
+        Own peer address.
+    wanted : int
+        Voters that are kept at least; one more than that only while one is
+        replaced.
+    """
+
+    def __init__(self, *, raft, control, address, wanted):
+        self._raft = raft
+        self._control = control
+        self._address = address
+        self._wanted = wanted
+        self._busy = asyncio.Lock()
+
+    async def join(self, request):
+        """Let a control host vote, as the leader.
+
+        The newcomer is added before an old voter goes: at no time does a
+        commit need fewer disks than before.
+        """
+        async with self._busy:
+            if self._raft.voters.get(request.voter) == request.address:
+                return
+            await self._raft.add_voter(
+                request.voter, request.address, timeout=CATCH_UP_SECONDS
+            )
+            log.info("Control host %s votes now.", request.address)
+
+    async def run(self):
+        """Ask to vote while not voting; as the leader remove the lost."""
+        while True:
+            await asyncio.sleep(TEND_SECONDS)
+            try:
+                if self._raft.is_leader:
+                    await self._remove_lost()
+                elif not self._raft.votes:
+                    await self._ask()
+            except GuavastreamError as error:
+                log.debug("Voters stay as they are: %s.", error)
+
+    async def _ask(self):
+        request = JoinVoters(voter=self._raft.voter, address=self._address)
+        await self._control.call(
+            request, timeout=2 * CATCH_UP_SECONDS, attempt=CATCH_UP_SECONDS
+        )
+
+    async def _remove_lost(self):
+        async with self._busy:
+            voters = self._raft.voters
+            newest = {address: voter for voter, address in voters.items()}
+            unheard = self._raft.unheard
+            for voter, silence in sorted(unheard.items(), key=lambda item: -item[1]):
+                replaced = newest[voters[voter]] != voter
+                lost = len(voters) > self._wanted and silence > UNHEARD_SECONDS
+                if silence > TEND_SECONDS and (replaced or lost):
+                    await self._raft.remove_voter(voter)
+                    log.info("Control host %s votes no more.", voters[voter])
+                    return
--- /dev/null
+++ b/guavastream/control/grants.py
@@ -0,0 +1,395 @@
+"""The leader's part in who holds which keys: answers to heartbeats, and plans."""
+
+import asyncio
+
+from guavastream.control.holds import Holds, HoldTiming, Move
+from guavastream.control.loads import KeyLoads
+from guavastream.exception import NotLeader
+from guavastream.fleet import (
+    Beaten,
+    GrantKeys,
+    JoinInstance,
+    LeaveInstance,
+    ReleaseKeys,
+    RemoveInstances,
+    encode_command,
+)
+from guavastream.kernel import part_logger
+from guavastream.placement import RunView, plan_runs
+
+__all__ = ["Granter"]
+
+TICK_SECONDS = 0.05
+# Plans of balance are made this often; a load report comes about as often.
+BALANCE_SECONDS = 0.4
+# Request rate assumed of a slot before anything was measured, per second.
+SLOT_RATE = 8.0
+# A server that says it is cold works at about half its speed.
+COLD_SHARE = 0.5
+# Patience with a source that does not release a row after it was told.
+MOVE_SECONDS = 6.0
+
+log = part_logger("grants")
+
+
+class Granter:
+    """Decides who holds which keys while this control host leads.
+
+    Parameters
+    ----------
+    raft : Raft
+        Commits the decisions.
+    machine : TableMachine
+        Keeps the book.
+    clock : callable
+        Steady time in seconds, suspensions included.
+    timing : HoldTiming
+        Times of holds.
+    """
+
+    def __init__(self, *, raft, machine, clock, timing=None):
+        self._raft = raft
+        self._machine = machine
+        self._clock = clock
+        self._timing = timing or HoldTiming()
+        self._holds = Holds(clock=clock, timing=self._timing)
+        self._term = 0
+        self._seqs = {}
+        self._events = {}
+        self._moves = []
+        self._loads = {}
+        self._latency = {}
+        self._cold = {}
+        self._joined = {}
+        self._balanced = 0.0
+
+    @property
+    def _book(self):
+        return self._machine.table
+
+    def ensure_term(self):
+        """Begin a new term of this leader, if there is one."""
+        if self._term == self._raft.term:
+            return
+        self._term = self._raft.term
+        self._holds.start(self._book.instances, since=self._raft.predecessor_end)
+        self._seqs = {}
+        self._moves = []
+        self._joined = {}
+
+    # Heartbeats
+
+    async def beat(self, beat):
+        """Answer a heartbeat; nothing is granted that is not committed.
+
+        Raises
+        ------
+        NotLeader
+            If this control host does not lead, or no longer.
+        """
+        arrived = self._clock()
+        self.ensure_term()
+        if beat.seq < self._seqs.get(beat.id, 0):
+            return Beaten(index=self._book.index)
+        self._seqs[beat.id] = beat.seq
+        if not await self._take(beat):
+            return Beaten(index=self._book.index, gone=True)
+        self._holds.hear(beat.id)
+        self._cold[beat.id] = arrived + beat.cold
+        rules = self._book.config.services.get(beat.service)
+        if rules is None or not rules.keyed:
+            return Beaten(index=self._book.index)
+        await self._wait_for_news(beat, arrived)
+        self._require_lead()
+        if self._seqs.get(beat.id) != beat.seq:
+            return Beaten(index=self._book.index)
+        return self._answer(beat, arrived)
+
+    async def _take(self, beat):
+        """Bring the book in step with what a server says of itself."""
+        book = self._book
+        if beat.id in book.gone:
+            return False
+        known = book.instances.get(beat.id)
+        said = (beat.service, beat.door, beat.address, beat.slots)
+        if known is None or said != (
+            known.service,
+            known.door,
+            known.address,
+            known.slots,
+        ):
+            if not await self._propose(_joining(beat)):
+                return False
+            log.info("Server %s of %s joined at %s.", beat.id, beat.service, beat.door)
+            self._joined.setdefault(beat.service, self._clock())
+        if beat.leaving and not self._book.instances[beat.id].leaving:
+            await self._propose(LeaveInstance(id=beat.id))
+            log.info("Server %s leaves.", beat.id)
+        await self._take_released(beat)
+        return True
+
+    async def _take_released(self, beat):
+        runs = self._book.runs_of(beat.service)
+        rows = tuple(
+            row
+            for row in beat.released
+            if any(r.owner == beat.id and r.overlaps(row[0], row[1]) for r in runs)
+        )
+        if not rows:
+            return
+        command = ReleaseKeys(
+            service=beat.service, owner=beat.id, rows=rows, seq=beat.seq
+        )
+        await self._propose(command)
+        # Grant it in the same breath: each wait here is time without an owner.
+        await self._plan(beat.service)
+
+    async def _wait_for_news(self, beat, arrived):
+        """Hold the answer back while there is nothing new to say."""
+        event = self._events.setdefault(beat.id, asyncio.Event())
+        while self._seqs.get(beat.id) == beat.seq and not self._has_news(beat):
+            left = arrived + beat.wait - self._clock()
+            if left <= 0:
+                return
+            event.clear()
+            try:
+                await asyncio.wait_for(event.wait(), left)
+            except TimeoutError:
+                return
+
+    def _has_news(self, beat):
+        said = {(first, last, fence) for first, last, fence in beat.holds}
+        return said != {row[:3] for row in self._rows(beat)} or bool(beat.released)
+
+    def _rows(self, beat):
+        """Return all rows that a server is to hold, without those that leave."""
+        rows = []
+        held = set(beat.holds)
+        for run in self._book.rows_of(beat.id, beat.service):
+            for first, last in self._staying(run):
+                known = any(
+                    a <= first and last <= b and fence == run.fence
+                    for a, b, fence in held
+                )
+                rows.append((first, last, run.fence, "" if known else run.handover))
+        return rows
+
+    def _staying(self, run):
+        pieces = [(run.first, run.last)]
+        for move in self._moves:
+            if move.source != run.owner:
+                continue
+            kept = []
+            for first, last in pieces:
+                if last < move.first or move.last < first:
+                    kept.append((first, last))
+                    continue
+                if first < move.first:
+                    kept.append((first, move.first - 1))
+                if move.last < last:
+                    kept.append((move.last + 1, last))
+            pieces = kept
+        return pieces
+
+    def _answer(self, beat, arrived):
+        before = self._holds.until(beat.id)
+        for move in self._moves:
+            if move.source == beat.id and not move.until:
+                # What is left out now was renewed by the answer before last.
+                move.until = before
+        self._holds.renew(beat.id, arrived=arrived)
+        return Beaten(
+            index=self._book.index,
+            rows=tuple(self._rows(beat)),
+            hold=self._timing.hold,
+        )
+
+    async def depart(self, id):
+        """Take a server out that ends without a heartbeat that says so."""
+        self.ensure_term()
+        instance = self._book.instances.get(id)
+        if instance is not None and not instance.leaving:
+            await self._propose(LeaveInstance(id=id))
+            log.info("Server %s leaves.", id)
+
+    def note_load(self, report):
+        """Take a report of requests by key."""
+        loads = self._loads.get(report.service)
+        if loads is None:
+            loads = self._loads[report.service] = KeyLoads(clock=self._clock)
+        loads.note(report.keys, report.rest)
+        if report.latency:
+            self._latency[report.id] = report.latency
+
+    # Plans
+
+    async def run(self):
+        """Tend the book while this control host leads, until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            if not self._raft.is_leader:
+                continue
+            self.ensure_term()
+            try:
+                await self._expire()
+                for name, rules in self._book.config.services.items():
+                    if rules.keyed:
+                        await self._plan(name)
+            except NotLeader:
+                continue
+
+    async def _expire(self):
+        book = self._book
+        owners = {r.owner for runs in book.runs.values() for r in runs}
+        gone = [
+            id
+            for id in book.instances
+            if (self._holds.expired(id) if id in owners else self._holds.silent(id))
+        ]
+        if gone:
+            log.info("Servers are silent and hold nothing now: %s.", ", ".join(gone))
+            await self._propose(RemoveInstances(ids=tuple(gone)))
+            for id in gone:
+                self._holds.forget(id)
+        now = self._clock()
+        for move in list(self._moves):
+            if not self._is_pending(move):
+                self._moves.remove(move)
+            elif move.until and now > move.until:
+                rows = ((move.first, move.last, ""),)
+                await self._propose(
+                    ReleaseKeys(service=move.service, owner=move.source, rows=rows)
+                )
+            elif not move.until and now - move.began > MOVE_SECONDS:
+                self._moves.remove(move)
+
+    def _is_pending(self, move):
+        runs = self._book.runs_of(move.service)
+        return any(
+            run.owner == move.source and run.overlaps(move.first, move.last)
+            for run in runs
+        )
+
+    async def _plan(self, name):
+        book = self._book
+        capacity = self._capacity(name)
+        if not capacity or self._settles(name):
+            return
+        runs = book.runs_of(name)
+        now = self._clock()
+        free = any(not run.owner for run in runs)
+        stranded = any(run.owner and run.owner not in capacity for run in runs)
+        if not free and not stranded and now - self._balanced < BALANCE_SECONDS:
+            return
+        if not free:
+            self._balanced = now
+        busy, rest = {}, 0.0
+        if name in self._loads:
+            busy, rest = self._loads[name].busy()
+        moves = [move for move in self._moves if move.service == name]
+        targets = await self._grant_moved(name, runs, moves, capacity)
+        view = RunView(
+            runs=self._book.runs_of(name),
+            capacity=capacity,
+            load=busy,
+            rest=rest,
+            moving={
+                (m.first, m.last): m.target
+                for m in moves
+                if (m.first, m.last) not in targets
+            },
+        )
+        plan = plan_runs(view)
+        if plan.grants:
+            await self._propose(GrantKeys(service=name, rows=plan.grants))
+            self._notify(row[2] for row in plan.grants)
+        for first, last, target in plan.moves:
+            self._begin_move(name, first, last, target)
+
+    async def _grant_moved(self, name, runs, moves, capacity):
+        """Give rows that were released for a move to their targets."""
+        rows = []
+        for move in moves:
+            for run in runs:
+                if not run.owner and run.overlaps(move.first, move.last):
+                    if move.target in capacity:
+                        first = max(run.first, move.first)
+                        last = min(run.last, move.last)
+                        rows.append((first, last, move.target))
+        if rows:
+            await self._propose(GrantKeys(service=name, rows=tuple(rows)))
+            self._notify(row[2] for row in rows)
+        done = {(m.first, m.last) for m in moves if not self._is_pending(m)}
+        self._moves = [
+            m for m in self._moves if m.service != name or (m.first, m.last) not in done
+        ]
+        return done
+
+    def _begin_move(self, name, first, last, target):
+        for run in self._book.runs_of(name):
+            if not run.owner or not run.overlaps(first, last) or run.owner == target:
+                continue
+            move = Move(
+                service=name,
+                first=max(first, run.first),
+                last=min(last, run.last),
+                source=run.owner,
+                target=target,
+                began=self._clock(),
+            )
+            self._moves.append(move)
+            log.info(
+                "Keys %d to %d of %s go from %s to %s.",
+                move.first,
+                move.last,
+                name,
+                move.source,
+                target,
+            )
+            self._notify((run.owner,))
+
+    def _capacity(self, name):
+        """Return requests a second that each server that stays can do."""
+        servers = [i for i in self._book.servers(name) if not i.leaving]
+        known = [self._latency[i.id] for i in servers if i.id in self._latency]
+        usual = sorted(known)[len(known) // 2] if known else 1 / SLOT_RATE
+        now = self._clock()
+        capacity = {}
+        for server in servers:
+            rate = server.slots / self._latency.get(server.id, usual)
+            if self._cold.get(server.id, 0.0) > now:
+                rate *= COLD_SHARE
+            capacity[server.id] = max(rate, 0.1)
+        return capacity
+
+    def _settles(self, name):
+        """Whether the first servers of a service are still coming."""
+        if name in self._book.runs:
+            return False
+        joined = self._joined.setdefault(name, self._clock())
+        return self._clock() - joined < self._timing.settle
+
+    def _notify(self, ids):
+        for id in ids:
+            event = self._events.get(id)
+            if event is not None:
+                event.set()
+
+    def _require_lead(self):
+        if not self._raft.is_leader:
+            raise NotLeader(leader=self._raft.leader_address)
+
+    async def _propose(self, command):
+        return await self._raft.propose(encode_command(command))
+
+
+def _joining(beat):
+    return JoinInstance(
+        id=beat.id,
+        service=beat.service,
+        host=beat.host,
+        door=beat.door,
+        address=beat.address,
+        zone=beat.zone,
+        slots=beat.slots,
+    )
--- a/guavastream/control/machine.py
+++ b/guavastream/control/machine.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from guavastream.control.voter import StateMachine
-from guavastream.state import Table, decode_command, decode_table, encode_table
+from guavastream.state import ShardTableCodec, decode_command
 
 __all__ = ["TableMachine"]
 
@@ -13,6 +13,11 @@
 class TableMachine(StateMachine):
     """Applies commands to a table and keeps the latest for watchers.
 
+    Parameters
+    ----------
+    codec : TableCodec, optional
+        The kind of table.
+
     Examples
     --------
     >>> from guavastream.state import Noop, encode_command
@@ -24,8 +29,9 @@
     True
     """
 
-    def __init__(self):
-        self._table = Table()
+    def __init__(self, *, codec=None):
+        self._codec = codec or ShardTableCodec()
+        self._table = self._codec.empty()
         self._recent = deque(maxlen=KEPT_COMMANDS)
         self._floor = 0
         self._dumped = (0, b"")
@@ -44,11 +50,11 @@
 
     def dump(self):
         if self._dumped[0] != self._table.index:
-            self._dumped = (self._table.index, encode_table(self._table))
+            self._dumped = (self._table.index, self._codec.encode(self._table))
         return self._dumped[1]
 
     def load(self, index, data):
-        self._table = decode_table(data)
+        self._table = self._codec.decode(data)
         self._recent.clear()
         self._floor = self._table.index
 
--- a/guavastream/control/raft.py
+++ b/guavastream/control/raft.py
@@ -22,6 +22,11 @@
 
 BATCH = 256
 SNAPSHOT_SECONDS = 5.0
+# A leader whose disk takes longer for one write makes way for another: the
+# others' disks are well, and commands wait for nothing. Ten times the slowest
+# write of a disk that is merely slow (25 x 0.5 ms).
+STALL_SECONDS = 0.3
+DISK_PAUSE_SECONDS = 0.2
 
 log = part_logger("control")
 
@@ -37,8 +42,14 @@
         await self._form()
         while True:
             await self._follow()
-            if await self._campaign():
-                await self._lead()
+            try:
+                if await self._campaign():
+                    await self._lead()
+            except OSError as error:
+                # A disk that refuses writes keeps this voter from voting and
+                # leading, not from hearing a leader.
+                log.warning("The disk refuses writes: %s.", error)
+                await asyncio.sleep(DISK_PAUSE_SECONDS)
 
     async def propose(self, data, *, kind=COMMAND):
         """Replicate a command and return its result once it is applied.
@@ -66,7 +77,10 @@
             await asyncio.sleep(
                 max(timing.heartbeat, self._heard + timeout - self._now())
             )
-            if self._now() - self._heard >= timeout and self.voter in self._voters:
+            silent = self._now() - self._heard >= timeout
+            # A voter whose disk hangs could not lead.
+            able = self.voter in self._voters and not self._write_lock.locked()
+            if silent and able:
                 return
 
     async def _campaign(self):
@@ -84,6 +98,7 @@
         if not await self._ask_votes(term, pre=False) or self.term != term:
             return False
         self._leading = True
+        self._led_since = asked
         self._leader, self._leader_address = self.voter, self._address
         self._acked = dict.fromkeys(self._granted, asked)
         log.info("Elected in term %d.", term)
@@ -191,8 +206,20 @@
                 log.warning("A majority is silent; steps down.")
                 self._step_down.set()
                 return
+            began = self._writing_since
+            if began is not None and self._now() - began > STALL_SECONDS:
+                log.warning("The disk hangs; steps down.")
+                self._step_down.set()
+                return
 
     async def _write_proposals(self):
+        try:
+            await self._write_until_stepped_down()
+        except OSError as error:
+            log.warning("The disk refuses writes: %s; steps down.", error)
+            self._step_down.set()
+
+    async def _write_until_stepped_down(self):
         term = self.term
         while True:
             await self._wake.wait()
--- a/guavastream/control/storage.py
+++ b/guavastream/control/storage.py
@@ -2,6 +2,7 @@
 
 import os
 import struct
+import threading
 import uuid
 from dataclasses import dataclass, field, replace
 
@@ -78,6 +79,10 @@
     def __init__(self, *, folder):
         os.makedirs(folder, exist_ok=True)
         self._folder = folder
+        # A write that a cancelled task has left behind in a thread must end
+        # before the next one begins.
+        self._lock = threading.Lock()
+        self._end = 0
         self.snapshot = self._read_whole("snapshot", Snapshot) or Snapshot()
         self.entries = []
         self._log = None
@@ -106,7 +111,7 @@
     @property
     def log_bytes(self):
         """Size of the log file in bytes."""
-        return self._log.tell()
+        return self._end
 
     def term_at(self, index):
         """Return the term of an entry, or None if it is not kept."""
@@ -124,8 +129,10 @@
 
     def save_meta(self, **changes):
         """Change the meta and sync it."""
-        self.meta = replace(self.meta, **changes)
-        self._write_whole("meta", self.meta)
+        with self._lock:
+            meta = replace(self.meta, **changes)
+            self._write_whole("meta", meta)
+            self.meta = meta
 
     def append(self, entries):
         """Append entries as one synced record."""
@@ -134,9 +141,22 @@
             self.take(entries)
 
     def write(self, entries):
-        """Write entries as one record and sync it; `take` must follow."""
-        self._write(self._log, _pack(tuple(entries)))
-        self._sync(self._log)
+        """Write entries as one record and sync it; `take` must follow.
+
+        Raises
+        ------
+        OSError
+            If the disk refuses; nothing of the record counts then.
+        """
+        data = _pack(tuple(entries))
+        with self._lock:
+            # What a refused write left behind must not stand before the next
+            # record, or a later start would take it for damage.
+            self._log.seek(self._end)
+            self._log.truncate(self._end)
+            self._write(self._log, data)
+            self._sync(self._log)
+            self._end += len(data)
 
     def take(self, entries):
         """Hold entries in memory; the first may replace what is held."""
@@ -155,6 +175,10 @@
         keep : int
             Entries before the snapshot that stay for slow replicas.
         """
+        with self._lock:
+            self._save_snapshot(snapshot, keep)
+
+    def _save_snapshot(self, snapshot, keep):
         # The snapshot is on disk before the log shrinks: a crash between the
         # two leaves entries that the next start skips, never a gap.
         self._write_whole("snapshot", snapshot)
@@ -184,7 +208,10 @@
         while offset < len(data):
             entries, end = _unpack(data, offset)
             if entries is None:
-                if end < len(data):
+                # After a loss of power the last record may be torn in any
+                # way, zeros for its head included; only a whole record that
+                # follows shows that one in the middle was damaged.
+                if end < len(data) and _has_record(data, offset + 1):
                     raise DamagedLog(path=path, offset=offset)
                 break
             self.take(entries)
@@ -193,7 +220,7 @@
         if offset < len(data):
             self._log.truncate(offset)
             self._sync(self._log)
-        self._log.seek(offset)
+        self._end = offset
         if self.entries and self.entries[0].index > self.snapshot.index + 1:
             raise DamagedLog(path=path, offset=0)
 
@@ -206,7 +233,7 @@
         data = _pack(tuple(self.entries)) if self.entries else b""
         self._replace("log", data)
         self._open_log()
-        self._log.seek(0, os.SEEK_END)
+        self._end = len(data)
 
     def _read_whole(self, name, cls):
         path = self._path(name)
@@ -272,6 +299,16 @@
     return payload, end
 
 
+def _has_record(data, offset):
+    """Whether a whole record starts anywhere from `offset` on."""
+    for start in range(offset, len(data) - HEADER.size):
+        length, _ = HEADER.unpack_from(data, start)
+        if 0 < length <= len(data) - start - HEADER.size:
+            if _checked(data, start)[0] is not None:
+                return True
+    return False
+
+
 def _unpack(data, offset):
     payload, end = _checked(data, offset)
     if payload is None:
--- a/guavastream/control/voter.py
+++ b/guavastream/control/voter.py
@@ -93,6 +93,13 @@
         Coroutine function that runs blocking writes.
     record : callable, optional
         Takes the kind and fields of an event.
+    clock : callable, optional
+        Steady time in seconds; the loop's by default. Where a host may be
+        suspended it must count that time too, or a leader that wakes would
+        still believe in its lease.
+    may_form : bool
+        Whether this voter may form a new group; False where its host was in
+        one before, whatever its disk says.
     """
 
     def __init__(
@@ -107,6 +114,8 @@
         rng=None,
         offload=call_directly,
         record=lambda kind, **fields: None,
+        clock=None,
+        may_form=True,
     ):
         self._storage = storage
         self._transport = transport
@@ -117,7 +126,8 @@
         self._rng = rng or random.Random()
         self._offload = offload
         self._record = record
-        self._now = asyncio.get_running_loop().time
+        self._now = clock or asyncio.get_running_loop().time
+        self._may_form = may_form and address in peers
         # A restarted voter may have promised a leader its silence just
         # before; it counts as having heard from one at its start.
         self._heard = self._now()
@@ -136,6 +146,8 @@
         self._kicks = {}
         self._granted = set()
         self._last_heard = self._heard
+        self._led_since = self._heard
+        self._writing_since = None
         self._wake = asyncio.Event()
         self._step_down = asyncio.Event()
         self._advanced = asyncio.Event()
@@ -143,6 +155,31 @@
             machine.load(storage.snapshot.index, storage.snapshot.data)
         self._voters = self._voters_in_log()
 
+    @property
+    def votes(self):
+        """Whether this voter is one of its group as far as it knows."""
+        return self.voter in self._voters
+
+    @property
+    def leader_age(self):
+        """Seconds since a leader was heard; 0 for one that leads."""
+        if self._leading:
+            return 0.0 if self.has_lease() else float("inf")
+        return self._now() - self._heard if self._leader else float("inf")
+
+    @property
+    def unheard(self):
+        """Seconds since each other voter answered this leader, by voter.
+
+        A voter that never did counts from the election.
+        """
+        now = self._now()
+        return {
+            voter: now - self._acked.get(voter, self._led_since)
+            for voter in self._voters
+            if voter != self.voter
+        }
+
     @property
     def voter(self):
         """Identity of this voter's disk."""
@@ -235,7 +272,7 @@
                     return
                 if not answer.voters:
                     found[answer.voter] = address
-            if len(found) == len(self._peers):
+            if self._may_form and len(found) == len(self._peers):
                 self._adopt(dict(sorted(found.items())))
                 return
             await asyncio.sleep(self._timing.heartbeat * 4)
@@ -379,7 +416,11 @@
             self._step_down.set()
 
     async def _append_to_log(self, entries):
-        await self._offload(self._storage.write, entries)
+        self._writing_since = self._now()
+        try:
+            await self._offload(self._storage.write, entries)
+        finally:
+            self._writing_since = None
         self._storage.take(entries)
 
     async def _save_meta(self, **changes):
--- /dev/null
+++ b/guavastream/fleet/__init__.py
@@ -0,0 +1,6 @@
+"""The replicated book of announced backend servers, their keys and the routes."""
+
+from guavastream.fleet.book import *
+from guavastream.fleet.codec import *
+from guavastream.fleet.commands import *
+from guavastream.fleet.messages import *
--- /dev/null
+++ b/guavastream/fleet/book.py
@@ -0,0 +1,181 @@
+"""The book: instances of backend servers, runs of keys, configuration."""
+
+from bisect import bisect_right
+from dataclasses import dataclass, field, replace
+
+from guavastream.routes import RouteConfig
+
+__all__ = ["KEYS", "Book", "Instance", "Run", "cut_runs", "find_run"]
+
+# Keys of a service are the numbers below this.
+KEYS = 65536
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Instance:
+    """One life of a backend server, and the process beside it.
+
+    `released_seq` numbers its last message by which it gave up keys.
+    """
+
+    id: str
+    service: str
+    host: str
+    door: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool = False
+    released_seq: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Run:
+    """Adjacent keys `first` to `last` that have one owner, or "".
+
+    `fence` is the log index of the grant; `handover` is what the owner before
+    left, to be handed to the next, or "".
+    """
+
+    first: int
+    last: int
+    owner: str = ""
+    fence: int = 0
+    handover: str = ""
+
+    def overlaps(self, first, last):
+        """Whether any key of the run lies within `first` to `last`."""
+        return self.first <= last and first <= self.last
+
+
+FREE = (Run(first=0, last=KEYS - 1),)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Book:
+    """State after the log up to `index`; commands make new books from it.
+
+    Parameters
+    ----------
+    index : int
+        Log index of the last command.
+    config : RouteConfig
+        Configuration in force.
+    accepted : dict of bytes to int
+        Digests of the latest accepted changes and their versions.
+    instances : dict of str to Instance
+        All that are present, leaving ones too.
+    gone : tuple of str
+        The latest instances that will never come back.
+    runs : dict of str to tuple of Run
+        For each keyed service all keys, in order and without gaps.
+    """
+
+    index: int = 0
+    config: RouteConfig = field(default_factory=RouteConfig)
+    accepted: dict[bytes, int] = field(default_factory=dict)
+    instances: dict[str, Instance] = field(default_factory=dict)
+    gone: tuple[str, ...] = ()
+    runs: dict[str, tuple[Run, ...]] = field(default_factory=dict)
+
+    def apply(self, index, command):
+        """Return the book after `command` and the command's result."""
+        from guavastream.fleet.apply import HANDLERS
+
+        handler = HANDLERS.get(type(command))
+        if handler is None:
+            return replace(self, index=index), None
+        changes, result = handler(self, index, command)
+        return replace(self, index=index, **changes), result
+
+    def runs_of(self, service):
+        """Return the runs of a service; all keys are free at first."""
+        return self.runs.get(service, FREE)
+
+    def servers(self, service):
+        """Return the instances of a service, a list."""
+        return [i for i in self.instances.values() if i.service == service]
+
+    def owner_of(self, service, key):
+        """Return the instance that owns a key, or None."""
+        run = find_run(self.runs_of(service), key)
+        return self.instances.get(run.owner)
+
+    def rows_of(self, owner, service):
+        """Return the runs of a service that an instance owns, a list."""
+        return [run for run in self.runs_of(service) if run.owner == owner]
+
+
+def find_run(runs, key):
+    """Return the run of a key.
+
+    Examples
+    --------
+    >>> find_run((Run(first=0, last=9), Run(first=10, last=65535)), 10).first
+    10
+    """
+    return runs[bisect_right(runs, key, key=lambda run: run.first) - 1]
+
+
+def cut_runs(runs, rows, change):
+    """Return the runs with `change` made where rows lie.
+
+    Parameters
+    ----------
+    runs : tuple of Run
+        All keys in order.
+    rows : iterable of tuple
+        (first, last, ...): where to cut.
+    change : callable
+        Takes the piece of a run that lies in a row, and the row; returns the
+        piece as it is to be.
+
+    Notes
+    -----
+    O(runs + rows log rows).
+
+    Examples
+    --------
+    >>> cut = cut_runs(
+    ...     FREE, [(5, 6, "a")], lambda run, row: replace(run, owner=row[2])
+    ... )
+    >>> [(run.first, run.last, run.owner) for run in cut]
+    [(0, 4, ''), (5, 6, 'a'), (7, 65535, '')]
+    """
+    rows = sorted(rows)
+    made = []
+    at = 0
+    for run in runs:
+        rest = run
+        while at < len(rows) and rows[at][1] < run.first:
+            at += 1
+        position = at
+        while position < len(rows) and rows[position][0] <= run.last:
+            row = rows[position]
+            first, last = max(row[0], rest.first), min(row[1], rest.last)
+            if first > rest.first:
+                made.append(replace(rest, last=first - 1))
+            made.append(change(replace(rest, first=first, last=last), row))
+            if last == rest.last:
+                rest = None
+                break
+            rest = replace(rest, first=last + 1)
+            position += 1
+        if rest is not None:
+            made.append(rest)
+    return _merged(made)
+
+
+def _merged(runs):
+    made = [runs[0]]
+    for run in runs[1:]:
+        last = made[-1]
+        if (run.owner, run.fence, run.handover) == (
+            last.owner,
+            last.fence,
+            last.handover,
+        ):
+            made[-1] = replace(last, last=run.last)
+        else:
+            made.append(run)
+    return tuple(made)
--- /dev/null
+++ b/guavastream/fleet/codec.py
@@ -0,0 +1,33 @@
+"""Books and their commands as bytes, for the log and for watchers."""
+
+import msgspec
+
+from guavastream.fleet.book import Book
+from guavastream.state import TableCodec, decode_command, encode_command
+
+__all__ = ["BookCodec"]
+
+_decoder = msgspec.msgpack.Decoder(Book)
+
+
+class BookCodec(TableCodec):
+    """Lets the control log and its watchers keep a book.
+
+    Examples
+    --------
+    >>> codec = BookCodec()
+    >>> codec.decode(codec.encode(Book(index=3))).index
+    3
+    """
+
+    def empty(self):
+        return Book()
+
+    def encode(self, table):
+        return msgspec.msgpack.encode(table)
+
+    def decode(self, data):
+        return _decoder.decode(data)
+
+
+__all__ += ["decode_command", "encode_command"]
--- /dev/null
+++ b/guavastream/fleet/commands.py
@@ -0,0 +1,100 @@
+"""Commands that change the book."""
+
+from guavastream.messages import message
+from guavastream.routes import CallerLimits, Route, ServiceRules
+
+__all__ = [
+    "ChangeRoutes",
+    "ChangedRoutes",
+    "GrantKeys",
+    "JoinInstance",
+    "LeaveInstance",
+    "ReleaseKeys",
+    "RemoveInstances",
+]
+
+
+@message
+class JoinInstance:
+    """A backend server announced itself.
+
+    `id` is drawn anew at each start of the server, `door` is where requests
+    for it are taken, `address` where it listens itself.
+    """
+
+    id: str
+    service: str
+    host: str
+    door: str
+    address: str
+    zone: str
+    slots: int
+
+
+@message
+class LeaveInstance:
+    """A backend server said that it leaves; it gets no new work."""
+
+    id: str
+
+
+@message
+class RemoveInstances:
+    """Backend servers are gone: what they held may go to others.
+
+    Those in `forever` ended or were replaced at their address; a late message
+    of theirs must not bring them back.
+    """
+
+    ids: tuple[str, ...]
+    forever: bool = False
+
+
+@message
+class GrantKeys:
+    """Rows of (first, last, owner) go to their owners under a new fence."""
+
+    service: str
+    rows: tuple[tuple[int, int, str], ...]
+
+
+@message
+class ReleaseKeys:
+    """An owner gave up rows of (first, last, handover); "" is no handover.
+
+    `seq` numbers the owner's messages: a late one is told by it.
+    """
+
+    service: str
+    owner: str
+    rows: tuple[tuple[int, int, str], ...]
+    seq: int = 0
+
+
+@message
+class ChangeRoutes:
+    """An operator changes the configuration that has version `base`.
+
+    `digest` names the change: one that was accepted is acknowledged again.
+    With `whole` the given items are all there is, otherwise they are added
+    or replace those of the same name.
+    """
+
+    base: int
+    version: int
+    digest: bytes
+    whole: bool
+    routes: tuple[Route, ...] = ()
+    services: tuple[ServiceRules, ...] = ()
+    limits: CallerLimits | None = None
+    drop_routes: tuple[str, ...] = ()
+    drop_services: tuple[str, ...] = ()
+
+
+@message
+class ChangedRoutes:
+    """What became of a change: `code` is ok, conflict or invalid."""
+
+    code: str
+    version: int
+    findings: tuple[str, ...] = ()
--- /dev/null
+++ b/guavastream/fleet/messages.py
@@ -0,0 +1,90 @@
+"""Messages between processes beside backend servers and control hosts."""
+
+from guavastream.messages import message
+from guavastream.routes import RouteConfig
+
+__all__ = ["Beat", "Beaten", "Depart", "JoinVoters", "LoadReport", "ReadRoutes"]
+__all__ += ["RoutesRead"]
+
+
+@message
+class Beat:
+    """A backend server's heartbeat, as the process beside it passes it on.
+
+    `holds` are rows of (first, last, fence) that it holds or still works on,
+    `released` rows of (first, last, handover) that it gave up since its last
+    acknowledged heartbeat. The answer may take up to `wait` seconds, so that
+    a grant that is about to come need not wait for the next heartbeat.
+    """
+
+    id: str
+    service: str
+    host: str
+    door: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    cold: float
+    seq: int
+    holds: tuple[tuple[int, int, int], ...] = ()
+    released: tuple[tuple[int, int, str], ...] = ()
+    wait: float = 0.0
+
+
+@message
+class Beaten:
+    """Answer to a heartbeat.
+
+    `rows` of (first, last, fence, handover) are all that the server is to
+    hold for `hold` seconds from when its heartbeat was sent; None renews
+    nothing. `gone` says that this life of the server is over.
+    """
+
+    index: int
+    rows: tuple[tuple[int, int, int, str], ...] | None = None
+    hold: float = 0.0
+    gone: bool = False
+
+
+@message
+class Depart:
+    """A backend server says that it ends soon, without a heartbeat."""
+
+    id: str
+
+
+@message
+class LoadReport:
+    """Requests for each key since the last report, and the time they take.
+
+    `keys` are pairs of key and count, the busiest ones; `latency` is the
+    smoothed time of a request at the server, seconds, 0 if unknown.
+    """
+
+    id: str
+    service: str
+    elapsed: float
+    keys: tuple[tuple[int, int], ...]
+    rest: int
+    latency: float
+
+
+@message
+class ReadRoutes:
+    """Asks for the newest configuration."""
+
+
+@message
+class RoutesRead:
+    """The newest configuration, as the leader knows for sure."""
+
+    config: RouteConfig
+
+
+@message
+class JoinVoters:
+    """A control host that does not vote asks the leader to let it."""
+
+    voter: str
+    address: str
--- /dev/null
+++ b/guavastream/hosts/control_host.py
@@ -0,0 +1,146 @@
+"""A control host of a fleet: log, book, grants and operators' changes."""
+
+import asyncio
+import random
+
+from guavastream.control.fleet import FleetService, VoterKeeper
+from guavastream.control.grants import Granter
+from guavastream.control.machine import TableMachine
+from guavastream.control.raft import Raft
+from guavastream.control.storage import Storage
+from guavastream.control.voter import RaftTiming
+from guavastream.fleet import BookCodec, ChangedRoutes, ReadRoutes
+from guavastream.hosts.tasks import Tasks
+from guavastream.kernel import Counters, part_logger, steady_time
+from guavastream.leases import ControlClient
+from guavastream.messages.zmq_transport import ZmqServer, ZmqTransport
+from guavastream.timeline import HybridClock
+
+__all__ = ["ControlHost"]
+
+# Times of the voters. A host that is five times slower than usual must still
+# answer a heartbeat in time, and a lost leader be replaced within a second.
+TIMING = RaftTiming(
+    heartbeat=0.08, election_min=0.5, election_max=0.8, lease=0.45, call=0.4
+)
+CHANGE_SECONDS = 1.5
+READ_SECONDS = 0.8
+
+log = part_logger("control")
+
+
+class ControlHost:
+    """One of the few hosts with a disk.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Checked settings.
+    """
+
+    def __init__(self, *, settings):
+        self.counters = Counters()
+        self._settings = settings
+        hybrid = HybridClock()
+        self._transport = ZmqTransport(
+            hybrid=hybrid,
+            on_reconnect=lambda address: self.counters.count("peer_reconnects"),
+        )
+        self._control = ControlClient(
+            transport=self._transport, addresses=settings.seeds
+        )
+        machine = TableMachine(codec=BookCodec())
+        self._machine = machine
+        self._raft = Raft(
+            storage=Storage(folder=settings.data),
+            transport=self._transport,
+            address=settings.peer,
+            peers=settings.seeds,
+            machine=machine,
+            timing=TIMING,
+            rng=random.Random(),
+            offload=asyncio.to_thread,
+            record=lambda kind, **fields: self.counters.count(kind),
+            clock=steady_time,
+            may_form=settings.first_start,
+        )
+        self._granter = Granter(
+            raft=self._raft, machine=machine, clock=steady_time, timing=settings.holds
+        )
+        self._keeper = VoterKeeper(
+            raft=self._raft,
+            control=self._control,
+            address=settings.peer,
+            wanted=settings.wanted_voters,
+        )
+        service = FleetService(
+            raft=self._raft,
+            machine=machine,
+            granter=self._granter,
+            voters=self._keeper,
+            losses=settings.losses,
+        )
+        self._server = ZmqServer(
+            address=settings.peer,
+            handler=service.handle,
+            hybrid=hybrid,
+            on_malformed=lambda: self.counters.count("malformed_messages"),
+        )
+        self._tasks = Tasks()
+
+    async def start(self):
+        """Begin to take part.
+
+        Raises
+        ------
+        OSError
+            If the peer address cannot be bound.
+        """
+        self._server.start()
+        self._tasks.spawn(self._raft.run())
+        self._tasks.spawn(self._granter.run())
+        self._tasks.spawn(self._keeper.run())
+
+    def take_seeds(self, seeds):
+        """Take other control hosts to ask, while no leader is known."""
+        self._control.learn(tuple(self._raft.voters.values()) or seeds)
+
+    async def change(self, command):
+        """Have a change of the configuration committed and return its fate.
+
+        Raises
+        ------
+        NotReady, PeerFailure
+            If whether it was accepted is not known.
+        """
+        self._know_leader()
+        return await self._control.submit(
+            command, timeout=CHANGE_SECONDS, result=ChangedRoutes
+        )
+
+    async def read_routes(self):
+        """Return the newest configuration.
+
+        Raises
+        ------
+        NotReady, PeerFailure
+            If nobody can be sure which that is.
+        """
+        self._know_leader()
+        answer = await self._control.call(ReadRoutes(), timeout=READ_SECONDS)
+        return answer.config
+
+    def _know_leader(self):
+        self._control.learn(tuple(self._raft.voters.values()))
+        if self._raft.leader_address:
+            self._control.prefer(self._raft.leader_address)
+
+    async def wait_failed(self):
+        """Wait until a part has failed, and raise its error."""
+        await self._tasks.wait_failed()
+
+    async def stop(self):
+        """Stop at once; the log is synced whenever anything was promised."""
+        await self._tasks.stop()
+        self._server.close()
+        self._transport.close()
--- /dev/null
+++ b/guavastream/hosts/server_host.py
@@ -0,0 +1,309 @@
+"""The process beside a backend server: data path, heartbeats, readiness."""
+
+import asyncio
+import contextlib
+import random
+
+from guavastream.exception import GuavastreamError
+from guavastream.fleet import BookCodec, Depart, LoadReport
+from guavastream.hosts.tasks import Tasks
+from guavastream.http1 import Client, CutOff, Limits, NotSent, Server
+from guavastream.kernel import Counters, parse_address, part_logger
+from guavastream.leases import ControlClient
+from guavastream.leases.messages import Watch
+from guavastream.messages.zmq_transport import ZmqTransport
+from guavastream.relay import Guard, Ingress, Picker
+from guavastream.routes import RouteIndex
+from guavastream.state import TableHolder
+from guavastream.timeline import HybridClock
+
+__all__ = ["ServerHost"]
+
+# A watch returns at once when there is news; this is how long it waits else.
+WATCH_SECONDS = 0.6
+WATCH_PATIENCE = 0.4
+RETRY_SECONDS = 0.05
+# Failures in a row after which the seeds of the settings are asked too.
+FAILURES_TO_RESEED = 3
+# A heartbeat counts only if it is answered within a second.
+BEAT_SECONDS = 0.85
+# Part of that for which an answer may wait for a grant that is on its way.
+BEAT_WAIT_SECONDS = 0.35
+BEAT_ATTEMPT_SECONDS = 0.6
+REPORT_SECONDS = 0.4
+REPORTED_KEYS = 400
+PROBE_SECONDS = 0.5
+# A stop: callers go elsewhere after two failed checks, a second apart.
+QUIET_SECONDS = 2.3
+IDLE_SECONDS = 0.3
+LAST_SECONDS = 0.3
+END_MARGIN_SECONDS = 1.0
+POLL_SECONDS = 0.05
+
+log = part_logger("host")
+
+
+class ServerHost:
+    """One process beside one backend server.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Checked settings.
+    dialect : Dialect
+        Header names.
+    """
+
+    def __init__(self, *, settings, dialect):
+        self.counters = Counters()
+        self.stopping = False
+        self._settings = settings
+        self._dialect = dialect
+        self._loop = asyncio.get_running_loop()
+        self._transport = ZmqTransport(
+            hybrid=HybridClock(),
+            on_reconnect=lambda address: self.counters.count("peer_reconnects"),
+        )
+        self._seeds = settings.seeds
+        self._control = ControlClient(
+            transport=self._transport, addresses=settings.seeds
+        )
+        self._books = TableHolder(codec=BookCodec())
+        self._index = None
+        clock = self._loop.time
+        self._picker = Picker(clock=clock, rng=random.Random(), zone=settings.zone)
+        self._guard = Guard(
+            clock=clock,
+            dialect=dialect,
+            books=self._books,
+            door=settings.inbound,
+            count=self.counters.count,
+        )
+        self._ingress = Ingress(
+            clock=clock,
+            dialect=dialect,
+            books=self._books,
+            routes=lambda: self._index,
+            guard=self._guard,
+            picker=self._picker,
+            service=settings.service,
+            ratio=settings.retry_ratio,
+            count=self.counters.count,
+            observe=self.counters.observe,
+        )
+        self._outbound = Server(
+            address=parse_address(settings.outbound),
+            handler=self._ingress.handle,
+            note_refused=lambda status: self.counters.count(f"rejected.{status}"),
+        )
+        self._inbound = Server(
+            address=parse_address(settings.inbound),
+            handler=self._ingress.handle_hop,
+            limits=Limits(head_bytes=1 << 20, body_bytes=1 << 30, idle_seconds=60.0),
+        )
+        self._prober = Client()
+        self._tasks = Tasks()
+
+    @property
+    def ready(self):
+        """Whether callers may come."""
+        return self._index is not None and not self.stopping
+
+    @property
+    def book(self):
+        """The newest book."""
+        return self._books.table
+
+    async def start(self):
+        """Serve.
+
+        Raises
+        ------
+        OSError
+            If an address cannot be bound.
+        """
+        await self._inbound.start()
+        await self._outbound.start()
+        self._tasks.spawn(self._watch())
+        self._tasks.spawn(self._report())
+
+    def take_seeds(self, seeds):
+        """Take the seeds of changed settings."""
+        self._seeds = seeds
+
+    async def wait_failed(self):
+        """Wait until a part has failed, and raise its error."""
+        await self._tasks.wait_failed()
+
+    # The book
+
+    async def _watch(self):
+        failures = random.randrange(len(self._seeds) or 1)
+        in_a_row = 0
+        while True:
+            request = Watch(index=self._books.table.index, wait=WATCH_SECONDS)
+            try:
+                answer = await self._control.call_any(
+                    failures, request, timeout=WATCH_SECONDS + WATCH_PATIENCE
+                )
+            except GuavastreamError as error:
+                failures += 1
+                in_a_row += 1
+                if in_a_row == FAILURES_TO_RESEED:
+                    log.info("Control hosts are out of reach: %s.", error)
+                if in_a_row % FAILURES_TO_RESEED == 0:
+                    self._control.learn(
+                        dict.fromkeys((*self._control.addresses, *self._seeds))
+                    )
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            if in_a_row >= FAILURES_TO_RESEED:
+                log.info("Control hosts are in reach again.")
+            in_a_row = 0
+            self._control.learn(answer.hosts)
+            self._take(answer)
+
+    def _take(self, answer):
+        before = self._books.table
+        if answer.table:
+            self._books.load(answer.table)
+        else:
+            self._books.extend(answer.commands)
+        book = self._books.table
+        if book.instances is not before.instances:
+            self._picker.keep_only(book.instances)
+        config = book.config
+        if config is before.config or not config.version:
+            return
+        self._index = RouteIndex(config)
+        self._outbound.limits = Limits(
+            head_bytes=config.limits.head_bytes,
+            body_bytes=config.limits.body_bytes,
+            head_seconds=config.limits.head_seconds,
+            idle_seconds=config.limits.idle_seconds,
+        )
+        self.counters.set("config_version", config.version)
+        log.info("Version %d is in force.", config.version)
+
+    # The local server
+
+    async def beat(self, beat):
+        """Pass on a heartbeat of the local server and return the answer.
+
+        Raises
+        ------
+        NotReady, PeerFailure
+            If no leader answered in time.
+        """
+        arrived = self._loop.time()
+        if beat.id not in self._books.table.instances and not await self._is_here(beat):
+            self.counters.count("beats_of_others")
+            log.warning("A heartbeat of %s, which is not at its address.", beat.id)
+            return None
+        if beat.leaving:
+            self._guard.note_left(beat.id)
+        answer = await self._control.call(
+            beat, timeout=BEAT_SECONDS, attempt=BEAT_ATTEMPT_SECONDS
+        )
+        if answer.rows is not None:
+            self._guard.note_held(beat.id, answer.rows, arrived + answer.hold)
+        return answer
+
+    async def depart(self, id):
+        """Pass on that the local server ends.
+
+        Raises
+        ------
+        NotReady, PeerFailure
+            If no leader answered in time.
+        """
+        self._guard.note_left(id)
+        await self._control.call(Depart(id=id), timeout=BEAT_SECONDS)
+
+    async def _is_here(self, beat):
+        """Whether a server that nobody knows answers at its address.
+
+        A heartbeat that was held up may come after its sender has ended and
+        another one has its address.
+        """
+        rules = self._books.table.config.services.get(beat.service)
+        path = rules.health if rules else "/health"
+        name = self._dialect.instance.lower()
+        try:
+            async with asyncio.timeout(PROBE_SECONDS):
+                async with await self._prober.open(beat.address, fresh=True) as probe:
+                    headers = [(b"Host", beat.address.encode())]
+                    probe.send(b"GET", path.encode(), headers)
+                    answer = await probe.answer()
+                    await answer.body.read_up_to(1 << 16)
+        except (NotSent, CutOff):
+            return False
+        except TimeoutError:
+            return True
+        said = answer.headers.get(name)
+        return not said or said == beat.id.encode()
+
+    async def _report(self):
+        while True:
+            await asyncio.sleep(REPORT_SECONDS)
+            counts = self._guard.take_key_counts()
+            local = [
+                i
+                for i in self._books.table.instances.values()
+                if i.door == self._settings.inbound
+            ]
+            if not counts or not local:
+                continue
+            busiest = sorted(counts.items(), key=lambda item: -item[1])
+            keys = tuple(busiest[:REPORTED_KEYS])
+            report = LoadReport(
+                id=local[-1].id,
+                service=local[-1].service,
+                elapsed=REPORT_SECONDS,
+                keys=keys,
+                rest=sum(count for _, count in busiest[REPORTED_KEYS:]),
+                latency=self._guard.report.seconds,
+            )
+            with contextlib.suppress(GuavastreamError):
+                await self._control.call(report, timeout=REPORT_SECONDS)
+
+    # The end
+
+    async def drain(self):
+        """Stop as planned: no request is cut, within the time of grace."""
+        self.stopping = True
+        log.info("Stops: callers are sent elsewhere.")
+        began = self._loop.time()
+        latest = began + self._settings.grace - END_MARGIN_SECONDS
+        self._outbound.closing = True
+        quiet_since = None
+        while self._loop.time() < latest:
+            await asyncio.sleep(POLL_SECONDS)
+            now = self._loop.time()
+            if self._outbound.busy or self._inbound.busy:
+                quiet_since = None
+            quiet_since = quiet_since or now
+            calm = now - quiet_since >= IDLE_SECONDS and not self._outbound.busy
+            if now - began >= QUIET_SECONDS and calm:
+                break
+        # No new connection from here on, so that a late request fails before
+        # it is sent; on open ones it is told that it did not run.
+        self._outbound.stop_listening()
+        self._inbound.stop_listening()
+        self._ingress.leaving = True
+        self._outbound.begin_close()
+        self._inbound.closing = True
+        end = self._loop.time() + LAST_SECONDS
+        limit = began + self._settings.grace - LAST_SECONDS
+        while self._loop.time() < end or (
+            (self._outbound.busy or self._inbound.busy) and self._loop.time() < limit
+        ):
+            await asyncio.sleep(POLL_SECONDS)
+        log.info("Stopped.")
+
+    async def stop(self):
+        """End all that is left."""
+        await self._tasks.stop()
+        await self._outbound.stop()
+        await self._inbound.stop()
+        self._transport.close()
--- /dev/null
+++ b/guavastream/http1/client.py
@@ -0,0 +1,405 @@
+"""Sending side: pooled connections, one request at a time on each."""
+
+import asyncio
+from collections import deque
+
+import httptools
+
+from guavastream.http1.message import (
+    BodyStream,
+    CutOff,
+    Headers,
+    format_head,
+    tune_socket,
+)
+
+__all__ = ["Answer", "Client", "Exchange", "NotSent"]
+
+# Answers to earlier requests that are skipped on one connection; a server
+# that sends more of them has lost track of it.
+MAX_STRAYS = 3
+# Share of the peer's announced idle time after which a connection is not
+# used: a request that crosses the peer's close may or may not have run.
+IDLE_SHARE = 0.75
+DEFAULT_IDLE_SECONDS = 8.0
+NO_BODY = (204, 304)
+
+
+class NotSent(Exception):
+    """No byte of the request has reached the peer."""
+
+
+class Answer:
+    """One answer: status, headers, and the body as it comes."""
+
+    __slots__ = ("status", "reason", "headers", "body", "framed")
+
+    def __init__(self, *, status, reason, headers, body, framed):
+        self.status = status
+        self.reason = reason
+        self.headers = headers
+        self.body = body
+        # Whether the end of the body is told by length or chunks.
+        self.framed = framed
+
+
+class _Connection(asyncio.Protocol):
+    """A connection to a peer; also the callbacks of its parser."""
+
+    def __init__(self, *, address):
+        self._address = address
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpResponseParser(self)
+        self._answers = deque()
+        self._arrived = asyncio.Event()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._transport = None
+        self._current = None
+        self._error = None
+        self._reason = b""
+        self._headers = Headers()
+        self._heard_bytes = False
+        self.in_use = False
+        self.clean = True
+        self.idle_since = 0.0
+        self.idle_seconds = DEFAULT_IDLE_SECONDS
+        self.uses = 0
+
+    @property
+    def usable(self):
+        """Whether another request may go out on it."""
+        return self.clean and self._error is None and not self._transport.is_closing()
+
+    @property
+    def heard_bytes(self):
+        """Whether any byte of an answer arrived in this use."""
+        return self._heard_bytes
+
+    def connection_made(self, transport):
+        self._transport = transport
+        tune_socket(transport)
+
+    def data_received(self, data):
+        if not self.in_use:
+            # Bytes that nobody asked for belong to no request.
+            self.clean = False
+            self.close()
+            return
+        self._heard_bytes = True
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.clean = False
+            # What follows a whole answer that ends its connection is no part
+            # of it.
+            self._fail(CutOff("not an answer"))
+
+    def eof_received(self):
+        current = self._current
+        if current is not None and not current.framed:
+            current.body.feed_end()
+        self._fail(CutOff("ended"))
+        return False
+
+    def connection_lost(self, error):
+        self._fail(CutOff(f"lost: {error}"))
+        self._writable.set()
+
+    def pause_writing(self):
+        self._writable.clear()
+
+    def resume_writing(self):
+        self._writable.set()
+
+    def on_message_begin(self):
+        self._reason = b""
+        self._headers = Headers()
+
+    def on_status(self, status):
+        self._reason += status
+
+    def on_header(self, name, value):
+        self._headers.append((name, value))
+
+    def on_headers_complete(self):
+        status = self._parser.get_status_code()
+        if status < 200:
+            self._current = None
+            return
+        headers = self._headers
+        framed = (
+            status in NO_BODY
+            or bool(headers.get(b"content-length"))
+            or b"chunked" in headers.get(b"transfer-encoding").lower()
+        )
+        body = BodyStream(pause=self._pause, resume=self._resume)
+        if not framed or not self._parser.should_keep_alive():
+            self.clean = False
+        self._current = Answer(
+            status=status,
+            reason=self._reason,
+            headers=headers,
+            body=body,
+            framed=framed,
+        )
+        self._note_idle(headers.get(b"keep-alive"))
+        self._answers.append(self._current)
+        self._arrived.set()
+
+    def on_body(self, data):
+        if self._current is not None:
+            self._current.body.feed(data)
+
+    def on_message_complete(self):
+        if self._current is not None:
+            if self._current.framed:
+                self._current.body.feed_end()
+            self._current = None
+
+    def _note_idle(self, said):
+        for part in said.split(b","):
+            name, _, value = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.isdigit():
+                self.idle_seconds = float(value)
+
+    def write(self, data):
+        """Queue bytes to the peer."""
+        if not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def drain(self):
+        """Wait while the peer does not read."""
+        if not self._writable.is_set():
+            await self._writable.wait()
+
+    def begin(self):
+        """Start a use of the connection."""
+        self.in_use = True
+        self.uses += 1
+        self._heard_bytes = False
+
+    async def next_answer(self):
+        """Return the next answer on the connection.
+
+        Raises
+        ------
+        CutOff
+            If it ended first.
+        """
+        while not self._answers:
+            if self._error is not None:
+                raise self._error
+            self._arrived.clear()
+            await self._arrived.wait()
+        return self._answers.popleft()
+
+    def end(self):
+        """End a use; anything left over makes the connection unusable."""
+        self.in_use = False
+        if self._answers or self._current is not None:
+            self.clean = False
+        self.idle_since = self._loop.time()
+
+    def close(self):
+        """End the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _fail(self, error):
+        if self._error is None:
+            self._error = error
+        self.clean = False
+        if self._current is not None:
+            self._current.body.fail(self._error)
+        self._arrived.set()
+
+    def _pause(self):
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def _resume(self):
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
+
+class Exchange:
+    """One request on a connection, from its head to the end of its answer.
+
+    Use it as an asynchronous context manager: leaving it gives a clean
+    connection back to the pool and ends any other.
+    """
+
+    def __init__(self, *, client, connection, reused):
+        self._client = client
+        self._connection = connection
+        self._sender = None
+        self._answer = None
+        self.reused = reused
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *error):
+        if self._sender is not None and not self._sender.done():
+            self._sender.cancel()
+            self._connection.clean = False
+        whole = self._answer is not None and self._answer.body.ended
+        self._connection.end()
+        if not whole:
+            self._connection.clean = False
+        self._client.give_back(self._connection)
+
+    @property
+    def heard_bytes(self):
+        """Whether any byte of an answer arrived."""
+        return self._connection.heard_bytes
+
+    def send(self, method, target, headers, body=b"", stream=None):
+        """Send a request; `stream` is what follows `body`, in chunks."""
+        connection = self._connection
+        fields = list(headers)
+        if stream is not None:
+            fields.append((b"Transfer-Encoding", b"chunked"))
+        elif body or method in (b"POST", b"PUT", b"PATCH"):
+            fields.append((b"Content-Length", b"%d" % len(body)))
+        head = format_head(method + b" " + target + b" HTTP/1.1", fields)
+        if stream is None:
+            connection.write(head + body)
+            return
+        connection.write(head)
+        self._sender = asyncio.ensure_future(self._send_stream(body, stream))
+
+    async def _send_stream(self, first, stream):
+        connection = self._connection
+        piece = first or await stream.read()
+        while piece:
+            connection.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            await connection.drain()
+            piece = await stream.read()
+        connection.write(b"0\r\n\r\n")
+
+    async def answer(self, is_ours=lambda answer: True):
+        """Return the answer for which `is_ours` holds, skipping strays.
+
+        Raises
+        ------
+        CutOff
+            If the connection ended first, or brought too many strays.
+        """
+        connection = self._connection
+        for _ in range(MAX_STRAYS + 1):
+            answer = await self._next_or_sender_failure()
+            if is_ours(answer):
+                self._answer = answer
+                return answer
+            # An extra answer to an earlier request; ours comes after it.
+            connection.clean = False
+            while await answer.body.read():
+                pass
+        raise CutOff("too many answers to other requests")
+
+    async def _next_or_sender_failure(self):
+        sender = self._sender
+        if sender is None or sender.done():
+            return await self._connection.next_answer()
+        waiting = asyncio.ensure_future(self._connection.next_answer())
+        try:
+            await asyncio.wait({waiting, sender}, return_when=asyncio.FIRST_COMPLETED)
+            if sender.done() and not sender.cancelled() and sender.exception():
+                raise sender.exception()
+            return await waiting
+        finally:
+            waiting.cancel()
+
+
+class Client:
+    """Keeps idle connections by address and opens new ones.
+
+    Parameters
+    ----------
+    connect_seconds : float
+        Longest wait for a new connection.
+
+    Examples
+    --------
+    >>> Client().idle_count
+    0
+    """
+
+    def __init__(self, *, connect_seconds=0.5):
+        self._connect_seconds = connect_seconds
+        self._idle = {}
+        self.opened = 0
+
+    @property
+    def idle_count(self):
+        """Number of idle connections."""
+        return sum(map(len, self._idle.values()))
+
+    async def open(self, address, *, fresh=False, idle_seconds=None):
+        """Return an `Exchange` on an idle or a new connection.
+
+        Parameters
+        ----------
+        address : str
+            IP:PORT.
+        fresh : bool
+            Never reuse a connection.
+        idle_seconds : float, optional
+            Do not use one that was idle for longer.
+
+        Raises
+        ------
+        NotSent
+            If no connection can be made.
+        """
+        connection = None if fresh else self._take(address, idle_seconds)
+        reused = connection is not None
+        if connection is None:
+            connection = await self._connect(address)
+        connection.begin()
+        return Exchange(client=self, connection=connection, reused=reused)
+
+    def _take(self, address, idle_seconds):
+        now = asyncio.get_running_loop().time()
+        waiting = self._idle.get(address)
+        while waiting:
+            connection = waiting.pop()
+            allowed = connection.idle_seconds * IDLE_SHARE
+            if idle_seconds is not None:
+                allowed = min(allowed, idle_seconds)
+            if connection.usable and now - connection.idle_since < allowed:
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self, address):
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._connect_seconds):
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(address=address), host, int(port)
+                )
+        except (OSError, TimeoutError) as error:
+            raise NotSent(f"{address}: {error!r}") from error
+        self.opened += 1
+        return connection
+
+    def give_back(self, connection):
+        """Keep a connection that is clean, and end any other."""
+        if not connection.usable:
+            connection.close()
+            return
+        self._idle.setdefault(connection._address, []).append(connection)
+
+    def forget(self, address):
+        """End the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
+    def close(self):
+        """End all idle connections."""
+        for address in list(self._idle):
+            self.forget(address)
--- /dev/null
+++ b/guavastream/http1/server.py
@@ -0,0 +1,458 @@
+"""Serving side: a task for each connection reads requests one by one."""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+
+import httptools
+
+from guavastream.http1.message import (
+    REASONS,
+    BodyStream,
+    CutOff,
+    Headers,
+    format_head,
+    tune_socket,
+)
+from guavastream.kernel import part_logger
+
+__all__ = ["Limits", "Request", "Responder", "Server"]
+
+log = part_logger("http")
+
+BACKLOG = 1024
+# Requests that a caller may send ahead on one connection before reading stops.
+MAX_AHEAD = 4
+MAX_TARGET_BYTES = 8192
+
+
+@dataclass(frozen=True, kw_only=True)
+class Limits:
+    """What a caller may send and how long it may take; times in seconds."""
+
+    head_bytes: int = 16384
+    body_bytes: int = 64 << 20
+    head_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+class Request:
+    """One request: its head, and its body as it comes.
+
+    `target` is the path with its query, byte for byte as it was sent.
+    """
+
+    __slots__ = ("method", "target", "headers", "body", "keep_alive", "length", "at")
+
+    def __init__(self, *, method, target, headers, body, keep_alive, length, at):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.keep_alive = keep_alive
+        # Bytes of the body as declared, -1 if it comes in chunks.
+        self.length = length
+        # The loop's time at which the head was whole.
+        self.at = at
+
+    @property
+    def path(self):
+        """Path without the query, bytes."""
+        return self.target.partition(b"?")[0]
+
+
+class Responder:
+    """Writes the one answer of a request.
+
+    Parameters
+    ----------
+    connection : _Connection
+        Where it goes.
+    request : Request
+        What it answers.
+    """
+
+    def __init__(self, *, connection, request):
+        self._connection = connection
+        self._request = request
+        self._chunked = False
+        self._left = 0
+        self.started = False
+        self.status = 0
+
+    @property
+    def peer(self):
+        """IP number of the caller."""
+        return self._connection.peer
+
+    async def send(self, status, headers=(), body=b"", *, reason=b""):
+        """Send a whole answer."""
+        await self.start(status, headers, length=len(body), reason=reason, first=body)
+
+    async def start(self, status, headers, *, length=None, reason=b"", first=b""):
+        """Send the head; without `length` the body goes in chunks."""
+        self.started = True
+        self.status = status
+        connection = self._connection
+        reason = reason or REASONS.get(status, b"")
+        fields = list(headers)
+        self._chunked = length is None
+        if self._chunked:
+            fields.append((b"Transfer-Encoding", b"chunked"))
+        elif status not in (204, 304):
+            fields.append((b"Content-Length", b"%d" % length))
+        if connection.closes_after(self._request):
+            fields.append((b"Connection", b"close"))
+        line = b"HTTP/1.1 %d %s" % (status, reason)
+        connection.write(format_head(line, fields) + first)
+        await connection.drain()
+
+    async def write(self, data):
+        """Send a piece of the body."""
+        if not data:
+            return
+        if self._chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self._connection.write(data)
+        await self._connection.drain()
+
+    def finish(self):
+        """End a body that goes in chunks."""
+        if self._chunked:
+            self._connection.write(b"0\r\n\r\n")
+
+    def abort(self):
+        """Reset the connection: what was begun must not look whole."""
+        self._connection.abort()
+
+
+class _Connection(asyncio.Protocol):
+    """One caller's connection; also the callbacks of its parser."""
+
+    def __init__(self, *, server):
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests = deque()
+        self._arrived = asyncio.Event()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._transport = None
+        self._task = None
+        self._refusal = 0
+        self._current = None
+        self._target = b""
+        self._headers = Headers()
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._head_since = None
+        self._in_head = True
+        self.busy = False
+        self.peer = ""
+
+    # What the loop calls
+
+    def connection_made(self, transport):
+        self._transport = transport
+        name = transport.get_extra_info("peername")
+        self.peer = name[0] if name else ""
+        tune_socket(transport)
+        self._server.opened(self)
+        self._task = self._loop.create_task(self._run())
+
+    def data_received(self, data):
+        if self._refusal:
+            return
+        if self._in_head:
+            self._head_bytes += len(data)
+            if self._head_since is None:
+                self._head_since = self._loop.time()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            self._refuse(400)
+        if self._in_head and self._head_bytes > self._server.limits.head_bytes:
+            self._refuse(431)
+
+    def eof_received(self):
+        return False
+
+    def connection_lost(self, error):
+        self._fail_bodies()
+        self._writable.set()
+        self._server.closed(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self):
+        self._writable.clear()
+
+    def resume_writing(self):
+        self._writable.set()
+
+    # What the parser calls
+
+    def on_message_begin(self):
+        self._target = b""
+        self._headers = Headers()
+        self._in_head = True
+
+    def on_url(self, url):
+        self._target += url
+
+    def on_header(self, name, value):
+        self._headers.append((name, value))
+
+    def on_headers_complete(self):
+        self._in_head = False
+        self._head_bytes = 0
+        self._body_bytes = 0
+        headers = self._headers
+        lengths = [v for k, v in headers if k.lower() == b"content-length"]
+        codings = [v for k, v in headers if k.lower() == b"transfer-encoding"]
+        # Two readings of where a body ends are how one request is smuggled
+        # inside another (RFC 9112, 6.3); neither reading is taken.
+        if len(lengths) > 1 or (lengths and codings):
+            self._refuse(400)
+        if codings and codings != [b"chunked"]:
+            self._refuse(400)
+        length = int(lengths[0]) if lengths and lengths[0].isdigit() else 0
+        if length > self._server.limits.body_bytes:
+            self._refuse(413)
+        if len(self._target) > MAX_TARGET_BYTES:
+            self._refuse(431)
+        body = BodyStream(pause=self._pause, resume=self._resume)
+        self._current = Request(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=headers,
+            body=body,
+            keep_alive=self._parser.should_keep_alive(),
+            length=-1 if codings else length,
+            at=self._loop.time(),
+        )
+        self._head_since = None
+        if self._refusal:
+            return
+        if headers.get(b"expect").lower() == b"100-continue":
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._requests.append(self._current)
+        if len(self._requests) > MAX_AHEAD:
+            self._pause()
+        self._arrived.set()
+
+    def on_body(self, data):
+        self._body_bytes += len(data)
+        if self._body_bytes > self._server.limits.body_bytes:
+            self._refuse(413)
+            self._current.body.fail(CutOff("body too large"))
+            return
+        self._current.body.feed(data)
+
+    def on_message_complete(self):
+        self._in_head = True
+        self._head_bytes = 0
+        if self._current is not None:
+            self._current.body.feed_end()
+
+    # The task
+
+    async def _run(self):
+        try:
+            while await self._next():
+                request = self._requests.popleft()
+                self._resume()
+                if not await self._serve(request):
+                    break
+        except asyncio.CancelledError:
+            pass
+        except Exception:
+            log.exception("A connection failed.")
+            self.abort()
+        finally:
+            self._task = None
+            if self._transport is not None:
+                self._transport.close()
+
+    async def _next(self):
+        """Wait for a request; return False when the connection is to end."""
+        limits = self._server.limits
+        while not self._requests:
+            if self._refusal:
+                await self._end_refused()
+                return False
+            if self._server.ends_idle and self._head_since is None:
+                return False
+            self._arrived.clear()
+            started, allowed = self._head_since, limits.head_seconds
+            if started is None:
+                started, allowed = self._loop.time(), limits.idle_seconds
+            wait = max(0.0, started + allowed - self._loop.time())
+            try:
+                async with asyncio.timeout(wait):
+                    await self._arrived.wait()
+            except TimeoutError:
+                if self._head_since is None:
+                    return False
+                if self._loop.time() - self._head_since >= limits.head_seconds:
+                    self._refusal = 408
+                    await self._end_refused()
+                    return False
+        return True
+
+    async def _serve(self, request):
+        self.busy = True
+        responder = Responder(connection=self, request=request)
+        try:
+            await self._server.handler(request, responder)
+        finally:
+            self.busy = False
+        if self.closes_after(request):
+            return False
+        if not request.body.ended:
+            # The rest of this body must not be read as the next request.
+            return False
+        return True
+
+    async def _end_refused(self):
+        self._server.note_refused(self._refusal)
+        line = b"HTTP/1.1 %d %s" % (self._refusal, REASONS[self._refusal])
+        fields = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        self.write(format_head(line, fields))
+        await self.drain()
+
+    # What the responder uses
+
+    def closes_after(self, request):
+        """Whether the connection ends after the answer to `request`."""
+        return (
+            not request.keep_alive
+            or self._server.closing
+            or bool(self._refusal)
+            or not request.body.ended
+        )
+
+    def write(self, data):
+        """Queue bytes to the caller."""
+        if not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def drain(self):
+        """Wait while the caller does not read."""
+        if not self._writable.is_set():
+            await self._writable.wait()
+
+    def abort(self):
+        """Reset the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def end(self):
+        """End the connection, with a reset if a request is in progress."""
+        if self.busy:
+            self.abort()
+        elif self._transport is not None:
+            self._transport.close()
+
+    def wake(self):
+        """Look again whether the server is closing."""
+        self._arrived.set()
+
+    def _refuse(self, status):
+        self._refusal = self._refusal or status
+        self._fail_bodies()
+        self._arrived.set()
+
+    def _fail_bodies(self):
+        error = CutOff("the caller's connection ended")
+        if self._current is not None:
+            self._current.body.fail(error)
+        for request in self._requests:
+            request.body.fail(error)
+
+    def _pause(self):
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def _resume(self):
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
+
+class Server:
+    """Listens at one address and hands each request to a coroutine.
+
+    Parameters
+    ----------
+    address : tuple
+        IP number and port; port 0 lets the system choose.
+    handler : callable
+        Coroutine function of a `Request` and its `Responder`.
+    limits : Limits, optional
+        Bounds on callers; may be replaced while serving.
+    note_refused : callable, optional
+        Told the status of each request that could not be read.
+    """
+
+    def __init__(self, *, address, handler, limits=None, note_refused=None):
+        self._address = address
+        self._listener = None
+        self._connections = set()
+        self.handler = handler
+        self.limits = limits or Limits()
+        self.closing = False
+        self.ends_idle = False
+        self.note_refused = note_refused or (lambda status: None)
+
+    @property
+    def address(self):
+        """IP:PORT that is bound."""
+        host, port = self._listener.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    @property
+    def busy(self):
+        """Number of requests in progress."""
+        return sum(connection.busy for connection in self._connections)
+
+    async def start(self):
+        """Bind and serve.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: _Connection(server=self),
+            *self._address,
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
+    def begin_close(self):
+        """Say `Connection: close` on answers and end idle connections."""
+        self.closing = self.ends_idle = True
+        for connection in list(self._connections):
+            connection.wake()
+
+    def stop_listening(self):
+        """Take no new connections; open ones go on."""
+        self._listener.close()
+
+    async def stop(self):
+        """Stop listening; end what is idle and cut what is not."""
+        self._listener.close()
+        for connection in list(self._connections):
+            connection.end()
+
+    def opened(self, connection):
+        """Note a new connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection):
+        """Forget a connection."""
+        self._connections.discard(connection)
--- a/guavastream/kernel/__init__.py
+++ b/guavastream/kernel/__init__.py
@@ -1,9 +1,12 @@
 """What every part stands on: registries, settings, logs, metrics, checks."""
 
 from guavastream.kernel.checks import *
+from guavastream.kernel.clocks import *
+from guavastream.kernel.counters import *
 from guavastream.kernel.logs import *
 from guavastream.kernel.metrics import *
 from guavastream.kernel.registry import *
 from guavastream.kernel.roles import *
 from guavastream.kernel.settings import *
 from guavastream.kernel.slim import *
+from guavastream.kernel.stdout import *
--- a/guavastream/leases/client.py
+++ b/guavastream/leases/client.py
@@ -30,6 +30,20 @@
         self._addresses = list(addresses)
         self._leader = self._addresses[0]
 
+    @property
+    def addresses(self):
+        """Peer addresses of the control hosts as far as known, a tuple."""
+        return tuple(self._addresses)
+
+    def prefer(self, address):
+        """Ask this control host first."""
+        self._leader = address
+
+    def learn(self, addresses):
+        """Take other control hosts to ask; those known stay if none are given."""
+        if addresses and set(addresses) != set(self._addresses):
+            self._addresses = list(addresses)
+
     @property
     def leader(self):
         """Peer address of the leader as last known."""
--- a/guavastream/leases/messages.py
+++ b/guavastream/leases/messages.py
@@ -68,8 +68,10 @@
 class Watched:
     """Commands after the asker's index, or a whole table if too many.
 
-    `commands` holds pairs of index and encoded command.
+    `commands` holds pairs of index and encoded command, `hosts` the peer
+    addresses of the control hosts, if they may change.
     """
 
     commands: tuple[tuple[int, bytes], ...] = ()
     table: bytes = b""
+    hosts: tuple[str, ...] = ()
--- a/guavastream/placement/__init__.py
+++ b/guavastream/placement/__init__.py
@@ -2,3 +2,4 @@
 
 from guavastream.placement.balanced import *
 from guavastream.placement.policy import *
+from guavastream.placement.runs import *
--- /dev/null
+++ b/guavastream/placement/runs.py
@@ -0,0 +1,255 @@
+"""Where runs of keys go: by load, in few rows, with little churn.
+
+It answers loads in which few keys that lie close together get a large share
+of a service's requests for some seconds, and servers that differ in speed,
+slow down, join and leave.
+"""
+
+from bisect import bisect_left, bisect_right
+from dataclasses import dataclass, field
+
+__all__ = ["RunPlan", "RunView", "plan_runs"]
+
+KEYS = 65536
+# Rows that a server gets when all keys are handed out for the first time.
+# Busy keys lie close together, so many small rows spread them from the start;
+# a heartbeat's answer must stay within 4 KiB, which is about 90 rows.
+FIRST_ROWS = 10
+# Rows beyond which no server gets more for the sake of balance.
+MOST_ROWS = 60
+# Share of the load that is spread over all keys evenly, so that keys without
+# requests count for something and new servers get their part of them.
+EVEN_SHARE = 0.1
+# A server is relieved when its use lies above the mean by this factor. With
+# less, noise in a second's worth of requests moves keys to and fro.
+HYSTERESIS = 1.2
+# Use (share of slots that are busy) below which load is left where it is:
+# at half use hardly any request waits.
+CALM_USE = 0.35
+# Moves that are started at once for one service.
+MOST_MOVES = 6
+# A window is taken if its load is within this factor of what is wanted.
+FIT = 1.25
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunView:
+    """What is known of one service.
+
+    Parameters
+    ----------
+    runs : tuple of Run
+        All keys with their owners.
+    capacity : dict of str to float
+        Requests a second that each server can do; leaving ones are absent.
+    load : dict of int to float
+        Requests a second for each busy key.
+    rest : float
+        Requests a second for all other keys together.
+    moving : dict of tuple to str
+        Rows (first, last) that are on the move, and their targets.
+    """
+
+    runs: tuple
+    capacity: dict
+    load: dict = field(default_factory=dict)
+    rest: float = 0.0
+    moving: dict = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunPlan:
+    """Free rows to grant and held rows to move, (first, last, to)."""
+
+    grants: tuple = ()
+    moves: tuple = ()
+
+
+class _Loads:
+    """Load of any row, from prefix sums over the busy keys."""
+
+    def __init__(self, view):
+        self.keys = sorted(view.load)
+        self.sums = [0.0]
+        for key in self.keys:
+            self.sums.append(self.sums[-1] + view.load[key])
+        total = self.sums[-1] + view.rest
+        self.even = (max(total, 1.0) * EVEN_SHARE + view.rest) / KEYS
+        self.total = total
+
+    def of(self, first, last):
+        low, high = bisect_left(self.keys, first), bisect_right(self.keys, last)
+        return self.sums[high] - self.sums[low] + (last - first + 1) * self.even
+
+
+def plan_runs(view):
+    """Return the `RunPlan` for a `RunView`.
+
+    Notes
+    -----
+    O(runs log keys + busy keys) and a constant number of moves.
+
+    References
+    ----------
+    .. [1] R. L. Graham, "Bounds on Multiprocessing Timing Anomalies", SIAM
+       Journal on Applied Mathematics 17, 1969.
+
+    Examples
+    --------
+    >>> from guavastream.fleet import Run
+    >>> view = RunView(
+    ...     runs=(Run(first=0, last=KEYS - 1),), capacity={"a": 1.0, "b": 1.0}
+    ... )
+    >>> plan = plan_runs(view)
+    >>> len(plan.grants), sorted({row[2] for row in plan.grants})
+    (20, ['a', 'b'])
+    """
+    if not view.capacity:
+        return RunPlan()
+    loads = _Loads(view)
+    use = dict.fromkeys(view.capacity, 0.0)
+    rows = dict.fromkeys(view.capacity, 0)
+    free, stranded, held = [], [], {member: [] for member in view.capacity}
+    for first, last, owner, _ in _pieces(view):
+        if owner in use:
+            use[owner] += loads.of(first, last) / view.capacity[owner]
+            rows[owner] += 1
+        if owner == "":
+            free.append((first, last))
+    for run in view.runs:
+        if not run.owner or _is_moving(view, run):
+            continue
+        if run.owner in held:
+            held[run.owner].append((run.first, run.last))
+        else:
+            stranded.append((run.first, run.last))
+    grants = _spread(view, loads, use, rows, _chunks(view, free))
+    moves = _spread(view, loads, use, rows, stranded)
+    if not free and not stranded:
+        moves = _balance(view, loads, use, rows, held)
+    return RunPlan(grants=tuple(grants), moves=tuple(moves))
+
+
+def _pieces(view):
+    """Yield first, last, future owner and present owner of every run."""
+    for run in view.runs:
+        target = view.moving.get((run.first, run.last))
+        yield run.first, run.last, target or run.owner, run.owner
+
+
+def _is_moving(view, run):
+    return any(run.overlaps(first, last) for first, last in view.moving)
+
+
+def _chunks(view, free):
+    """Cut long free rows, so that keys that lie close spread over servers."""
+    size = max(1, KEYS // (len(view.capacity) * FIRST_ROWS))
+    for first, last in free:
+        while last - first + 1 >= 2 * size:
+            yield first, first + size - 1
+            first += size
+        yield first, last
+
+
+def _spread(view, loads, use, rows, pieces):
+    """Give each piece to the server that is least used with it, largest first."""
+    chosen = []
+    for first, last in sorted(pieces, key=lambda p: loads.of(*p), reverse=True):
+        load = loads.of(first, last)
+        member = min(
+            use, key=lambda m: (rows[m] >= MOST_ROWS, use[m] + load / view.capacity[m])
+        )
+        use[member] += load / view.capacity[member]
+        rows[member] += 1
+        chosen.append((first, last, member))
+    return chosen
+
+
+def _balance(view, loads, use, rows, held):
+    moves = []
+    capacity = view.capacity
+    mean = loads.of(0, KEYS - 1) / sum(capacity.values())
+    while len(moves) + len(view.moving) < MOST_MOVES:
+        full = max(use, key=use.get)
+        idle = min(use, key=use.get)
+        empty = rows[idle] == 0
+        if not empty and use[full] < max(mean * HYSTERESIS, CALM_USE):
+            break
+        if rows[idle] >= MOST_ROWS or full == idle:
+            break
+        wanted = min(
+            (use[full] - mean) * capacity[full], (mean - use[idle]) * capacity[idle]
+        )
+        window = _window(view, loads, held[full], wanted)
+        if window is None:
+            break
+        moved = loads.of(*window)
+        # The move must leave the target below where the source was.
+        if use[idle] + moved / capacity[idle] >= use[full]:
+            break
+        moves.append((*window, idle))
+        use[full] -= moved / capacity[full]
+        use[idle] += moved / capacity[idle]
+        rows[idle] += 1
+        rows[full] += 1
+        held[full] = list(_without(held[full], window))
+    return moves
+
+
+def _window(view, loads, rows, wanted):
+    """Return the shortest row whose load is about `wanted`, or None.
+
+    Where no stretch of busy keys fits, the row of most load below it.
+    """
+    best, shortest, most = None, KEYS + 1, 0.0
+    spare, spare_load = None, 0.0
+    for first, last in rows:
+        whole = loads.of(first, last)
+        if whole <= wanted * FIT and whole > spare_load:
+            spare, spare_load = (first, last), whole
+        low = bisect_left(loads.keys, first)
+        high = bisect_right(loads.keys, last)
+        start = low
+        for end in range(low, high):
+            while start < end and _sum(loads, start, end) > wanted * FIT:
+                start += 1
+            found = _sum(loads, start, end)
+            if found > wanted * FIT or found < wanted / FIT:
+                continue
+            span = loads.keys[end] - loads.keys[start] + 1
+            if span < shortest or (span == shortest and found > most):
+                best = (loads.keys[start], loads.keys[end])
+                shortest, most = span, found
+    if best is None and spare is None:
+        return _even_window(loads, rows, wanted)
+    return best or spare
+
+
+def _sum(loads, start, end):
+    return loads.sums[end + 1] - loads.sums[start]
+
+
+def _even_window(loads, rows, wanted):
+    """Return the tail of the longest row that holds no more than `wanted`."""
+    if not rows or wanted <= 0:
+        return None
+    first, last = max(rows, key=lambda row: row[1] - row[0])
+    low, high = first, last
+    while low < high:
+        middle = (low + high) // 2
+        if loads.of(middle, last) > wanted:
+            low = middle + 1
+        else:
+            high = middle
+    return (low, last) if low > first else None
+
+
+def _without(rows, window):
+    for first, last in rows:
+        if window[1] < first or last < window[0]:
+            yield first, last
+            continue
+        if first < window[0]:
+            yield first, window[0] - 1
+        if window[1] < last:
+            yield window[1] + 1, last
--- /dev/null
+++ b/guavastream/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to one platform: its names, formats and calls; it decides nothing."""
--- /dev/null
+++ b/guavastream/relay/__init__.py
@@ -0,0 +1,9 @@
+"""The data path: callers to the owner's host, and on to the server beside it."""
+
+from guavastream.relay.admission import *
+from guavastream.relay.budget import *
+from guavastream.relay.dialect import *
+from guavastream.relay.guard import *
+from guavastream.relay.ingress import *
+from guavastream.relay.outcome import *
+from guavastream.relay.pick import *
--- /dev/null
+++ b/guavastream/relay/dialect.py
@@ -0,0 +1,45 @@
+"""Names of the headers by which callers, servers and this system speak."""
+
+from dataclasses import dataclass
+
+__all__ = ["OWN", "Dialect"]
+
+# Headers between our own processes; nobody else's are believed or passed on.
+OWN = b"guavastream-"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Dialect:
+    """Header names, as bytes in the spelling in which they are sent.
+
+    Parameters
+    ----------
+    request_id : bytes
+        Names a request; a server echoes it.
+    deadline_ms : bytes
+        Milliseconds that are left.
+    key : bytes
+        Number of the request's key.
+    caller : bytes
+        Service on whose host a request began.
+    expected : bytes
+        Life of the server that alone may run a request.
+    seal : bytes
+        A server's mark on its answer; without it a success is not its own.
+    not_run : bytes
+        Present where a server has not run a request.
+    load : bytes
+        Requests that run and wait at a server, and its slots.
+    instance : bytes
+        Names the life of the server that answers a health check.
+    """
+
+    request_id: bytes = b"Guavastream-Request-Id"
+    deadline_ms: bytes = b"Guavastream-Deadline-Ms"
+    key: bytes = b"Guavastream-Key"
+    caller: bytes = b"Guavastream-Caller"
+    expected: bytes = b"Guavastream-Expected"
+    seal: bytes = b""
+    not_run: bytes = b"Guavastream-Not-Run"
+    load: bytes = b"Guavastream-Server-Load"
+    instance: bytes = b"Guavastream-Instance"
--- /dev/null
+++ b/guavastream/relay/guard.py
@@ -0,0 +1,276 @@
+"""The only way to the local backend server."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+
+from guavastream.http1 import Client, CutOff, NotSent
+from guavastream.kernel import part_logger
+from guavastream.relay.admission import Gate
+from guavastream.relay.outcome import Lost, NotRun
+from guavastream.relay.pick import Report
+
+__all__ = ["Attempt", "Guard", "Held", "ServerAnswer"]
+
+# Connections that were idle for longer are not used for what must not repeat:
+# a server may drop them at any moment, and a reset tells nothing.
+UNSAFE_IDLE_SECONDS = 1.0
+# Time after an acknowledged departure in which requests still go to the
+# server; well within the 2 s that the operators allow.
+LEAVING_SECONDS = 1.6
+# Longest wait for a grant that the book already shows.
+GRANT_SECONDS = 1.2
+MISDIRECTED = 421
+
+log = part_logger("guard")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Attempt:
+    """One request as it is tried at one server; times are the clock's.
+
+    `headers` are ready to be sent but for the ones that the guard sets,
+    `body` is whole unless `stream` brings the rest of it.
+    """
+
+    id: bytes
+    service: str
+    instance: str
+    method: bytes
+    target: bytes
+    headers: list
+    body: bytes
+    stream: object
+    key: int | None
+    safe: bool
+    rank: int
+    wanted_by: float
+    deadline: float
+
+
+@dataclass(kw_only=True, slots=True)
+class Held:
+    """What the local server was last told to hold."""
+
+    rows: tuple = ()
+    until: float = float("-inf")
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def covers(self, key):
+        """Whether the server holds a key as far as it was told."""
+        return any(first <= key <= last for first, last in self.rows)
+
+
+class ServerAnswer:
+    """The server's answer, while its slot is held."""
+
+    def __init__(self, *, answer, report):
+        self._answer = answer
+        self.status = answer.status
+        self.reason = answer.reason
+        self.headers = answer.headers
+        self.report = report
+
+    async def read(self):
+        """Return the next piece of the body, or empty bytes."""
+        try:
+            return await self._answer.body.read()
+        except CutOff:
+            raise Lost("answer_lost") from None
+
+
+class Guard:
+    """Admits requests to the local server and judges its answers.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic time in seconds.
+    dialect : Dialect
+        Header names.
+    books : TableHolder
+        Says which server is here.
+    door : str
+        IP:PORT where requests for the local server arrive.
+    count : callable
+        Counts an event by name.
+    """
+
+    def __init__(self, *, clock, dialect, books, door, count):
+        self._clock = clock
+        self._dialect = dialect
+        self._books = books
+        self._door = door
+        self._count = count
+        self._client = Client()
+        self._gate = Gate(clock=clock)
+        self._id = ""
+        self._held = None
+        self._left_at = {}
+        self._keys = {}
+
+    @property
+    def running(self):
+        """Requests at the server or waiting for it."""
+        return self._gate.running + self._gate.waiting
+
+    @property
+    def report(self):
+        """State of the local server."""
+        gate = self._gate
+        return Report(
+            running=gate.running,
+            waiting=gate.waiting,
+            slots=gate.slots,
+            seconds=gate.seconds,
+        )
+
+    def take_key_counts(self):
+        """Return requests by key since the last call, and forget them."""
+        keys, self._keys = self._keys, {}
+        return keys
+
+    def note_left(self, id):
+        """Note that a departure was acknowledged."""
+        self._left_at.setdefault(id, self._clock())
+
+    def note_held(self, id, rows, until):
+        """Note what the server holds until the clock's time `until`."""
+        before = self._held if id == self._id else None
+        held = Held(rows=tuple((r[0], r[1]) for r in rows), until=until)
+        self._id, self._held = id, held
+        if before is not None:
+            before.changed.set()
+
+    def local(self, id):
+        """Return the instance here if it is called `id`, or None."""
+        instance = self._books.table.instances.get(id)
+        if instance is None or instance.door != self._door:
+            return None
+        return instance
+
+    @contextlib.asynccontextmanager
+    async def serve(self, attempt):
+        """Run an attempt and yield the server's answer, holding its slot.
+
+        Raises
+        ------
+        NotRun
+            If the server has not run it and never will.
+        Lost
+            If it may have run.
+        """
+        instance = self.local(attempt.instance)
+        if instance is None or instance.service != attempt.service:
+            raise NotRun("no_server")
+        if attempt.key is not None:
+            self._keys[attempt.key] = self._keys.get(attempt.key, 0) + 1
+        self._check_leaving(instance)
+        if attempt.key is not None:
+            await self._check_key(attempt)
+        gate = self._gate
+        gate.slots = instance.slots
+        await gate.enter(
+            rank=attempt.rank, target=attempt.wanted_by, deadline=attempt.deadline
+        )
+        began = self._clock()
+        ran = False
+        try:
+            self._check_leaving(instance)
+            async with self._send(instance, attempt) as answer:
+                ran = True
+                yield answer
+        finally:
+            gate.leave(self._clock() - began if ran else None)
+
+    def _check_leaving(self, instance):
+        if not instance.leaving and instance.id not in self._left_at:
+            return
+        # Requests that were on their way when the departure was acknowledged
+        # still run; later ones find another server.
+        since = self._left_at.setdefault(instance.id, self._clock())
+        if self._clock() - since > LEAVING_SECONDS:
+            raise NotRun("leaving")
+
+    async def _check_key(self, attempt):
+        until = min(attempt.deadline, self._clock() + GRANT_SECONDS)
+        while True:
+            held = self._held if self._id == attempt.instance else None
+            # A process that has just started does not know what the server
+            # holds; the server does, and refuses what it must.
+            if held is None or (
+                held.covers(attempt.key) and self._clock() < held.until
+            ):
+                return
+            owner = self._books.table.owner_of(attempt.service, attempt.key)
+            if owner is None or owner.id != attempt.instance:
+                raise NotRun("moving")
+            left = until - self._clock()
+            if left <= 0:
+                raise NotRun("moving")
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(held.changed.wait(), left)
+
+    @contextlib.asynccontextmanager
+    async def _send(self, instance, attempt):
+        exchange = await self._open(instance, attempt, fresh=False)
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(exchange)
+            try:
+                answer = await self._ask(exchange, instance, attempt)
+            except CutOff:
+                if not (exchange.reused and self._may_repeat(exchange, attempt)):
+                    raise Lost("answer_lost") from None
+                # The server had closed the connection while it was idle.
+                exchange = await self._open(instance, attempt, fresh=True)
+                await stack.enter_async_context(exchange)
+                try:
+                    answer = await self._ask(exchange, instance, attempt)
+                except CutOff:
+                    raise Lost("answer_lost") from None
+            self._judge(answer)
+            yield ServerAnswer(answer=answer, report=self.report)
+
+    def _may_repeat(self, exchange, attempt):
+        return attempt.safe and not exchange.heard_bytes and attempt.stream is None
+
+    async def _open(self, instance, attempt, *, fresh):
+        idle = None if attempt.safe else UNSAFE_IDLE_SECONDS
+        try:
+            return await self._client.open(
+                instance.address, fresh=fresh, idle_seconds=idle
+            )
+        except NotSent:
+            self._count("server_unreachable")
+            raise NotRun("unreachable") from None
+
+    async def _ask(self, exchange, instance, attempt):
+        names = self._dialect
+        left = max(1, int((attempt.deadline - self._clock()) * 1000))
+        headers = list(attempt.headers)
+        headers.append((names.deadline_ms, b"%d" % left))
+        headers.append((names.expected, instance.id.encode()))
+        exchange.send(
+            attempt.method, attempt.target, headers, attempt.body, attempt.stream
+        )
+        self._count("sent_to_server")
+
+        def is_ours(answer):
+            echoed = answer.headers.get(names.request_id.lower())
+            return not echoed or echoed == attempt.id
+
+        return await exchange.answer(is_ours)
+
+    def _judge(self, answer):
+        names = self._dialect
+        headers = answer.headers
+        if answer.status == MISDIRECTED:
+            raise NotRun("server_not_owner")
+        if headers.get(names.not_run.lower()):
+            raise NotRun("server_refused")
+        success = 200 <= answer.status < 300
+        if success and names.seal and not headers.get(names.seal.lower()):
+            # Whatever this is, it is not the server's answer.
+            raise Lost("answer_lost")
+        if success and not headers.get(names.request_id.lower()):
+            raise Lost("answer_lost")
--- /dev/null
+++ b/guavastream/relay/pick.py
@@ -0,0 +1,179 @@
+"""Choose a server for a request that has no key, by expected waiting time."""
+
+import math
+from dataclasses import dataclass
+
+__all__ = ["Picker", "Report", "format_report", "parse_report"]
+
+# A report older than this says little about what waits at a server now.
+REPORT_SECONDS = 1.0
+# Time assumed of a request before any was measured, seconds.
+USUAL_SECONDS = 0.1
+# Another zone's server must be this much better to be preferred: bytes
+# between zones cost, and nobody waits longer for so little.
+ZONE_FACTOR = 1.08
+# A failure raises a server's burden by this; it fades with each answer and
+# over FADE_SECONDS, so that a server that recovers is tried again.
+FAILURE_BURDEN = 0.6
+FADE_SECONDS = 2.0
+# An unreachable host is passed over for this long, growing to the longest.
+FIRST_OUT_SECONDS = 0.4
+LONGEST_OUT_SECONDS = 3.0
+# Of a service's servers at most this share is passed over.
+MOST_OUT = 0.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Report:
+    """A server's state as the process beside it sees it."""
+
+    running: int = 0
+    waiting: int = 0
+    slots: int = 1
+    seconds: float = 0.0
+
+
+def format_report(report):
+    """Return a report as a header value.
+
+    Examples
+    --------
+    >>> format_report(Report(running=3, waiting=0, slots=8, seconds=0.25))
+    b'3,0,8,250'
+    """
+    ms = int(report.seconds * 1000)
+    return b"%d,%d,%d,%d" % (report.running, report.waiting, report.slots, ms)
+
+
+def parse_report(value):
+    """Return the report of a header value, or None.
+
+    Examples
+    --------
+    >>> parse_report(b"3,0,8,250").seconds, parse_report(b"x")
+    (0.25, None)
+    """
+    try:
+        running, waiting, slots, ms = map(int, value.split(b","))
+    except ValueError:
+        return None
+    return Report(
+        running=running, waiting=waiting, slots=max(1, slots), seconds=ms / 1000
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class _Seen:
+    report: Report
+    at: float = float("-inf")
+    sent_since: int = 0
+    mine: int = 0
+    burden: float = 0.0
+    burden_at: float = 0.0
+    out_until: float = float("-inf")
+    out_for: float = 0.0
+
+
+class Picker:
+    """What this process knows of each server, and the choice among them.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic time in seconds.
+    rng : random.Random
+        Breaks ties, so that hosts do not all choose the same server.
+    zone : str
+        Own availability zone.
+    """
+
+    def __init__(self, *, clock, rng, zone=""):
+        self._clock = clock
+        self._rng = rng
+        self._zone = zone
+        self._seen = {}
+
+    def _of(self, server):
+        seen = self._seen.get(server.id)
+        if seen is None:
+            report = Report(slots=max(1, server.slots))
+            seen = self._seen[server.id] = _Seen(report=report)
+        return seen
+
+    def choose(self, servers, avoid=frozenset()):
+        """Return the server with the least expected time, or None.
+
+        Parameters
+        ----------
+        servers : list of Instance
+            Those that may get the request.
+        avoid : set of str
+            Ids that were tried; taken only if there is no other.
+        """
+        fresh = [s for s in servers if s.id not in avoid]
+        pool = self._without_out(fresh)
+        if not pool:
+            return None
+        return min(pool, key=self._expected)
+
+    def _without_out(self, servers):
+        now = self._clock()
+        kept = [s for s in servers if self._of(s).out_until <= now]
+        # Beyond this share the fault is more likely ours than theirs.
+        if len(kept) < len(servers) * (1 - MOST_OUT):
+            return servers
+        return kept
+
+    def _expected(self, server):
+        seen = self._of(server)
+        now = self._clock()
+        report = seen.report
+        seconds = report.seconds or USUAL_SECONDS
+        there = seen.mine
+        if now - seen.at < REPORT_SECONDS:
+            there = max(there, report.running + report.waiting + seen.sent_since)
+        load = (there + 1) / report.slots
+        time = seconds * (1 + max(0.0, load - 0.5))
+        time *= 1 + seen.burden * math.exp((seen.burden_at - now) / FADE_SECONDS)
+        if server.zone != self._zone:
+            time *= ZONE_FACTOR
+        return time * self._rng.uniform(0.95, 1.05)
+
+    def begin(self, server):
+        """Note a request on its way to a server."""
+        seen = self._of(server)
+        seen.mine += 1
+        seen.sent_since += 1
+
+    def end(self, server):
+        """Note that a request is over."""
+        self._of(server).mine -= 1
+
+    def note_report(self, server, report):
+        """Take what came with an answer."""
+        seen = self._of(server)
+        seen.report = report
+        seen.at = self._clock()
+        seen.sent_since = 0
+
+    def note_answer(self, server, *, failed):
+        """Judge a server by an answer, whatever its health check says."""
+        seen = self._of(server)
+        now = self._clock()
+        left = seen.burden * math.exp((seen.burden_at - now) / FADE_SECONDS)
+        seen.burden = left + FAILURE_BURDEN if failed else left * 0.8
+        seen.burden_at = now
+        if not failed:
+            seen.out_for = 0.0
+
+    def note_unreachable(self, server):
+        """Pass over a server that could not be reached, for a growing time."""
+        seen = self._of(server)
+        longer = max(FIRST_OUT_SECONDS, 2 * seen.out_for)
+        seen.out_for = min(LONGEST_OUT_SECONDS, longer)
+        seen.out_until = self._clock() + seen.out_for
+
+    def keep_only(self, ids):
+        """Forget servers that are gone."""
+        for id in [id for id in self._seen if id not in ids]:
+            del self._seen[id]
--- a/guavastream/state/holder.py
+++ b/guavastream/state/holder.py
@@ -3,8 +3,7 @@
 import asyncio
 import threading
 
-from guavastream.state.table import Table
-from guavastream.state.wire import decode_command, decode_table
+from guavastream.state.wire import ShardTableCodec, decode_command
 
 __all__ = ["TableHolder"]
 
@@ -14,14 +13,20 @@
 
     Only the event loop replaces the table; any thread may read it or wait.
 
+    Parameters
+    ----------
+    codec : TableCodec, optional
+        The kind of table.
+
     Examples
     --------
     >>> TableHolder().table.index
     0
     """
 
-    def __init__(self):
-        self._table = Table()
+    def __init__(self, *, codec=None):
+        self._codec = codec or ShardTableCodec()
+        self._table = self._codec.empty()
         self._changed = threading.Condition()
         self._events = []
 
@@ -45,7 +50,7 @@
 
     def load(self, data):
         """Take a whole encoded table."""
-        self.replace(decode_table(data))
+        self.replace(self._codec.decode(data))
 
     def extend(self, commands):
         """Apply pairs of index and encoded command; known ones are skipped."""
--- a/guavastream/state/wire.py
+++ b/guavastream/state/wire.py
@@ -1,5 +1,6 @@
 """Tables and commands as bytes, for the log and for watchers."""
 
+import abc
 from array import array
 from dataclasses import dataclass
 
@@ -10,7 +11,14 @@
 from guavastream.state.commands import ChangeAnswer
 from guavastream.state.table import Change, Member, Pin, ShardMap, Table
 
-__all__ = ["decode_command", "decode_table", "encode_command", "encode_table"]
+__all__ = [
+    "ShardTableCodec",
+    "TableCodec",
+    "decode_command",
+    "decode_table",
+    "encode_command",
+    "encode_table",
+]
 
 
 def encode_command(command):
@@ -96,3 +104,36 @@
         answers=wire.answers,
         history=wire.history,
     )
+
+
+class TableCodec(abc.ABC):
+    """The kind of state that a control log keeps.
+
+    A state has an `index` and `apply(index, command)`, which returns the next
+    state and the command's result.
+    """
+
+    @abc.abstractmethod
+    def empty(self):
+        """Return the state before the first command."""
+
+    @abc.abstractmethod
+    def encode(self, table):
+        """Return a whole state as bytes."""
+
+    @abc.abstractmethod
+    def decode(self, data):
+        """Return the state that `encode` wrote."""
+
+
+class ShardTableCodec(TableCodec):
+    """Keeps the table of members and hashed shards."""
+
+    def empty(self):
+        return Table()
+
+    def encode(self, table):
+        return encode_table(table)
+
+    def decode(self, data):
+        return decode_table(data)
