--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -251,17 +251,21 @@
             await self._propose(RemoveInstances(ids=tuple(gone)))
             for id in gone:
                 self._holds.forget(id)
+        await self._expire_moves()
+
+    async def _expire_moves(self):
         now = self._clock()
         for move in list(self._moves):
-            if not self._is_pending(move):
-                self._moves.remove(move)
-            elif move.until and now > move.until:
+            if move.until and now > move.until and self._is_pending(move):
                 rows = ((move.first, move.last, ""),)
                 await self._propose(
                     ReleaseKeys(service=move.service, owner=move.source, rows=rows)
                 )
-            elif not move.until and now - move.began > MOVE_SECONDS:
-                self._moves.remove(move)
+        self._moves = [
+            move
+            for move in self._moves
+            if move.until or now - move.began <= MOVE_SECONDS
+        ]
 
     def _is_pending(self, move):
         runs = self._book.runs_of(move.service)
@@ -319,6 +323,7 @@
         if rows:
             await self._propose(GrantKeys(service=name, rows=tuple(rows)))
             self._notify(row[2] for row in rows)
+            log.info("Moved keys are granted.", extra={"rows": rows})
         done = {(m.first, m.last) for m in moves if not self._is_pending(m)}
         self._moves = [
             m for m in self._moves if m.service != name or (m.first, m.last) not in done
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -30,14 +30,19 @@
 # Part of that for which an answer may wait for a grant that is on its way.
 BEAT_WAIT_SECONDS = 0.35
 BEAT_ATTEMPT_SECONDS = 0.6
+# Time after which the local server has read an answer: a request that comes
+# sooner would find that it does not hold the key yet.
+GRANT_DELAY_SECONDS = 0.004
 REPORT_SECONDS = 0.4
 REPORTED_KEYS = 400
 PROBE_SECONDS = 0.5
-# A stop: callers go elsewhere after two failed checks, a second apart.
+# A stop: callers go elsewhere after two failed checks, a second apart. Where
+# they do not, because too few others are left, requests are refused in time
+# for those that run to end.
 QUIET_SECONDS = 2.3
+BUSY_SECONDS = 3.0
 IDLE_SECONDS = 0.3
 LAST_SECONDS = 0.3
-END_MARGIN_SECONDS = 1.0
 POLL_SECONDS = 0.05
 
 log = part_logger("host")
@@ -102,6 +107,7 @@
             limits=Limits(head_bytes=1 << 20, body_bytes=1 << 30, idle_seconds=60.0),
         )
         self._prober = Client()
+        self._last_seq = {}
         self._tasks = Tasks()
 
     @property
@@ -206,9 +212,19 @@
             beat, timeout=BEAT_SECONDS, attempt=BEAT_ATTEMPT_SECONDS
         )
         if answer.rows is not None:
-            self._guard.note_held(beat.id, answer.rows, arrived + answer.hold)
+            until = arrived + answer.hold
+            self._guard.note_dropped(beat.id, answer.rows)
+            # The server learns of new keys when the answer reaches it.
+            self._loop.call_later(
+                GRANT_DELAY_SECONDS, self._note_held, beat, answer.rows, until
+            )
         return answer
 
+    def _note_held(self, beat, rows, until):
+        if self._last_seq.get(beat.id, 0) <= beat.seq:
+            self._last_seq[beat.id] = beat.seq
+            self._guard.note_held(beat.id, rows, until)
+
     async def depart(self, id):
         """Pass on that the local server ends.
 
@@ -274,31 +290,32 @@
         self.stopping = True
         log.info("Stops: callers are sent elsewhere.")
         began = self._loop.time()
-        latest = began + self._settings.grace - END_MARGIN_SECONDS
         self._outbound.closing = True
         quiet_since = None
-        while self._loop.time() < latest:
+        while self._loop.time() < began + BUSY_SECONDS:
             await asyncio.sleep(POLL_SECONDS)
             now = self._loop.time()
             if self._outbound.busy or self._inbound.busy:
                 quiet_since = None
-            quiet_since = quiet_since or now
-            calm = now - quiet_since >= IDLE_SECONDS and not self._outbound.busy
-            if now - began >= QUIET_SECONDS and calm:
+            else:
+                quiet_since = quiet_since or now
+            calm = quiet_since is not None and now - quiet_since >= IDLE_SECONDS
+            if calm and now - began >= QUIET_SECONDS:
                 break
-        # No new connection from here on, so that a late request fails before
-        # it is sent; on open ones it is told that it did not run.
-        self._outbound.stop_listening()
-        self._inbound.stop_listening()
+        # From here on requests are told that they did not run; open
+        # connections go on, so that none is cut in the middle of one.
         self._ingress.leaving = True
-        self._outbound.begin_close()
         self._inbound.closing = True
+        self._outbound.begin_close()
         end = self._loop.time() + LAST_SECONDS
         limit = began + self._settings.grace - LAST_SECONDS
-        while self._loop.time() < end or (
-            (self._outbound.busy or self._inbound.busy) and self._loop.time() < limit
-        ):
+        while self._loop.time() < limit:
+            busy = self._outbound.busy or self._inbound.busy
+            if self._loop.time() >= end and not busy:
+                break
             await asyncio.sleep(POLL_SECONDS)
+        self._outbound.stop_listening()
+        self._inbound.stop_listening()
         log.info("Stopped.")
 
     async def stop(self):
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -134,6 +134,17 @@
         """Note that a departure was acknowledged."""
         self._left_at.setdefault(id, self._clock())
 
+    def note_dropped(self, id, rows):
+        """Note that the server is about to be told to hold no more than this."""
+        if self._held is None or id != self._id:
+            return
+        self._held.rows = tuple(
+            (max(a, row[0]), min(b, row[1]))
+            for a, b in self._held.rows
+            for row in rows
+            if a <= row[1] and row[0] <= b
+        )
+
     def note_held(self, id, rows, until):
         """Note what the server holds until the clock's time `until`."""
         before = self._held if id == self._id else None
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from guavastream.http1 import Client, CutOff, Headers, NotSent
 from guavastream.kernel import part_logger
@@ -31,6 +31,8 @@
 SHORTEST_RETRY = 0.05
 USUAL_RETRY = 0.3
 SERVER_ERROR = 500
+# Failures of a server after which a request that may repeat is tried again.
+TRIED_AGAIN = (500, 502)
 
 log = part_logger("ingress")
 
@@ -51,6 +53,7 @@
     stream: object
     started: float
     deadline: float
+    failed: list = field(default_factory=list)
 
     @property
     def safe(self):
@@ -142,6 +145,8 @@
         self._count("requests")
         job = None
         try:
+            if self.leaving:
+                raise NotRun("leaving", retry_after=SHORTEST_RETRY)
             job = await self._read(request, started)
             async with asyncio.timeout_at(job.deadline):
                 await self._serve(job, responder)
@@ -240,6 +245,8 @@
                 arrivals += 1
                 if arrivals >= job.route.attempts or not share.spend():
                     raise failure
+            if code == "server_failed":
+                continue
             if verdict.awaits_owner and (job.keyed or code == "no_server"):
                 if self._clock() >= patience:
                     raise failure
@@ -276,13 +283,14 @@
             await self._books.wait(index + 1, left)
 
     def _choose(self, book, job, tried):
+        """Return the server to try next."""
         if job.keyed:
             owner = book.owner_of(job.service, job.key)
             if owner is None:
                 raise NotRun("no_owner", retry_after=USUAL_RETRY)
             return owner
         servers = [s for s in book.servers(job.service) if not s.leaving]
-        server = self._picker.choose(servers, tried)
+        server = self._picker.choose(servers, tried, size=len(job.body))
         if server is None:
             raise NotRun("no_server", retry_after=USUAL_RETRY)
         return server
@@ -374,6 +382,11 @@
     async def _pass_on(self, job, server, answer, read, responder):
         """Give the answer to the caller, whole where it is not too large."""
         self._picker.note_answer(server, failed=answer.status >= SERVER_ERROR)
+        if answer.status in TRIED_AGAIN and job.safe and not job.failed:
+            left = job.deadline - self._clock()
+            if left > 2 * (self._clock() - job.started):
+                job.failed.append(answer.status)
+                raise Lost("server_failed")
         parts, size = [], 0
         while size <= WHOLE_ANSWER:
             piece = await read()
--- a/guavastream/relay/pick.py
+++ b/guavastream/relay/pick.py
@@ -12,6 +12,9 @@
 # Another zone's server must be this much better to be preferred: bytes
 # between zones cost, and nobody waits longer for so little.
 ZONE_FACTOR = 1.08
+# The same for each byte of a large body, up to a factor of about 1.7.
+ZONE_FACTOR_PER_BYTE = 0.6 / 100_000
+LARGE_BYTES = 100_000
 # A failure raises a server's burden by this; it fades with each answer and
 # over FADE_SECONDS, so that a server that recovers is tried again.
 FAILURE_BURDEN = 0.6
@@ -100,7 +103,7 @@
             seen = self._seen[server.id] = _Seen(report=report)
         return seen
 
-    def choose(self, servers, avoid=frozenset()):
+    def choose(self, servers, avoid=frozenset(), *, size=0):
         """Return the server with the least expected time, or None.
 
         Parameters
@@ -108,13 +111,15 @@
         servers : list of Instance
             Those that may get the request.
         avoid : set of str
-            Ids that were tried; taken only if there is no other.
+            Ids that were tried.
+        size : int
+            Bytes of the request's body.
         """
         fresh = [s for s in servers if s.id not in avoid]
         pool = self._without_out(fresh)
         if not pool:
             return None
-        return min(pool, key=self._expected)
+        return min(pool, key=lambda server: self._expected(server, size))
 
     def _without_out(self, servers):
         now = self._clock()
@@ -124,7 +129,7 @@
             return servers
         return kept
 
-    def _expected(self, server):
+    def _expected(self, server, size):
         seen = self._of(server)
         now = self._clock()
         report = seen.report
@@ -136,7 +141,7 @@
         time = seconds * (1 + max(0.0, load - 0.5))
         time *= 1 + seen.burden * math.exp((seen.burden_at - now) / FADE_SECONDS)
         if server.zone != self._zone:
-            time *= ZONE_FACTOR
+            time *= ZONE_FACTOR + ZONE_FACTOR_PER_BYTE * min(size, LARGE_BYTES)
         return time * self._rng.uniform(0.95, 1.05)
 
     def begin(self, server):
