Admission by time left for each kind, moves that wait for both ends

Change: times by kind, a margin, order by wanted time, calls of servers first; moves begin when both heartbeats wait; idle connections are bounded; unsent requests end as not run.

--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -26,6 +26,11 @@
 SLOT_RATE = 8.0
 # A server that says it is cold works at about half its speed.
 COLD_SHARE = 0.5
+# A move waits this long for a moment at which both its ends can be told.
+PATIENCE_SECONDS = 1.0
+# Time that the old owner needs to release: its next heartbeat comes within
+# 0.1 s, and what runs there takes a while.
+HANDOVER_SECONDS = 0.2
 # Patience with a source that does not release a row after it was told.
 MOVE_SECONDS = 6.0
 
@@ -56,6 +61,7 @@
         self._term = 0
         self._seqs = {}
         self._events = {}
+        self._parked = {}
         self._moves = []
         self._loads = {}
         self._latency = {}
@@ -74,6 +80,7 @@
         self._term = self._raft.term
         self._holds.start(self._book.instances, since=self._raft.predecessor_end)
         self._seqs = {}
+        self._parked = {}
         self._moves = []
         self._joined = {}
 
@@ -147,6 +154,7 @@
     async def _wait_for_news(self, beat, arrived):
         """Hold the answer back while there is nothing new to say."""
         event = self._events.setdefault(beat.id, asyncio.Event())
+        self._parked[beat.id] = arrived + beat.wait
         while self._seqs.get(beat.id) == beat.seq and not self._has_news(beat):
             left = arrived + beat.wait - self._clock()
             if left <= 0:
@@ -157,6 +165,35 @@
             except TimeoutError:
                 return
 
+    def _is_parked(self, id, seconds):
+        """Whether a heartbeat of a server can be answered within `seconds`."""
+        return self._parked.get(id, 0.0) - self._clock() >= seconds
+
+    def _activate_moves(self):
+        """Begin moves whose both ends can be told at once.
+
+        A key is without an owner from the answer to the old one until the
+        answer to the new one; with both heartbeats at hand that is short.
+        """
+        now = self._clock()
+        for move in self._moves:
+            if move.active:
+                continue
+            waited = now - move.began
+            source = self._book.instances.get(move.source)
+            ready = self._is_parked(move.source, 0.0) and (
+                waited > PATIENCE_SECONDS
+                or self._is_parked(move.target, HANDOVER_SECONDS)
+            )
+            if (
+                ready
+                or source is None
+                or source.leaving
+                or waited > 2 * PATIENCE_SECONDS
+            ):
+                move.active = True
+                self._notify((move.source,))
+
     def _has_news(self, beat):
         said = {(first, last, fence) for first, last, fence in beat.holds}
         return said != {row[:3] for row in self._rows(beat)} or bool(beat.released)
@@ -177,7 +214,7 @@
     def _staying(self, run):
         pieces = [(run.first, run.last)]
         for move in self._moves:
-            if move.source != run.owner:
+            if move.source != run.owner or not move.active:
                 continue
             kept = []
             for first, last in pieces:
@@ -192,9 +229,10 @@
         return pieces
 
     def _answer(self, beat, arrived):
+        self._parked.pop(beat.id, None)
         before = self._holds.until(beat.id)
         for move in self._moves:
-            if move.source == beat.id and not move.until:
+            if move.source == beat.id and move.active and not move.until:
                 # What is left out now was renewed by the answer before last.
                 move.until = before
         self._holds.renew(beat.id, arrived=arrived)
@@ -232,6 +270,7 @@
             self.ensure_term()
             try:
                 await self._expire()
+                self._activate_moves()
                 for name, rules in self._book.config.services.items():
                     if rules.keyed:
                         await self._plan(name)
@@ -323,7 +362,7 @@
         if rows:
             await self._propose(GrantKeys(service=name, rows=tuple(rows)))
             self._notify(row[2] for row in rows)
-            log.info("Moved keys are granted.", extra={"rows": rows})
+            log.info("Moved keys are granted.", extra={"service": name, "rows": rows})
         done = {(m.first, m.last) for m in moves if not self._is_pending(m)}
         self._moves = [
             m for m in self._moves if m.service != name or (m.first, m.last) not in done
@@ -343,7 +382,7 @@
                 began=self._clock(),
             )
             self._moves.append(move)
-            log.info(
+            log.debug(
                 "Keys %d to %d of %s go from %s to %s.",
                 move.first,
                 move.last,
@@ -351,7 +390,6 @@
                 move.source,
                 target,
             )
-            self._notify((run.owner,))
 
     def _capacity(self, name):
         """Return requests a second that each server that stays can do."""
--- a/guavastream/control/holds.py
+++ b/guavastream/control/holds.py
@@ -46,7 +46,11 @@
 
 @dataclass(kw_only=True, slots=True)
 class Move:
-    """A row on its way; `until` is set once its source was told."""
+    """A row on its way.
+
+    Its source keeps it until the move is `active`; `until` is when the source
+    holds it no more for sure, once it was told.
+    """
 
     service: str
     first: int
@@ -54,6 +58,7 @@
     source: str
     target: str
     began: float
+    active: bool = False
     until: float = 0.0
 
 
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -27,15 +27,16 @@
 FAILURES_TO_RESEED = 3
 # A heartbeat counts only if it is answered within a second.
 BEAT_SECONDS = 0.85
-# Part of that for which an answer may wait for a grant that is on its way.
-BEAT_WAIT_SECONDS = 0.35
-BEAT_ATTEMPT_SECONDS = 0.6
+BEAT_ATTEMPT_SECONDS = 0.75
 # Time after which the local server has read an answer: a request that comes
 # sooner would find that it does not hold the key yet.
 GRANT_DELAY_SECONDS = 0.004
 REPORT_SECONDS = 0.4
 REPORTED_KEYS = 400
 PROBE_SECONDS = 0.5
+# Connections of callers beyond which idle ones are ended, longest idle first;
+# each costs about 8 KB and a descriptor, of which a host has some thousands.
+MOST_CALLERS = 700
 # A stop: callers go elsewhere after two failed checks, a second apart. Where
 # they do not, because too few others are left, requests are refused in time
 # for those that run to end.
@@ -43,6 +44,7 @@
 BUSY_SECONDS = 3.0
 IDLE_SECONDS = 0.3
 LAST_SECONDS = 0.3
+END_SECONDS = 0.7
 POLL_SECONDS = 0.05
 
 log = part_logger("host")
@@ -93,12 +95,14 @@
             picker=self._picker,
             service=settings.service,
             ratio=settings.retry_ratio,
+            local=frozenset({"127.0.0.1", parse_address(settings.inbound)[0]}),
             count=self.counters.count,
             observe=self.counters.observe,
         )
         self._outbound = Server(
             address=parse_address(settings.outbound),
             handler=self._ingress.handle,
+            most=MOST_CALLERS,
             note_refused=lambda status: self.counters.count(f"rejected.{status}"),
         )
         self._inbound = Server(
@@ -308,7 +312,7 @@
         self._inbound.closing = True
         self._outbound.begin_close()
         end = self._loop.time() + LAST_SECONDS
-        limit = began + self._settings.grace - LAST_SECONDS
+        limit = began + self._settings.grace - END_SECONDS
         while self._loop.time() < limit:
             busy = self._outbound.busy or self._inbound.busy
             if self._loop.time() >= end and not busy:
--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -1,6 +1,7 @@
 """Serving side: a task for each connection reads requests one by one."""
 
 import asyncio
+import itertools
 from collections import deque
 from dataclasses import dataclass
 
@@ -304,6 +305,7 @@
 
     async def _serve(self, request):
         self.busy = True
+        self._server.used(self)
         responder = Responder(connection=self, request=request)
         try:
             await self._server.handler(request, responder)
@@ -349,6 +351,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def idle(self):
+        """Whether nothing of a request has come that is not answered."""
+        return not self.busy and not self._requests and self._head_since is None
+
     def end(self):
         """End the connection, with a reset if a request is in progress."""
         if self.busy:
@@ -392,14 +399,18 @@
         Coroutine function of a `Request` and its `Responder`.
     limits : Limits, optional
         Bounds on callers; may be replaced while serving.
+    most : int
+        Connections beyond which idle ones are ended, longest idle first.
     note_refused : callable, optional
         Told the status of each request that could not be read.
     """
 
-    def __init__(self, *, address, handler, limits=None, note_refused=None):
+    def __init__(self, *, address, handler, limits=None, most=2000, note_refused=None):
         self._address = address
         self._listener = None
-        self._connections = set()
+        # In the order of their last use.
+        self._connections = {}
+        self._most = most
         self.handler = handler
         self.limits = limits or Limits()
         self.closing = False
@@ -450,9 +461,20 @@
             connection.end()
 
     def opened(self, connection):
-        """Note a new connection."""
-        self._connections.add(connection)
+        """Note a new connection, and end idle ones beyond the bound."""
+        self._connections[connection] = None
+        excess = len(self._connections) - self._most
+        if excess > 0:
+            idle = (c for c in self._connections if c.idle)
+            for other in list(itertools.islice(idle, excess)):
+                other.end()
+
+    def used(self, connection):
+        """Note that a request came on a connection."""
+        if connection in self._connections:
+            del self._connections[connection]
+            self._connections[connection] = None
 
     def closed(self, connection):
         """Forget a connection."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
--- a/guavastream/platform/api.py
+++ b/guavastream/platform/api.py
@@ -18,7 +18,7 @@
 MOST_BEAT_BYTES = 1 << 20
 MOST_CONFIG_BYTES = 16 << 20
 # Time within an acknowledgement's second for which it may wait for a grant.
-BEAT_WAIT_SECONDS = 0.35
+BEAT_WAIT_SECONDS = 0.55
 JSON = [(b"Content-Type", b"application/json")]
 STATUS_OF_CODE = {"ok": 200, "conflict": 412, "invalid": 422}
 
--- a/guavastream/relay/admission.py
+++ b/guavastream/relay/admission.py
@@ -13,16 +13,23 @@
 
 __all__ = ["Gate"]
 
-# Weight of the newest request in the smoothed time of a request.
+# Weight of the newest request in the smoothed time of its kind.
 SMOOTHING = 0.1
 # Time assumed of a request before any was measured, seconds.
 USUAL_SECONDS = 0.1
-# A request that cannot be answered within its target any more still waits
-# this share of what is left to its deadline: late is better than never, but
-# a long queue of late requests makes all that follow late too.
-LATE_SHARE = 0.12
+# Times of requests of one kind vary by about a third; a request is let in
+# only if it would be in time even if it takes this much longer than usual.
+MARGIN = 1.2
+# A request that cannot be in time any more waits no longer than this share of
+# its usual time: it is worth little, and each that waits makes others late.
+LATE_WAIT = 0.25
+# Of a request's usual time at least this must be left before its deadline
+# when its turn comes, or its work would be cut off.
+LEAST_LEFT = 0.7
 # Shortest advice to come back, seconds.
 SHORTEST_RETRY = 0.05
+# Answers are given this long before a deadline, so that they arrive.
+LAST_SECONDS = 0.03
 
 
 class Gate:
@@ -39,7 +46,8 @@
     -----
     A request is admitted to the queue only if those ahead of it leave it time
     enough: the queue is as long as it is useful, whatever the load. It is
-    ordered by rank, then by deadline.
+    ordered by rank, then by the time until which an answer has its full
+    worth; a request that came back after a refusal thus goes first.
     """
 
     def __init__(self, *, clock, slots=1):
@@ -47,8 +55,10 @@
         self._queue = []
         self._numbers = itertools.count()
         self._running = 0
+        self._running_seconds = 0.0
         self._waiting = 0
-        self._seconds = 0.0
+        self._seconds = {}
+        self._mean = 0.0
         self.slots = slots
 
     @property
@@ -63,24 +73,34 @@
 
     @property
     def seconds(self):
-        """Smoothed time of a request at the server, 0 if unknown."""
-        return self._seconds
+        """Smoothed time of all requests at the server, 0 if unknown."""
+        return self._mean
 
-    def wait_for(self, rank):
-        """Return the expected wait of a new request of a rank, seconds."""
+    def usual(self, kind):
+        """Return the smoothed time of requests of a kind, seconds."""
+        return self._seconds.get(kind) or self._mean or USUAL_SECONDS
+
+    def wait_for(self, rank, wanted_by):
+        """Return the expected wait of a new request, seconds."""
         if self._running < self.slots and not self._waiting:
             return 0.0
-        ahead = sum(1 for item in self._queue if item[0] <= rank and not item[3].done())
-        return (ahead + 1) * (self._seconds or USUAL_SECONDS) / self.slots
+        ahead = sum(
+            item[4]
+            for item in self._queue
+            if (item[0], item[1]) <= (rank, wanted_by) and not item[3].done()
+        )
+        return (ahead + self._running_seconds / max(1, self._running)) / self.slots
 
-    async def enter(self, *, rank, target, deadline):
-        """Wait for a slot.
+    async def enter(self, *, rank, kind, wanted_by, deadline):
+        """Wait for a slot; return what `leave` needs.
 
         Parameters
         ----------
         rank : int
-            0 is the most urgent.
-        target, deadline : float
+            The lowest is the most urgent.
+        kind : str
+            Requests of one kind take about the same time.
+        wanted_by, deadline : float
             The clock's times by which an answer is worth all and nothing.
 
         Raises
@@ -89,48 +109,67 @@
             If there will be no slot in time.
         """
         now = self._clock()
-        wait = self.wait_for(rank)
-        usual = self._seconds or USUAL_SECONDS
-        allowed = max(target - now - usual, LATE_SHARE * (deadline - now))
-        if wait and (wait > allowed or now + wait + usual > deadline):
-            raise NotRun("overloaded", retry_after=max(SHORTEST_RETRY, wait))
-        if not wait:
+        usual = self.usual(kind)
+        wait = self.wait_for(rank, wanted_by)
+        if wait:
+            spare = wanted_by - now - usual * MARGIN
+            allowed = spare if spare >= 0 else usual * LATE_WAIT
+            if wait > allowed or now + wait + usual > deadline:
+                raise NotRun("overloaded", retry_after=max(SHORTEST_RETRY, wait))
+            await self._wait(rank, wanted_by, usual, now, deadline)
+        else:
             self._running += 1
-            return
+        self._running_seconds += usual
+        return usual
+
+    async def _wait(self, rank, wanted_by, usual, now, deadline):
         future = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._queue, (rank, deadline, next(self._numbers), future))
+        number = next(self._numbers)
+        latest = deadline - max(LAST_SECONDS, usual * LEAST_LEFT)
+        heapq.heappush(self._queue, (rank, wanted_by, number, future, usual, latest))
         self._waiting += 1
         try:
-            async with asyncio.timeout(max(0.0, deadline - now - usual / 2)):
+            async with asyncio.timeout(max(0.0, latest - now)):
                 await future
         except TimeoutError:
             if not future.cancelled():
-                self.leave()
+                self._free()
             raise NotRun("overloaded", retry_after=SHORTEST_RETRY) from None
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
-                self.leave()
+                self._free()
             raise
         finally:
             self._waiting -= 1
 
-    def leave(self, seconds=None):
-        """Give a slot back; `seconds` is how long the server took."""
-        self._running -= 1
+    def leave(self, usual, *, kind, seconds=None):
+        """Give a slot back.
+
+        Parameters
+        ----------
+        usual : float
+            What `enter` returned.
+        kind : str
+            As given to `enter`.
+        seconds : float, optional
+            How long the server took, if it ran the request to its end.
+        """
+        self._running_seconds = max(0.0, self._running_seconds - usual)
         if seconds is not None:
-            if not self._seconds:
-                self._seconds = seconds
-            self._seconds += SMOOTHING * (seconds - self._seconds)
-        self._admit_next()
+            before = self._seconds.get(kind, seconds)
+            self._seconds[kind] = before + SMOOTHING * (seconds - before)
+            self._mean = self._mean or seconds
+            self._mean += SMOOTHING * (seconds - self._mean)
+        self._free()
 
-    def _admit_next(self):
+    def _free(self):
+        self._running -= 1
         now = self._clock()
-        usual = self._seconds or USUAL_SECONDS
         while self._queue and self._running < self.slots:
-            _, deadline, _, future = heapq.heappop(self._queue)
+            *_, future, _, latest = heapq.heappop(self._queue)
             if future.done():
                 continue
-            if now + usual / 2 > deadline:
+            if now > latest:
                 # It would be cut off in the middle of its work.
                 future.set_exception(NotRun("overloaded", retry_after=SHORTEST_RETRY))
                 continue
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -20,6 +20,8 @@
 LEAVING_SECONDS = 1.6
 # Longest wait for a grant that the book already shows.
 GRANT_SECONDS = 1.2
+# Answers are given this long before a deadline, so that they arrive.
+LAST_SECONDS = 0.03
 MISDIRECTED = 421
 
 log = part_logger("guard")
@@ -30,7 +32,9 @@
     """One request as it is tried at one server; times are the clock's.
 
     `headers` are ready to be sent but for the ones that the guard sets,
-    `body` is whole unless `stream` brings the rest of it.
+    `body` is whole unless `stream` brings the rest of it. `kind` names
+    requests that take about the same time; of those that wait the lowest
+    `rank` goes first.
     """
 
     id: bytes
@@ -44,6 +48,7 @@
     key: int | None
     safe: bool
     rank: int
+    kind: str
     wanted_by: float
     deadline: float
 
@@ -181,8 +186,11 @@
             await self._check_key(attempt)
         gate = self._gate
         gate.slots = instance.slots
-        await gate.enter(
-            rank=attempt.rank, target=attempt.wanted_by, deadline=attempt.deadline
+        usual = await gate.enter(
+            rank=attempt.rank,
+            kind=attempt.kind,
+            wanted_by=attempt.wanted_by,
+            deadline=attempt.deadline,
         )
         began = self._clock()
         ran = False
@@ -192,7 +200,8 @@
                 ran = True
                 yield answer
         finally:
-            gate.leave(self._clock() - began if ran else None)
+            seconds = self._clock() - began if ran else None
+            gate.leave(usual, kind=attempt.kind, seconds=seconds)
 
     def _check_leaving(self, instance):
         if not instance.leaving and instance.id not in self._left_at:
@@ -204,7 +213,7 @@
             raise NotRun("leaving")
 
     async def _check_key(self, attempt):
-        until = min(attempt.deadline, self._clock() + GRANT_SECONDS)
+        until = min(attempt.deadline - LAST_SECONDS, self._clock() + GRANT_SECONDS)
         while True:
             held = self._held if self._id == attempt.instance else None
             # A process that has just started does not know what the server
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -24,15 +24,25 @@
 # Time for the last hop of an answer; a request is given up this long before
 # its caller stops waiting.
 LAST_HOP_SECONDS = 0.01
+HOP_SECONDS = 0.02
 # Longest wait for a key without an owner, as a share of the time left: a
 # caller that is told early can come back.
 OWNER_PATIENCE = 0.8
 POLL_SECONDS = 0.03
+# Calls of a server go before all requests that are just begun.
+CALL_RANK = -1
+# The longest deadline that callers of a route gave fades, request by request,
+# in case one of them gave an unusual one.
+LONGEST_FADING = 0.9999
 SHORTEST_RETRY = 0.05
 USUAL_RETRY = 0.3
 SERVER_ERROR = 500
 # Failures of a server after which a request that may repeat is tried again.
 TRIED_AGAIN = (500, 502)
+# Only while failures are rarer than this: where many fail, what they need is
+# missing, and a second try wastes as much again.
+RARE_FAILURES = 0.05
+FAILURE_WEIGHT = 0.02
 
 log = part_logger("ingress")
 
@@ -51,9 +61,13 @@
     headers: list
     body: bytes
     stream: object
+    rank: int
     started: float
+    wanted_by: float
     deadline: float
     failed: list = field(default_factory=list)
+    # Places to which it went and that did not say that it has not run.
+    sent: list = field(default_factory=list)
 
     @property
     def safe(self):
@@ -96,6 +110,8 @@
         Service of this host, told to servers as the caller's.
     ratio : float
         Second tries that all hosts may make for each request.
+    local : frozenset of str
+        IP numbers of this host; only its server calls from there.
     count : callable
         Counts an event by name.
     observe : callable
@@ -113,6 +129,7 @@
         picker,
         service,
         ratio,
+        local,
         count,
         observe,
     ):
@@ -124,11 +141,14 @@
         self._picker = picker
         self._service = service.encode()
         self._ratio = ratio
+        self._local = local
         self._count = count
         self._observe = observe
         self._client = Client(connect_seconds=0.3)
         self._rng = random.Random()
         self._shares = {}
+        self._longest = {}
+        self._failing = {}
         # Set in the last moments of a stop: whoever still asks for the local
         # server is told that nothing ran.
         self.leaving = False
@@ -147,7 +167,7 @@
         try:
             if self.leaving:
                 raise NotRun("leaving", retry_after=SHORTEST_RETRY)
-            job = await self._read(request, started)
+            job = await self._read(request, started, responder.peer)
             async with asyncio.timeout_at(job.deadline):
                 await self._serve(job, responder)
         except NotRun as refused:
@@ -155,7 +175,10 @@
         except Lost as lost:
             await self._fail(responder, job, lost.code)
         except TimeoutError:
-            await self._fail(responder, job, "no_answer")
+            if job is None or not job.sent:
+                await self._refuse(responder, job, NotRun("no_time"))
+            else:
+                await self._fail(responder, job, "no_answer")
         except _BadRequest as bad:
             self._count(f"rejected.{bad.status}")
             await responder.send(bad.status)
@@ -163,7 +186,7 @@
             responder.abort()
         self._observe("request", self._clock() - started)
 
-    async def _read(self, request, started):
+    async def _read(self, request, started, peer):
         index = self._routes()
         if index is None:
             raise NotRun("no_config", retry_after=USUAL_RETRY)
@@ -181,6 +204,9 @@
         if left is not None:
             timeout = min(timeout, left / 1000)
         deadline = started + timeout - LAST_HOP_SECONDS
+        is_call = peer in self._local
+        used = 0.0 if is_call else self._time_used(route, left)
+        wanted_by = min(started - used + route.target, deadline)
         body, stream = b"", None
         if request.length:
             async with asyncio.timeout(index.config.limits.idle_seconds):
@@ -203,10 +229,27 @@
             headers=fields,
             body=body,
             stream=stream,
+            # Work that is done already waits for a call: refusing it would
+            # waste more than refusing new work.
+            rank=CALL_RANK if is_call else route.priority,
             started=started,
+            wanted_by=wanted_by,
             deadline=deadline,
         )
 
+    def _time_used(self, route, left):
+        """Return how long the caller has been trying already, seconds.
+
+        Callers of one route wait equally long, so that one who waits less
+        than the others has come back after a refusal.
+        """
+        if left is None:
+            return 0.0
+        longest = max(left, self._longest.get(route.name, 0.0) * LONGEST_FADING)
+        self._longest[route.name] = longest
+        used = (longest - left) / 1000
+        return used if used > SHORTEST_RETRY / 2 else 0.0
+
     def _choose_part(self, route):
         if len(route.parts) == 1:
             return route.parts[0].service
@@ -297,12 +340,14 @@
 
     async def _try(self, job, server, responder):
         self._picker.begin(server)
+        job.sent.append(server.id)
         try:
             if self._guard.local(server.id) is not None:
                 await self._try_here(job, server, responder)
             else:
                 await self._try_there(job, server, responder)
         except NotRun as refused:
+            job.sent.remove(server.id)
             if refused.code == "unreachable":
                 self._picker.note_unreachable(server)
             elif refused.code in ("server_refused", "leaving"):
@@ -326,8 +371,9 @@
             stream=job.stream,
             key=job.key if job.keyed else None,
             safe=job.safe,
-            rank=job.route.priority,
-            wanted_by=job.started + job.route.target,
+            rank=job.rank,
+            kind=job.route.name,
+            wanted_by=job.wanted_by,
             deadline=job.deadline,
         )
         async with self._guard.serve(attempt) as answer:
@@ -365,12 +411,16 @@
             await self._pass_on(job, server, answer, read, responder)
 
     def _hop_headers(self, job, server):
-        left = max(1, int((job.deadline - self._clock()) * 1000))
-        wanted = int((job.started + job.route.target - self._clock()) * 1000)
+        # The other host answers a little sooner, so that its word on whether
+        # the request ran is still heard.
+        left = job.deadline - HOP_SECONDS - self._clock()
+        left = max(1, int(left * 1000))
+        wanted = int((job.wanted_by - self._clock()) * 1000)
         fields = [
             (OWN + b"service", job.service.encode()),
             (OWN + b"instance", server.id.encode()),
-            (OWN + b"rank", b"%d" % job.route.priority),
+            (OWN + b"rank", b"%d" % job.rank),
+            (OWN + b"route", job.route.name.encode()),
             (OWN + b"left-ms", b"%d" % left),
             (OWN + b"wanted-ms", b"%d" % wanted),
             (OWN + b"safe", b"%d" % job.safe),
@@ -381,10 +431,14 @@
 
     async def _pass_on(self, job, server, answer, read, responder):
         """Give the answer to the caller, whole where it is not too large."""
-        self._picker.note_answer(server, failed=answer.status >= SERVER_ERROR)
+        failed = answer.status >= SERVER_ERROR
+        self._picker.note_answer(server, failed=failed)
+        before = self._failing.get(job.service, 0.0)
+        self._failing[job.service] = before + FAILURE_WEIGHT * (failed - before)
         if answer.status in TRIED_AGAIN and job.safe and not job.failed:
             left = job.deadline - self._clock()
-            if left > 2 * (self._clock() - job.started):
+            enough = left > 2 * (self._clock() - job.started)
+            if enough and self._failing.get(job.service, 0.0) < RARE_FAILURES:
                 job.failed.append(answer.status)
                 raise Lost("server_failed")
         parts, size = [], 0
@@ -490,6 +544,7 @@
             key=int(said(b"key")) if said(b"key") else None,
             safe=said(b"safe") == b"1",
             rank=int(said(b"rank")),
+            kind=said(b"route").decode(),
             wanted_by=now + int(said(b"wanted-ms")) / 1000,
             deadline=now + int(said(b"left-ms")) / 1000,
         )
