Waits are foreseen by what they were; calls keep their rank

Change: calls keep their operator's priority and their early wanted time; the expected wait is corrected by the real ones of its kind.

--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -21,7 +21,7 @@
 
 TICK_SECONDS = 0.05
 # Plans of balance are made this often; a load report comes about as often.
-BALANCE_SECONDS = 0.4
+BALANCE_SECONDS = 0.25
 # Request rate assumed of a slot before anything was measured, per second.
 SLOT_RATE = 8.0
 # A server that says it is cold works at about half its speed.
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -31,12 +31,14 @@
 # Time after which the local server has read an answer: a request that comes
 # sooner would find that it does not hold the key yet.
 GRANT_DELAY_SECONDS = 0.004
-REPORT_SECONDS = 0.4
+REPORT_SECONDS = 0.25
+# Reports of all hosts together, a second: what a leader takes with ease.
+REPORTS_PER_SECOND = 150
 REPORTED_KEYS = 400
 PROBE_SECONDS = 0.5
 # Connections of callers beyond which idle ones are ended, longest idle first;
 # each costs about 8 KB and a descriptor, of which a host has some thousands.
-MOST_CALLERS = 700
+MOST_CALLERS = 500
 # A stop: callers go elsewhere after two failed checks, a second apart. Where
 # they do not, because too few others are left, requests are refused in time
 # for those that run to end.
@@ -265,7 +267,8 @@
 
     async def _report(self):
         while True:
-            await asyncio.sleep(REPORT_SECONDS)
+            hosts = len(self._books.table.instances)
+            await asyncio.sleep(max(REPORT_SECONDS, hosts / REPORTS_PER_SECOND))
             counts = self._guard.take_key_counts()
             local = [
                 i
--- a/guavastream/relay/admission.py
+++ b/guavastream/relay/admission.py
@@ -26,8 +26,17 @@
 # Of a request's usual time at least this must be left before its deadline
 # when its turn comes, or its work would be cut off.
 LEAST_LEFT = 0.7
-# Shortest advice to come back, seconds.
+# Advice to come back, seconds: soon, since one that comes back in time goes
+# before new requests, and a later one is late whatever happens.
 SHORTEST_RETRY = 0.05
+LONGEST_RETRY = 0.15
+# Bounds and weight of the factor between expected and real waits. Requests
+# that come later but are wanted sooner overtake, which no count of those
+# ahead foresees.
+LEAST_FACTOR = 0.7
+MOST_FACTOR = 6.0
+FACTOR_WEIGHT = 0.1
+GRAIN_SECONDS = 0.005
 # Answers are given this long before a deadline, so that they arrive.
 LAST_SECONDS = 0.03
 
@@ -59,6 +68,7 @@
         self._waiting = 0
         self._seconds = {}
         self._mean = 0.0
+        self._factors = {}
         self.slots = slots
 
     @property
@@ -80,7 +90,7 @@
         """Return the smoothed time of requests of a kind, seconds."""
         return self._seconds.get(kind) or self._mean or USUAL_SECONDS
 
-    def wait_for(self, rank, wanted_by):
+    def wait_for(self, rank, kind, wanted_by):
         """Return the expected wait of a new request, seconds."""
         if self._running < self.slots and not self._waiting:
             return 0.0
@@ -89,9 +99,10 @@
             for item in self._queue
             if (item[0], item[1]) <= (rank, wanted_by) and not item[3].done()
         )
-        return (ahead + self._running_seconds / max(1, self._running)) / self.slots
+        running = self._running_seconds / max(1, self._running)
+        return self._factors.get(kind, 1.0) * (ahead + running) / self.slots
 
-    async def enter(self, *, rank, kind, wanted_by, deadline):
+    async def enter(self, *, rank, kind, wanted_by, useful_by, deadline):
         """Wait for a slot; return what `leave` needs.
 
         Parameters
@@ -100,8 +111,10 @@
             The lowest is the most urgent.
         kind : str
             Requests of one kind take about the same time.
-        wanted_by, deadline : float
-            The clock's times by which an answer is worth all and nothing.
+        wanted_by : float
+            The clock's time that decides who goes first within a rank.
+        useful_by, deadline : float
+            By when an answer has its worth, and by when it has none at all.
 
         Raises
         ------
@@ -110,18 +123,28 @@
         """
         now = self._clock()
         usual = self.usual(kind)
-        wait = self.wait_for(rank, wanted_by)
+        wait = self.wait_for(rank, kind, wanted_by)
         if wait:
-            spare = wanted_by - now - usual * MARGIN
+            spare = useful_by - now - usual * MARGIN
             allowed = spare if spare >= 0 else usual * LATE_WAIT
             if wait > allowed or now + wait + usual > deadline:
-                raise NotRun("overloaded", retry_after=max(SHORTEST_RETRY, wait))
-            await self._wait(rank, wanted_by, usual, now, deadline)
+                again = min(max(SHORTEST_RETRY, wait / 2), LONGEST_RETRY)
+                raise NotRun("overloaded", retry_after=again)
+            try:
+                await self._wait(rank, wanted_by, usual, now, deadline)
+            finally:
+                self._note_wait(kind, wait, self._clock() - now)
         else:
             self._running += 1
         self._running_seconds += usual
         return usual
 
+    def _note_wait(self, kind, expected, real):
+        before = self._factors.get(kind, 1.0)
+        ratio = before * (real + GRAIN_SECONDS) / (expected + GRAIN_SECONDS)
+        factor = before + FACTOR_WEIGHT * (ratio - before)
+        self._factors[kind] = min(MOST_FACTOR, max(LEAST_FACTOR, factor))
+
     async def _wait(self, rank, wanted_by, usual, now, deadline):
         future = asyncio.get_running_loop().create_future()
         number = next(self._numbers)
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -50,6 +50,7 @@
     rank: int
     kind: str
     wanted_by: float
+    useful_by: float
     deadline: float
 
 
@@ -190,6 +191,7 @@
             rank=attempt.rank,
             kind=attempt.kind,
             wanted_by=attempt.wanted_by,
+            useful_by=attempt.useful_by,
             deadline=attempt.deadline,
         )
         began = self._clock()
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -29,8 +29,6 @@
 # caller that is told early can come back.
 OWNER_PATIENCE = 0.8
 POLL_SECONDS = 0.03
-# Calls of a server go before all requests that are just begun.
-CALL_RANK = -1
 # The longest deadline that callers of a route gave fades, request by request,
 # in case one of them gave an unusual one.
 LONGEST_FADING = 0.9999
@@ -64,6 +62,7 @@
     rank: int
     started: float
     wanted_by: float
+    useful_by: float
     deadline: float
     failed: list = field(default_factory=list)
     # Places to which it went and that did not say that it has not run.
@@ -229,11 +228,12 @@
             headers=fields,
             body=body,
             stream=stream,
-            # Work that is done already waits for a call: refusing it would
-            # waste more than refusing new work.
-            rank=CALL_RANK if is_call else route.priority,
+            rank=route.priority,
             started=started,
             wanted_by=wanted_by,
+            # Work that is done already waits for a call: while it can still
+            # be of use, refusing it wastes more than refusing new work.
+            useful_by=deadline - HOP_SECONDS if is_call else wanted_by,
             deadline=deadline,
         )
 
@@ -374,6 +374,7 @@
             rank=job.rank,
             kind=job.route.name,
             wanted_by=job.wanted_by,
+            useful_by=job.useful_by,
             deadline=job.deadline,
         )
         async with self._guard.serve(attempt) as answer:
@@ -416,6 +417,7 @@
         left = job.deadline - HOP_SECONDS - self._clock()
         left = max(1, int(left * 1000))
         wanted = int((job.wanted_by - self._clock()) * 1000)
+        useful = int((job.useful_by - self._clock()) * 1000)
         fields = [
             (OWN + b"service", job.service.encode()),
             (OWN + b"instance", server.id.encode()),
@@ -423,6 +425,7 @@
             (OWN + b"route", job.route.name.encode()),
             (OWN + b"left-ms", b"%d" % left),
             (OWN + b"wanted-ms", b"%d" % wanted),
+            (OWN + b"useful-ms", b"%d" % useful),
             (OWN + b"safe", b"%d" % job.safe),
         ]
         if job.keyed:
@@ -546,6 +549,7 @@
             rank=int(said(b"rank")),
             kind=said(b"route").decode(),
             wanted_by=now + int(said(b"wanted-ms")) / 1000,
+            useful_by=now + int(said(b"useful-ms")) / 1000,
             deadline=now + int(said(b"left-ms")) / 1000,
         )
 
