A key that leaves its owner is followed at once; whole heads are measured

Change: the guard looks at the book every 20 ms while it waits; the head's size is checked when it is whole.

--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -24,7 +24,6 @@
 BACKLOG = 1024
 # Requests that a caller may send ahead on one connection before reading stops.
 MAX_AHEAD = 4
-MAX_TARGET_BYTES = 8192
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -222,7 +221,8 @@
         length = int(lengths[0]) if lengths and lengths[0].isdigit() else 0
         if length > self._server.limits.body_bytes:
             self._refuse(413)
-        if len(self._target) > MAX_TARGET_BYTES:
+        size = len(self._target) + sum(len(k) + len(v) + 4 for k, v in headers)
+        if size > self._server.limits.head_bytes:
             self._refuse(431)
         body = BodyStream(pause=self._pause, resume=self._resume)
         self._current = Request(
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -22,6 +22,8 @@
 GRANT_SECONDS = 1.2
 # Answers are given this long before a deadline, so that they arrive.
 LAST_SECONDS = 0.03
+POLL_SECONDS = 0.02
+SHORTEST_POLL = 0.001
 MISDIRECTED = 421
 
 log = part_logger("guard")
@@ -232,8 +234,12 @@
             left = until - self._clock()
             if left <= 0:
                 raise NotRun("moving")
+            # Either the server is told of the key, or the book says that it
+            # goes to another one; the second has no event of its own here.
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(held.changed.wait(), left)
+                await asyncio.wait_for(
+                    held.changed.wait(), max(SHORTEST_POLL, min(POLL_SECONDS, left))
+                )
 
     @contextlib.asynccontextmanager
     async def _send(self, instance, attempt):
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -29,6 +29,7 @@
 # caller that is told early can come back.
 OWNER_PATIENCE = 0.8
 POLL_SECONDS = 0.03
+SHORTEST_POLL = 0.001
 # The longest deadline that callers of a route gave fades, request by request,
 # in case one of them gave an unusual one.
 LONGEST_FADING = 0.9999
@@ -322,8 +323,7 @@
 
     async def _wait_for_book(self, index, until):
         left = min(POLL_SECONDS, until - self._clock())
-        if left > 0:
-            await self._books.wait(index + 1, left)
+        await self._books.wait(index + 1, max(SHORTEST_POLL, left))
 
     def _choose(self, book, job, tried):
         """Return the server to try next."""
