--- a/guavastream/relay/admission.py
+++ b/guavastream/relay/admission.py
@@ -42,6 +42,8 @@
 MOST_FACTOR = 6.0
 FACTOR_WEIGHT = 0.1
 GRAIN_SECONDS = 0.005
+# Answers are given this long before a deadline, so that they arrive.
+LAST_SECONDS = 0.03
 
 
 class Gate:
