--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from dataclasses import replace
 
 from guavastream.exception import GuavastreamError
 from guavastream.fleet import BookCodec, Depart, LoadReport
@@ -28,6 +29,10 @@
 # A heartbeat counts only if it is answered within a second.
 BEAT_SECONDS = 0.85
 BEAT_ATTEMPT_SECONDS = 0.75
+# A leader that answered within this time is waited for; else each control
+# host gets only a short while.
+TRUSTED_SECONDS = 2.5
+DOUBTED_ATTEMPT_SECONDS = 0.2
 # Time after which the local server has read an answer: a request that comes
 # sooner would find that it does not hold the key yet.
 GRANT_DELAY_SECONDS = 0.004
@@ -114,6 +119,7 @@
         )
         self._prober = Client()
         self._last_seq = {}
+        self._answered_at = float("-inf")
         self._tasks = Tasks()
 
     @property
@@ -214,9 +220,19 @@
             return None
         if beat.leaving:
             self._guard.note_left(beat.id)
-        answer = await self._control.call(
-            beat, timeout=BEAT_SECONDS, attempt=BEAT_ATTEMPT_SECONDS
-        )
+        attempt = BEAT_ATTEMPT_SECONDS
+        if arrived - self._answered_at > TRUSTED_SECONDS:
+            # Who leads is in doubt: an answer that may be held back could not
+            # be told from none, and there is time to ask several.
+            beat, attempt = replace(beat, wait=0.0), DOUBTED_ATTEMPT_SECONDS
+        try:
+            answer = await self._control.call(
+                beat, timeout=BEAT_SECONDS, attempt=attempt
+            )
+        except GuavastreamError:
+            self._answered_at = float("-inf")
+            raise
+        self._answered_at = self._loop.time()
         if answer.rows is not None:
             until = arrived + answer.hold
             self._guard.note_dropped(beat.id, answer.rows)
--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -213,8 +213,10 @@
         lengths = [v for k, v in headers if k.lower() == b"content-length"]
         codings = [v for k, v in headers if k.lower() == b"transfer-encoding"]
         # Two readings of where a body ends are how one request is smuggled
-        # inside another (RFC 9112, 6.3); neither reading is taken.
-        if len(lengths) > 1 or (lengths and codings):
+        # inside another (RFC 9112, 6.3), two hosts how it passes as one for
+        # another service; neither reading is taken.
+        hosts = sum(k.lower() == b"host" for k, _ in headers)
+        if len(lengths) > 1 or (lengths and codings) or hosts > 1:
             self._refuse(400)
         if codings and codings != [b"chunked"]:
             self._refuse(400)
--- a/guavastream/leases/client.py
+++ b/guavastream/leases/client.py
@@ -72,14 +72,15 @@
             remaining = deadline - loop.time()
             if remaining <= 0:
                 raise NotReady("No leading control host answered.")
+            asked = self._leader
             try:
                 return await self._transport.call(
-                    self._leader, request, timeout=min(attempt, remaining)
+                    asked, request, timeout=min(attempt, remaining)
                 )
             except NotLeader as error:
-                self._leader = error.leader or self._next()
+                self._leave(asked, error.leader)
             except CallTimeout:
-                self._leader = self._next()
+                self._leave(asked)
             except PeerFailure as error:
                 if error.code != "not_ready":
                     raise
@@ -103,6 +104,15 @@
         address = self._addresses[preferred % len(self._addresses)]
         return await self._transport.call(address, request, timeout=timeout)
 
+    def _leave(self, asked, hint=""):
+        """Ask another one than `asked` from now on.
+
+        Calls run side by side. One that waited long for a lost leader must
+        not take the others away from the new one that they have found.
+        """
+        if self._leader == asked:
+            self._leader = hint if hint and hint != asked else self._next()
+
     def _next(self):
         addresses = self._addresses
         if self._leader not in addresses:
--- /dev/null
+++ b/guavastream/leases/tests/test_client.py
@@ -0,0 +1,52 @@
+"""Finding the leader, with calls side by side."""
+
+import asyncio
+
+from guavastream.exception import CallTimeout, NotLeader
+from guavastream.leases import ControlClient
+from guavastream.messages import Transport
+from guavastream.standins import run_paused
+
+
+class Hosts(Transport):
+    """One lost leader, one that leads, one that knows who does."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def call(self, address, request, *, timeout):
+        self.asked.append(address)
+        if address == "lost":
+            await asyncio.sleep(timeout)
+            raise CallTimeout("lost")
+        if address == "follower":
+            raise NotLeader(leader="leader")
+        return address
+
+
+def test_a_call_that_waited_long_does_not_undo_what_others_found():
+    # The leader is lost while a slow call waits for it. Quick calls find the
+    # next one; when the slow one ends, it must not lead them away again.
+    async def main():
+        hosts = Hosts()
+        client = ControlClient(
+            transport=hosts, addresses=("lost", "follower", "leader")
+        )
+        slow = asyncio.ensure_future(client.call("x", timeout=2.0, attempt=0.7))
+        assert await client.call("x", timeout=2.0, attempt=0.2) == "leader"
+        assert await slow == "leader"
+        hosts.asked.clear()
+        assert await client.call("x", timeout=2.0, attempt=0.2) == "leader"
+        assert hosts.asked == ["leader"]
+
+    run_paused(main())
+
+
+def test_a_hint_at_the_host_that_was_just_asked_is_not_followed():
+    async def main():
+        hosts = Hosts()
+        client = ControlClient(transport=hosts, addresses=("follower", "leader"))
+        client.prefer("follower")
+        assert await client.call("x", timeout=1.0) == "leader"
+
+    run_paused(main())
--- a/guavastream/placement/runs.py
+++ b/guavastream/placement/runs.py
@@ -11,12 +11,15 @@
 __all__ = ["RunPlan", "RunView", "plan_runs"]
 
 KEYS = 65536
-# Rows that a server gets when all keys are handed out for the first time.
-# Busy keys lie close together, so many small rows spread them from the start;
-# a heartbeat's answer must stay within 4 KiB, which is about 90 rows.
-FIRST_ROWS = 10
-# Rows beyond which no server gets more for the sake of balance.
-MOST_ROWS = 60
+# Rows that all servers together get when all keys are handed out for the
+# first time, and bounds for one of them. Busy keys lie close together, so
+# many small rows spread them before anything was measured.
+FIRST_ROWS_OF_ALL = 200
+LEAST_FIRST_ROWS = 4
+MOST_FIRST_ROWS = 32
+# Rows beyond which no server gets more for the sake of balance; a
+# heartbeat's answer must stay within 4 KiB, which is about 90 rows.
+MOST_ROWS = 75
 # Share of the load that is spread over all keys evenly, so that keys without
 # requests count for something and new servers get their part of them.
 EVEN_SHARE = 0.1
@@ -102,7 +105,7 @@
     ... )
     >>> plan = plan_runs(view)
     >>> len(plan.grants), sorted({row[2] for row in plan.grants})
-    (20, ['a', 'b'])
+    (64, ['a', 'b'])
     """
     if not view.capacity:
         return RunPlan()
@@ -143,7 +146,9 @@
 
 def _chunks(view, free):
     """Cut long free rows, so that keys that lie close spread over servers."""
-    size = max(1, KEYS // (len(view.capacity) * FIRST_ROWS))
+    count = len(view.capacity)
+    rows = min(MOST_FIRST_ROWS, max(LEAST_FIRST_ROWS, FIRST_ROWS_OF_ALL // count))
+    size = max(1, KEYS // (count * rows))
     for first, last in free:
         while last - first + 1 >= 2 * size:
             yield first, first + size - 1
