No uvloop and no hashlib in the processes: 8 MB less

Cause: uvloop needs ssl (5 MB), which the processes leave out, so that it was never loaded; hashlib brings libcrypto (3.3 MB) for one digest. Change: both are gone; the digest is xxh3 of 128 bits, over content that operators send.

--- a/guavastream/platform/__main__.py
+++ b/guavastream/platform/__main__.py
@@ -108,23 +108,13 @@
         return 2
     configure_stdout_logs(level="INFO", host=settings.host)
     try:
-        _run(run(settings))
+        asyncio.run(run(settings))
     except GuavastreamError as error:
         log.error("Cannot go on: %s: %s.", error.code, error)
         return 1
     return 0
 
 
-def _run(coroutine):
-    try:
-        import uvloop
-    except ImportError:
-        asyncio.run(coroutine)
-        return
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(coroutine)
-
-
 if __name__ == "__main__":
     leave_out_tls()
     sys.exit(main())
--- a/guavastream/platform/wire.py
+++ b/guavastream/platform/wire.py
@@ -1,9 +1,9 @@
 """Bodies of the platform's calls, decoded into the product's types."""
 
-import hashlib
 from typing import Any
 
 import msgspec
+import xxhash
 
 from guavastream.exception import Finding, FindingsError
 from guavastream.fleet import KEYS, Beat, ChangeRoutes
@@ -228,7 +228,7 @@
     return ChangeRoutes(
         base=built_on,
         version=number,
-        digest=hashlib.blake2b(said + data, digest_size=16).digest(),
+        digest=xxhash.xxh3_128_digest(said + data),
         whole=whole,
         routes=tuple(routes),
         services=tuple(services),
