A server that has ended makes room at once

Change: the process beside it asks four times within 0.2 s whether anybody listens, looks that no connection of its own is open and no heartbeat came, and tells the leader. Ruled out: taking one refusal for an end (a full server may refuse). Tests: an ended server is told from a full and a slow one; its keys are held again within 1.5 s of paused time.

--- a/guavastream/control/fleet.py
+++ b/guavastream/control/fleet.py
@@ -83,7 +83,7 @@
         if isinstance(request, Beat):
             return await self._granter.beat(request)
         if isinstance(request, Depart):
-            await self._granter.depart(request.id)
+            await self._granter.depart(request.id, ended=request.ended)
             return request
         if isinstance(request, LoadReport):
             self._granter.note_load(request)
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -242,10 +242,20 @@
             hold=self._timing.hold,
         )
 
-    async def depart(self, id):
-        """Take a server out that ends without a heartbeat that says so."""
+    async def depart(self, id, *, ended):
+        """Take a server out that ends without a heartbeat that says so.
+
+        One that has `ended` holds nothing any more: its keys need not wait
+        for the end of its hold.
+        """
         self.ensure_term()
         instance = self._book.instances.get(id)
+        if ended:
+            if instance is not None:
+                await self._propose(RemoveInstances(ids=(id,)))
+                self._holds.forget(id)
+                log.info("Server %s has ended.", id)
+            return
         if instance is not None and not instance.leaving:
             await self._propose(LeaveInstance(id=id))
             log.info("Server %s leaves.", id)
--- a/guavastream/control/tests/test_fleet.py
+++ b/guavastream/control/tests/test_fleet.py
@@ -9,7 +9,14 @@
 from guavastream.control.grants import Granter
 from guavastream.control.holds import HoldTiming
 from guavastream.exception import GuavastreamError
-from guavastream.fleet import Beat, BookCodec, ChangedRoutes, ChangeRoutes, ReadRoutes
+from guavastream.fleet import (
+    Beat,
+    BookCodec,
+    ChangedRoutes,
+    ChangeRoutes,
+    Depart,
+    ReadRoutes,
+)
 from guavastream.leases import ControlClient
 from guavastream.routes import Part, Repeat, Route, ServiceRules
 from guavastream.standins import FakeNetwork, run_paused
@@ -261,6 +268,19 @@
     play(tmp_path, scenario)
 
 
+def test_a_server_that_surely_ended_makes_room_at_once(tmp_path):
+    # The process beside it finds that nobody listens at its address any more.
+    async def scenario(core, fleet):
+        began = asyncio.get_running_loop().time()
+        ended = fleet.servers[0]
+        fleet.crash(ended)
+        await core.client().call(Depart(id=ended.id, ended=True), timeout=1.0)
+        await core.until(fleet.is_served)
+        assert asyncio.get_running_loop().time() - began < 1.5
+
+    play(tmp_path, scenario)
+
+
 def test_a_leaving_server_hands_its_keys_over_within_a_second(tmp_path):
     async def scenario(core, fleet):
         leaving = fleet.servers[0]
--- a/guavastream/fleet/messages.py
+++ b/guavastream/fleet/messages.py
@@ -49,9 +49,13 @@
 
 @message
 class Depart:
-    """A backend server says that it ends soon, without a heartbeat."""
+    """A backend server says that it ends soon, without a heartbeat.
+
+    With `ended` the process beside it has found that it has ended already.
+    """
 
     id: str
+    ended: bool = False
 
 
 @message
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -92,7 +92,10 @@
             books=self._books,
             door=settings.inbound,
             count=self.counters.count,
+            on_refused=self._note_refused,
         )
+        self._ending = None
+        self._beaten_at = {}
         self._ingress = Ingress(
             clock=clock,
             dialect=dialect,
@@ -213,7 +216,7 @@
         NotReady, PeerFailure
             If no leader answered in time.
         """
-        arrived = self._loop.time()
+        arrived = self._beaten_at[beat.id] = self._loop.time()
         if beat.id not in self._books.table.instances and not await self._is_here(beat):
             self.counters.count("beats_of_others")
             log.warning("A heartbeat of %s, which is not at its address.", beat.id)
@@ -258,6 +261,25 @@
         self._guard.note_left(id)
         await self._control.call(Depart(id=id), timeout=BEAT_SECONDS)
 
+    def _note_refused(self, instance):
+        if self._ending is None or self._ending.done():
+            self._ending = asyncio.ensure_future(self._confirm_end(instance))
+
+    async def _confirm_end(self, instance):
+        """Tell the leader that the local server has ended, once that is sure.
+
+        Its keys would wait for the end of its hold otherwise.
+        """
+        began = self._loop.time()
+        if not await self._guard.has_ended(instance):
+            return
+        if self._beaten_at.get(instance.id, 0.0) >= began:
+            return
+        log.warning("The local server %s has ended.", instance.id)
+        with contextlib.suppress(GuavastreamError):
+            request = Depart(id=instance.id, ended=True)
+            await self._control.call(request, timeout=BEAT_SECONDS)
+
     async def _is_here(self, beat):
         """Whether a server that nobody knows answers at its address.
 
--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -26,7 +26,17 @@
 
 
 class NotSent(Exception):
-    """No byte of the request has reached the peer."""
+    """No byte of the request has reached the peer.
+
+    Parameters
+    ----------
+    refused : bool
+        Whether the peer's host said that nobody listens there.
+    """
+
+    def __init__(self, text, *, refused=False):
+        super().__init__(text)
+        self.refused = refused
 
 
 class Answer:
@@ -337,6 +347,11 @@
         """Number of idle connections."""
         return sum(map(len, self._idle.values()))
 
+    def count_open(self, address):
+        """Return the number of idle connections that are still open."""
+        waiting = self._idle.get(address, ())
+        return sum(connection.usable for connection in waiting)
+
     async def open(self, address, *, fresh=False, idle_seconds=None):
         """Return an `Exchange` on an idle or a new connection.
 
@@ -383,7 +398,8 @@
                     lambda: _Connection(address=address), host, int(port)
                 )
         except (OSError, TimeoutError) as error:
-            raise NotSent(f"{address}: {error!r}") from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise NotSent(f"{address}: {error!r}", refused=refused) from error
         self.opened += 1
         return connection
 
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -23,6 +23,10 @@
 # Answers are given this long before a deadline, so that they arrive.
 LAST_SECONDS = 0.03
 POLL_SECONDS = 0.02
+# A server has ended if nobody listens at its address that often, spread over
+# that time.
+ENDED_TRIES = 4
+ENDED_SECONDS = 0.2
 SHORTEST_POLL = 0.001
 MISDIRECTED = 421
 
@@ -101,14 +105,19 @@
         IP:PORT where requests for the local server arrive.
     count : callable
         Counts an event by name.
+    on_refused : callable, optional
+        Told the instance at whose address nobody listens.
     """
 
-    def __init__(self, *, clock, dialect, books, door, count):
+    def __init__(
+        self, *, clock, dialect, books, door, count, on_refused=lambda instance: None
+    ):
         self._clock = clock
         self._dialect = dialect
         self._books = books
         self._door = door
         self._count = count
+        self._on_refused = on_refused
         self._client = Client()
         self._gate = Gate(clock=clock)
         self._id = ""
@@ -132,6 +141,29 @@
             seconds=gate.seconds,
         )
 
+    async def has_ended(self, instance):
+        """Whether the local server has ended, as far as its host can tell.
+
+        Notes
+        -----
+        A server that is only full, or about to leave, still has connections
+        of ours open; all of them end with its process. Nobody listens at its
+        address either, at any of some tries.
+        """
+        for _ in range(ENDED_TRIES):
+            if self._gate.running or self._client.count_open(instance.address):
+                return False
+            try:
+                exchange = await self._client.open(instance.address, fresh=True)
+            except NotSent as error:
+                if not error.refused:
+                    return False
+            else:
+                await exchange.__aexit__()
+                return False
+            await asyncio.sleep(ENDED_SECONDS / ENDED_TRIES)
+        return True
+
     def take_key_counts(self):
         """Return requests by key since the last call, and forget them."""
         keys, self._keys = self._keys, {}
@@ -266,8 +298,10 @@
             return await self._client.open(
                 instance.address, fresh=fresh, idle_seconds=idle
             )
-        except NotSent:
+        except NotSent as error:
             self._count("server_unreachable")
+            if error.refused:
+                self._on_refused(instance)
             raise NotRun("unreachable") from None
 
     async def _ask(self, exchange, instance, attempt):
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -248,6 +248,27 @@
     play(scenario)
 
 
+def test_an_ended_server_is_told_from_a_full_and_a_slow_one():
+    # Taken for ended while it lives, its keys would go to a second holder.
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        instance = mesh.book.instances[host.id]
+        assert not await host.guard.has_ended(instance)
+        host.server.seconds = 2.0
+        mesh.timeout("pay", 5.0)
+        running = asyncio.ensure_future(mesh.ask(b"/pay/x", method=b"POST"))
+        await asyncio.sleep(0.1)
+        host.server.stop_listening()
+        if host.server.ran:
+            assert not await host.guard.has_ended(instance)
+        await running
+        await host.server.stop()
+        await asyncio.sleep(0.1)
+        assert await host.guard.has_ended(instance)
+
+    play(scenario, hosts=1)
+
+
 def key(number):
     return [(DIALECT.key, b"%d" % number)]
 
--- a/guavastream/standins/dialect.py
+++ b/guavastream/standins/dialect.py
@@ -56,6 +56,10 @@
         """Begin to serve."""
         await self._server.start()
 
+    def stop_listening(self):
+        """Take no new connections; those that are open go on."""
+        self._server.stop_listening()
+
     async def stop(self):
         """End, as a crash does."""
         await self._server.stop()
