--- a/guavastream/control/tests/test_storage.py
+++ b/guavastream/control/tests/test_storage.py
@@ -144,3 +144,47 @@
         storage.save_snapshot(Snapshot(index=first + 99, term=1, data=b"s"), keep=100)
     assert storage.log_bytes < 20_000
     assert Storage(folder=str(tmp_path)).last_index == storage.last_index
+
+
+def test_a_torn_head_of_zeros_is_a_torn_tail(tmp_path):
+    # After a loss of power the file has its new length but not its bytes.
+    storage = Storage(folder=str(tmp_path))
+    storage.append(make_entries(1, 2))
+    storage.close()
+    with open(tmp_path / "log", "ab") as file:
+        file.write(bytes(500))
+    again = Storage(folder=str(tmp_path))
+    assert again.last_index == 2
+    again.append(make_entries(3, 1))
+    again.close()
+    assert Storage(folder=str(tmp_path)).last_index == 3
+
+
+class FullDisk(Storage):
+    """Refuses writes in the middle while `full`."""
+
+    full = False
+
+    def _write(self, file, data):
+        if self.full:
+            file.write(bytes(data[: len(data) // 2]))
+            raise OSError(28, "No space left on device")
+        super()._write(file, data)
+
+
+def test_a_refused_write_leaves_nothing_before_the_next(tmp_path):
+    # The half record of the refused write stood before the next one, and the
+    # next start took it for damage in the middle of the log.
+    storage = FullDisk(folder=str(tmp_path))
+    storage.append(make_entries(1, 2))
+    storage.full = True
+    with pytest.raises(OSError):
+        storage.append(make_entries(3, 5))
+    with pytest.raises(OSError):
+        storage.save_meta(term=9)
+    assert storage.last_index == 2 and storage.meta.term == 0
+    storage.full = False
+    storage.append(make_entries(3, 1))
+    storage.close()
+    again = Storage(folder=str(tmp_path))
+    assert again.last_index == 3 and again.meta.term == 0
