--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -13,7 +13,7 @@
 from guavastream.leases import ControlClient
 from guavastream.leases.messages import Watch
 from guavastream.messages.zmq_transport import ZmqTransport
-from guavastream.relay import Guard, Ingress, Picker
+from guavastream.relay import Guard, HopDoor, Ingress, Picker
 from guavastream.routes import RouteIndex
 from guavastream.state import TableHolder
 from guavastream.timeline import HybridClock
@@ -109,6 +109,7 @@
             count=self.counters.count,
             observe=self.counters.observe,
         )
+        self._hops = HopDoor(clock=clock, dialect=dialect, guard=self._guard)
         self._outbound = Server(
             address=parse_address(settings.outbound),
             handler=self._ingress.handle,
@@ -117,7 +118,7 @@
         )
         self._inbound = Server(
             address=parse_address(settings.inbound),
-            handler=self._ingress.handle_hop,
+            handler=self._hops.handle,
             limits=Limits(head_bytes=1 << 20, body_bytes=1 << 30, idle_seconds=60.0),
         )
         self._prober = Client()
@@ -349,7 +350,7 @@
                 break
         # From here on requests are told that they did not run; open
         # connections go on, so that none is cut in the middle of one.
-        self._ingress.leaving = True
+        self._ingress.leaving = self._hops.leaving = True
         self._inbound.closing = True
         self._outbound.begin_close()
         end = self._loop.time() + LAST_SECONDS
--- a/guavastream/relay/__init__.py
+++ b/guavastream/relay/__init__.py
@@ -4,6 +4,8 @@
 from guavastream.relay.budget import *
 from guavastream.relay.dialect import *
 from guavastream.relay.guard import *
+from guavastream.relay.hop import *
 from guavastream.relay.ingress import *
+from guavastream.relay.job import *
 from guavastream.relay.outcome import *
 from guavastream.relay.pick import *
--- /dev/null
+++ b/guavastream/relay/hop.py
@@ -0,0 +1,152 @@
+"""Between two hosts: a job on its way to the host beside its server."""
+
+import asyncio
+
+from guavastream.http1 import CutOff
+from guavastream.relay.dialect import OWN
+from guavastream.relay.guard import Attempt
+from guavastream.relay.job import read_body
+from guavastream.relay.outcome import VERDICTS, Lost, NotRun
+from guavastream.relay.pick import format_report, parse_report
+
+__all__ = ["HopDoor", "hop_headers", "read_failure", "read_report"]
+
+# The other host answers this much sooner than the one that asks gives up, so
+# that its word on whether the request ran is still heard.
+HOP_SECONDS = 0.02
+LENGTH = frozenset({b"content-length"})
+
+
+def hop_headers(job, server, *, now):
+    """Return the headers that tell the other host about a job."""
+    left = max(1, int((job.deadline - HOP_SECONDS - now) * 1000))
+    fields = [
+        (OWN + b"service", job.service.encode()),
+        (OWN + b"instance", server.id.encode()),
+        (OWN + b"rank", b"%d" % job.rank),
+        (OWN + b"route", job.route.name.encode()),
+        (OWN + b"left-ms", b"%d" % left),
+        (OWN + b"wanted-ms", b"%d" % int((job.wanted_by - now) * 1000)),
+        (OWN + b"safe", b"%d" % job.safe),
+    ]
+    if job.keyed:
+        fields.append((OWN + b"key", b"%d" % job.key))
+    return fields
+
+
+def read_report(answer):
+    """Return what an answer tells of the other host's server, or None."""
+    return parse_report(answer.headers.get(OWN + b"report"))
+
+
+def read_failure(answer):
+    """Return `NotRun` or `Lost` as the other host tells, or None."""
+    code = answer.headers.get(OWN + b"code").decode("latin-1")
+    if not code:
+        return None
+    verdict = VERDICTS.get(code)
+    if verdict is None or verdict.status != VERDICTS["no_server"].status:
+        return Lost(code if verdict else "answer_lost")
+    ms = answer.headers.get(OWN + b"retry-ms")
+    return NotRun(code, retry_after=int(ms) / 1000 if ms.isdigit() else 0.0)
+
+
+class HopDoor:
+    """Answers the requests that other hosts send for the local server.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic time in seconds.
+    dialect : Dialect
+        Header names.
+    guard : Guard
+        The way to the local server.
+    """
+
+    def __init__(self, *, clock, dialect, guard):
+        self._clock = clock
+        self._dialect = dialect
+        self._guard = guard
+        # Set in the last moments of a stop: whoever still asks for the local
+        # server is told that nothing ran.
+        self.leaving = False
+
+    async def handle(self, request, responder):
+        """Answer a request that another host sent for the local server."""
+        try:
+            attempt = await self._read(request)
+        except (ValueError, CutOff):
+            await responder.send(400)
+            return
+        try:
+            if self.leaving:
+                raise NotRun("unreachable")
+            async with asyncio.timeout_at(attempt.deadline):
+                async with self._guard.serve(attempt) as answer:
+                    await self._pass_back(answer, responder)
+        except NotRun as refused:
+            await self._tell(responder, refused.code, refused.retry_after)
+        except Lost as lost:
+            await self._tell(responder, lost.code)
+        except TimeoutError:
+            await self._tell(responder, "no_answer")
+
+    async def _read(self, request):
+        headers = request.headers
+        now = self._clock()
+
+        def said(name):
+            return headers.get(OWN + name)
+
+        body, stream = await read_body(request)
+        fields = [
+            (name, value)
+            for name, value in headers.end_to_end(LENGTH)
+            if not name.lower().startswith(OWN)
+        ]
+        return Attempt(
+            id=headers.get(self._dialect.request_id.lower()),
+            service=said(b"service").decode(),
+            instance=said(b"instance").decode(),
+            method=request.method,
+            target=request.target,
+            headers=fields,
+            body=body,
+            stream=stream,
+            key=int(said(b"key")) if said(b"key") else None,
+            safe=said(b"safe") == b"1",
+            rank=int(said(b"rank")),
+            kind=said(b"route").decode(),
+            wanted_by=now + int(said(b"wanted-ms")) / 1000,
+            deadline=now + int(said(b"left-ms")) / 1000,
+        )
+
+    async def _pass_back(self, answer, responder):
+        """Give the server's answer to the host that asked."""
+        headers = answer.headers.end_to_end(LENGTH)
+        headers.append((OWN + b"report", format_report(self._guard.report)))
+        first = await answer.read()
+        length = answer.headers.get(b"content-length")
+        known = int(length) if length.isdigit() else None
+        if known is not None and known == len(first):
+            await responder.send(answer.status, headers, first, reason=answer.reason)
+            return
+        await responder.start(
+            answer.status, headers, length=known, reason=answer.reason, first=b""
+        )
+        await responder.write(first)
+        while piece := await answer.read():
+            await responder.write(piece)
+        responder.finish()
+
+    async def _tell(self, responder, code, retry_after=0.0):
+        if responder.started:
+            responder.abort()
+            return
+        headers = [
+            (OWN + b"code", code.encode()),
+            (OWN + b"report", format_report(self._guard.report)),
+            (OWN + b"retry-ms", b"%d" % int(retry_after * 1000)),
+        ]
+        await responder.send(VERDICTS[code].status, headers)
--- /dev/null
+++ b/guavastream/relay/job.py
@@ -0,0 +1,203 @@
+"""A caller's request: read whole, matched to its route, with its times."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from guavastream.relay.dialect import OWN
+from guavastream.relay.outcome import NotRun
+
+__all__ = ["BadRequest", "Job", "JobReader", "read_body"]
+
+# Bodies up to this are read whole before they are sent on, so that a refused
+# request can go to another server.
+WHOLE_BODY = 512 << 10
+# Time for the last hop of an answer; a request is given up this long before
+# its caller stops waiting.
+LAST_HOP_SECONDS = 0.01
+# A caller that waits shorter by more than this has come back after a refusal.
+LEAST_USED_SECONDS = 0.025
+# The longest deadline that callers of a route gave fades, request by request,
+# in case one of them gave an unusual one.
+LONGEST_FADING = 0.9999
+NO_CONFIG_RETRY_SECONDS = 0.3
+MOST_DIGITS = 10
+HIGHEST_KEY = 65535
+LONGEST_MS = 10**9
+
+
+class BadRequest(Exception):
+    """The request cannot be served as it is; ends with `status`."""
+
+    def __init__(self, status):
+        super().__init__(status)
+        self.status = status
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Job:
+    """A caller's request, read and classified; times are the clock's.
+
+    `headers` travel on, `body` is whole unless `stream` brings the rest.
+    `sent` are the servers to which it went and that did not say that it has
+    not run, `failed` the statuses of those that failed it.
+    """
+
+    id: bytes
+    route: object
+    service: str
+    keyed: bool
+    key: int | None
+    method: bytes
+    target: bytes
+    headers: list
+    body: bytes
+    stream: object
+    rank: int
+    started: float
+    wanted_by: float
+    deadline: float
+    failed: list = field(default_factory=list)
+    sent: list = field(default_factory=list)
+
+    @property
+    def safe(self):
+        """Whether it may run more than once."""
+        return self.route.idempotent
+
+    @property
+    def replayable(self):
+        """Whether its body can be sent again."""
+        return self.stream is None
+
+
+async def read_body(request):
+    """Return the body of a request, and the stream of its rest, or None."""
+    if not request.length:
+        return b"", None
+    body, whole = await request.body.read_up_to(WHOLE_BODY)
+    return body, None if whole else request.body
+
+
+class JobReader:
+    """Turns requests into jobs.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Header names.
+    routes : callable
+        Gives the `RouteIndex` in force, or None before there is one.
+    service : str
+        Service of this host, told to servers as the caller's.
+    local : frozenset of str
+        IP numbers of this host; only its server calls from there.
+    """
+
+    def __init__(self, *, dialect, routes, service, local):
+        self._dialect = dialect
+        self._routes = routes
+        self._service = service.encode()
+        self._local = local
+        self._longest = {}
+        self._rng = random.Random()
+        names = dialect
+        self._own = frozenset(
+            name.lower() for name in (names.caller, names.deadline_ms, names.expected)
+        ) | {b"content-length"}
+
+    async def read(self, request, *, started, peer):
+        """Return the `Job` of a request that `peer` sent at `started`.
+
+        Raises
+        ------
+        NotRun
+            If there is no configuration yet.
+        BadRequest
+            If it has no route, or a header that is no number.
+        CutOff, TimeoutError
+            If its body ends early or does not come.
+        """
+        index = self._routes()
+        if index is None:
+            raise NotRun("no_config", retry_after=NO_CONFIG_RETRY_SECONDS)
+        names = self._dialect
+        headers = request.headers
+        route = index.find(headers.get(b"host"), request.path)
+        if route is None:
+            raise BadRequest(404)
+        service = self._choose_part(route)
+        rules = index.config.services.get(service)
+        keyed = rules is not None and rules.keyed
+        key = _number(headers.get(names.key.lower()), HIGHEST_KEY) if keyed else None
+        timeout = route.timeout
+        left = _number(headers.get(names.deadline_ms.lower()), LONGEST_MS)
+        if left is not None:
+            timeout = min(timeout, left / 1000)
+        deadline = started + timeout - LAST_HOP_SECONDS
+        is_call = peer in self._local
+        used = 0.0 if is_call else self._time_used(route, left)
+        wanted_by = min(started - used + route.target, deadline)
+        if is_call:
+            # Work that is done already waits for a call. Refusing it wastes
+            # that, so that it may wait beyond its target; at its deadline
+            # the work would be lost as well.
+            wanted_by = (wanted_by + deadline) / 2
+        async with asyncio.timeout(index.config.limits.idle_seconds):
+            body, stream = await read_body(request)
+        fields = [
+            (name, value)
+            for name, value in headers.end_to_end(self._own)
+            if not name.lower().startswith(OWN)
+        ]
+        fields.append((names.caller, self._service))
+        return Job(
+            id=headers.get(names.request_id.lower()),
+            route=route,
+            service=service,
+            keyed=keyed and key is not None,
+            key=key,
+            method=request.method,
+            target=request.target,
+            headers=fields,
+            body=body,
+            stream=stream,
+            rank=route.priority,
+            started=started,
+            wanted_by=wanted_by,
+            deadline=deadline,
+        )
+
+    def _time_used(self, route, left):
+        """Return how long the caller has been trying already, seconds.
+
+        Callers of one route wait equally long, so that one who waits less
+        than the others has come back after a refusal.
+        """
+        if left is None:
+            return 0.0
+        longest = max(left, self._longest.get(route.name, 0.0) * LONGEST_FADING)
+        self._longest[route.name] = longest
+        used = (longest - left) / 1000
+        return used if used > LEAST_USED_SECONDS else 0.0
+
+    def _choose_part(self, route):
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        weights = [part.weight for part in route.parts]
+        return self._rng.choices(route.parts, weights)[0].service
+
+
+def _number(value, most):
+    """Return a header's number, or None where there is none.
+
+    Raises
+    ------
+    BadRequest
+        If it is not a number up to `most`.
+    """
+    if not value:
+        return None
+    if not value.isdigit() or len(value) > MOST_DIGITS or int(value) > most:
+        raise BadRequest(400)
+    return int(value)
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -7,7 +7,7 @@
 
 from guavastream.fleet import Book, BookCodec, GrantKeys, JoinInstance
 from guavastream.http1 import Client, Limits, Server
-from guavastream.relay import Dialect, Guard, Ingress, Picker
+from guavastream.relay import Dialect, Guard, HopDoor, Ingress, Picker
 from guavastream.routes import (
     Part,
     Repeat,
@@ -79,7 +79,8 @@
             handler=self.ingress.handle,
             limits=Limits(head_bytes=2000, body_bytes=4 << 20, head_seconds=1.0),
         )
-        self.back = Server(address=(self.ip, 2), handler=self.ingress.handle_hop)
+        hops = HopDoor(clock=loop.time, dialect=DIALECT, guard=self.guard)
+        self.back = Server(address=(self.ip, 2), handler=hops.handle)
 
     def _count(self, name):
         self.counts[name] = self.counts.get(name, 0) + 1
