--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -5,12 +5,12 @@
 
 import httptools
 
+from guavastream.http1.flow import FlowProtocol
 from guavastream.http1.message import (
     BodyStream,
     CutOff,
     Headers,
     format_head,
-    tune_socket,
 )
 
 __all__ = ["Answer", "Client", "Exchange", "NotSent"]
@@ -53,18 +53,14 @@
         self.framed = framed
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(FlowProtocol):
     """A connection to a peer; also the callbacks of its parser."""
 
     def __init__(self, *, address):
-        self._address = address
-        self._loop = asyncio.get_running_loop()
+        super().__init__()
+        self.address = address
         self._parser = httptools.HttpResponseParser(self)
         self._answers = deque()
-        self._arrived = asyncio.Event()
-        self._writable = asyncio.Event()
-        self._writable.set()
-        self._transport = None
         self._current = None
         self._error = None
         self._reason = b""
@@ -86,15 +82,11 @@
         """Whether any byte of an answer arrived in this use."""
         return self._heard_bytes
 
-    def connection_made(self, transport):
-        self._transport = transport
-        tune_socket(transport)
-
     def data_received(self, data):
         if not self.in_use:
             # Bytes that nobody asked for belong to no request.
             self.clean = False
-            self.close()
+            self.abort()
             return
         self._heard_bytes = True
         try:
@@ -113,14 +105,8 @@
         return False
 
     def connection_lost(self, error):
+        super().connection_lost(error)
         self._fail(CutOff(f"lost: {error}"))
-        self._writable.set()
-
-    def pause_writing(self):
-        self._writable.clear()
-
-    def resume_writing(self):
-        self._writable.set()
 
     def on_message_begin(self):
         self._reason = b""
@@ -173,16 +159,6 @@
             if name.lower() == b"timeout" and value.isdigit():
                 self.idle_seconds = float(value)
 
-    def write(self, data):
-        """Queue bytes to the peer."""
-        if not self._transport.is_closing():
-            self._transport.write(data)
-
-    async def drain(self):
-        """Wait while the peer does not read."""
-        if not self._writable.is_set():
-            await self._writable.wait()
-
     def begin(self):
         """Start a use of the connection."""
         self.in_use = True
@@ -211,11 +187,6 @@
             self.clean = False
         self.idle_since = self._loop.time()
 
-    def close(self):
-        """End the connection."""
-        if self._transport is not None:
-            self._transport.abort()
-
     def _fail(self, error):
         if self._error is None:
             self._error = error
@@ -224,14 +195,6 @@
             self._current.body.fail(self._error)
         self._arrived.set()
 
-    def _pause(self):
-        if not self._transport.is_closing():
-            self._transport.pause_reading()
-
-    def _resume(self):
-        if not self._transport.is_closing():
-            self._transport.resume_reading()
-
 
 class Exchange:
     """One request on a connection, from its head to the end of its answer.
@@ -386,7 +349,7 @@
                 allowed = min(allowed, idle_seconds)
             if connection.usable and now - connection.idle_since < allowed:
                 return connection
-            connection.close()
+            connection.abort()
         return None
 
     async def _connect(self, address):
@@ -406,14 +369,14 @@
     def give_back(self, connection):
         """Keep a connection that is clean, and end any other."""
         if not connection.usable:
-            connection.close()
+            connection.abort()
             return
-        self._idle.setdefault(connection._address, []).append(connection)
+        self._idle.setdefault(connection.address, []).append(connection)
 
     def forget(self, address):
         """End the idle connections to an address."""
         for connection in self._idle.pop(address, ()):
-            connection.close()
+            connection.abort()
 
     def close(self):
         """End all idle connections."""
--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -7,13 +7,13 @@
 
 import httptools
 
+from guavastream.http1.flow import FlowProtocol
 from guavastream.http1.message import (
     REASONS,
     BodyStream,
     CutOff,
     Headers,
     format_head,
-    tune_socket,
 )
 from guavastream.kernel import part_logger
 
@@ -126,18 +126,14 @@
         self._connection.abort()
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(FlowProtocol):
     """One caller's connection; also the callbacks of its parser."""
 
     def __init__(self, *, server):
+        super().__init__()
         self._server = server
-        self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._requests = deque()
-        self._arrived = asyncio.Event()
-        self._writable = asyncio.Event()
-        self._writable.set()
-        self._transport = None
         self._task = None
         self._refusal = 0
         self._current = None
@@ -153,10 +149,9 @@
     # What the loop calls
 
     def connection_made(self, transport):
-        self._transport = transport
+        super().connection_made(transport)
         name = transport.get_extra_info("peername")
         self.peer = name[0] if name else ""
-        tune_socket(transport)
         self._server.opened(self)
         self._task = self._loop.create_task(self._run())
 
@@ -180,18 +175,12 @@
         return False
 
     def connection_lost(self, error):
+        super().connection_lost(error)
         self._fail_bodies()
-        self._writable.set()
         self._server.closed(self)
         if self._task is not None:
             self._task.cancel()
 
-    def pause_writing(self):
-        self._writable.clear()
-
-    def resume_writing(self):
-        self._writable.set()
-
     # What the parser calls
 
     def on_message_begin(self):
@@ -338,21 +327,6 @@
             or not request.body.ended
         )
 
-    def write(self, data):
-        """Queue bytes to the caller."""
-        if not self._transport.is_closing():
-            self._transport.write(data)
-
-    async def drain(self):
-        """Wait while the caller does not read."""
-        if not self._writable.is_set():
-            await self._writable.wait()
-
-    def abort(self):
-        """Reset the connection."""
-        if self._transport is not None:
-            self._transport.abort()
-
     @property
     def idle(self):
         """Whether nothing of a request has come that is not answered."""
@@ -381,14 +355,6 @@
         for request in self._requests:
             request.body.fail(error)
 
-    def _pause(self):
-        if not self._transport.is_closing():
-            self._transport.pause_reading()
-
-    def _resume(self):
-        if not self._transport.is_closing():
-            self._transport.resume_reading()
-
 
 class Server:
     """Listens at one address and hands each request to a coroutine.
