--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -19,8 +19,8 @@
 # cut can still be told as a failure, or be tried again.
 WHOLE_ANSWER = 256 << 10
 # Longest wait for a key without an owner, as a share of the time left: a
-# caller that is told early can come back.
-OWNER_PATIENCE = 0.8
+# caller that is told by then has time enough to come back and be served.
+OWNER_PATIENCE = 0.5
 POLL_SECONDS = 0.03
 SHORTEST_POLL = 0.001
 SHORTEST_RETRY = 0.05
