--- a/guavastream/platform/wire.py
+++ b/guavastream/platform/wire.py
@@ -27,7 +27,6 @@
     expected=b"Expected-Instance",
     seal=b"Response-Seal",
     not_run=b"Not-Executed",
-    load=b"Server-Load",
     instance=b"Instance-Id",
 )
 
--- a/guavastream/relay/dialect.py
+++ b/guavastream/relay/dialect.py
@@ -28,8 +28,6 @@
         A server's mark on its answer; without it a success is not its own.
     not_run : bytes
         Present where a server has not run a request.
-    load : bytes
-        Requests that run and wait at a server, and its slots.
     instance : bytes
         Names the life of the server that answers a health check.
     """
@@ -41,5 +39,4 @@
     expected: bytes = b"Guavastream-Expected"
     seal: bytes = b""
     not_run: bytes = b"Guavastream-Not-Run"
-    load: bytes = b"Guavastream-Load"
     instance: bytes = b"Guavastream-Instance"
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -21,8 +21,12 @@
 # Longest wait for a key without an owner, as a share of the time left: a
 # caller that is told by then has time enough to come back and be served.
 OWNER_PATIENCE = 0.5
+# A server that is gone may come back without a new book, so that waiting for
+# one is cut into pieces.
 POLL_SECONDS = 0.03
 SHORTEST_POLL = 0.001
+# Advice to come back, seconds: where another host takes over at once, and
+# where a key or a server has to be found first.
 SHORTEST_RETRY = 0.05
 USUAL_RETRY = 0.3
 SERVER_ERROR = 500
