Tests that show a hold cut short and an answer to somebody else

Change: a server that is cut off works on while its leader is lost; each answer's id is compared with what was asked.

--- a/guavastream/control/tests/test_fleet.py
+++ b/guavastream/control/tests/test_fleet.py
@@ -308,6 +308,25 @@
     play(tmp_path, scenario)
 
 
+def test_a_cut_off_server_keeps_its_keys_until_its_hold_ends(tmp_path):
+    # It works on with the keys that it holds, on a clock that runs slow, while
+    # the leader that granted them is lost. Nobody else may have them sooner,
+    # and after that they are held by others.
+    async def scenario(core, fleet):
+        for leader_lost in (False, True):
+            cut_off = fleet.servers[0]
+            core.network.isolate(f"10.9.0.{cut_off.id}:1", core.addresses)
+            if leader_lost:
+                core.kill(core.leader())
+            await core.until(lambda: not cut_off.holds(next(iter(cut_off.held), 0)))
+            await core.until(fleet.is_served)
+            core.network.heal()
+            await core.until(lambda: cut_off.until > asyncio.get_running_loop().time())
+            await core.until(lambda: bool(cut_off.held), seconds=20.0)
+
+    play(tmp_path, scenario)
+
+
 def test_one_holder_while_messages_are_lost_and_hosts_cut(tmp_path):
     async def scenario(core, fleet):
         rng = random.Random(5)
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -159,6 +159,8 @@
             exchange.send(method, path, fields, body)
             answer = await exchange.answer()
             data, _ = await answer.body.read_up_to(1 << 24)
+        if answer.status == 200:
+            assert answer.headers.get(DIALECT.request_id.lower()) == id
         return answer.status, answer.headers, data, loop.time() - began
 
     def ran(self, id=None):
