--- a/guavastream/control/tests/test_fleet.py
+++ b/guavastream/control/tests/test_fleet.py
@@ -313,8 +313,8 @@
     # the leader that granted them is lost. Nobody else may have them sooner,
     # and after that they are held by others.
     async def scenario(core, fleet):
+        cut_off = fleet.servers[0]
         for leader_lost in (False, True):
-            cut_off = fleet.servers[0]
             core.network.isolate(f"10.9.0.{cut_off.id}:1", core.addresses)
             if leader_lost:
                 core.kill(core.leader())
