Hints of a leader of before are not followed for ever

Change: a host names no leader that it has not heard for 1 s, one that steps down not itself, and whoever asks goes round all hosts in turn whatever the hints.

--- a/guavastream/control/raft.py
+++ b/guavastream/control/raft.py
@@ -172,6 +172,8 @@
                     pass
         finally:
             self._leading = False
+            if self._leader == self.voter:
+                self._leader = self._leader_address = ""
             for task in tasks.values():
                 task.cancel()
             self._heard = self._now()
--- a/guavastream/control/voter.py
+++ b/guavastream/control/voter.py
@@ -30,6 +30,8 @@
 __all__ = ["RaftTiming", "StateMachine", "Voter"]
 
 SNAPSHOT_EVERY = 2000
+# Longer than any election takes while a majority is in touch.
+HINT_SECONDS = 1.0
 # Bound on the difference of two clocks' rates, as a share.
 DRIFT = 0.02
 
@@ -197,7 +199,13 @@
 
     @property
     def leader_address(self):
-        """Peer address of the leader as far as known, or an empty string."""
+        """Peer address of the leader as far as known, or an empty string.
+
+        One that was not heard for long is no hint any more: whoever followed
+        it would not look for its successor.
+        """
+        if self.leader_age > HINT_SECONDS:
+            return ""
         return self._leader_address
 
     @property
--- a/guavastream/leases/client.py
+++ b/guavastream/leases/client.py
@@ -29,6 +29,7 @@
         self._transport = transport
         self._addresses = list(addresses)
         self._leader = self._addresses[0]
+        self._turn = 0
 
     @property
     def addresses(self):
@@ -114,7 +115,10 @@
             self._leader = hint if hint and hint != asked else self._next()
 
     def _next(self):
-        addresses = self._addresses
-        if self._leader not in addresses:
-            return addresses[0]
-        return addresses[(addresses.index(self._leader) + 1) % len(addresses)]
+        """Return the next control host in turn.
+
+        Hints do not move the turn: two hosts that are cut off with a leader
+        of before would name it and each other for ever.
+        """
+        self._turn += 1
+        return self._addresses[self._turn % len(self._addresses)]
--- a/guavastream/leases/tests/test_client.py
+++ b/guavastream/leases/tests/test_client.py
@@ -50,3 +50,26 @@
         assert await client.call("x", timeout=1.0) == "leader"
 
     run_paused(main())
+
+
+class CutOffHosts(Transport):
+    """Two hosts that are cut off still name the leader of before."""
+
+    async def call(self, address, request, *, timeout):
+        if address in ("a", "b"):
+            raise NotLeader(leader="a")
+        if address == "d":
+            return address
+        raise NotLeader(leader="")
+
+
+def test_hints_of_hosts_that_are_cut_off_do_not_go_round_for_ever():
+    # The caller reaches both sides of a cut. The leader of before has no
+    # majority any more; it and its neighbour name it again and again, and the
+    # servers' heartbeats went unanswered until all holds had run out.
+    async def main():
+        addresses = ("a", "b", "c", "d", "e")
+        client = ControlClient(transport=CutOffHosts(), addresses=addresses)
+        assert await client.call("x", timeout=0.85) == "d"
+
+    run_paused(main())
