One piece for each: rows taken out, voters' messages, keys, margins

Found by reading the change again: the leader and the placement each took a window out of rows; two services listed the voters' messages; the number of keys and a margin stood twice; a connection's uses, a request's time and a report's length were kept and never read; how long a heartbeat's answer may wait was decided in the adapter. Change: one piece for each, the wait beside the other times of heartbeats.

--- a/guavastream/control/fleet.py
+++ b/guavastream/control/fleet.py
@@ -4,12 +4,7 @@
 
 import msgspec
 
-from guavastream.control.messages import (
-    AppendEntries,
-    Hello,
-    InstallSnapshot,
-    RequestVote,
-)
+from guavastream.control.messages import VOTER_MESSAGES
 from guavastream.exception import GuavastreamError, NotLeader, NotReady, PeerFailure
 from guavastream.fleet import (
     Beat,
@@ -28,7 +23,6 @@
 
 __all__ = ["FleetService", "VoterKeeper"]
 
-VOTER_MESSAGES = (Hello, RequestVote, AppendEntries, InstallSnapshot)
 # A control host that has not heard a leader for this long does not pass on
 # what it knows as new: whoever watches it asks another one. Together with the
 # longest wait of a watch this is half of the 2 s within which a configuration
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -15,7 +15,7 @@
     encode_command,
 )
 from guavastream.kernel import part_logger
-from guavastream.placement import RunView, plan_runs
+from guavastream.placement import RunView, plan_runs, rows_without
 
 __all__ = ["Granter"]
 
@@ -166,7 +166,7 @@
                 return
 
     def _is_parked(self, id, seconds):
-        """Whether a heartbeat of a server can be answered within `seconds`."""
+        """Whether a heartbeat of a server waits here for `seconds` more."""
         return self._parked.get(id, 0.0) - self._clock() >= seconds
 
     def _activate_moves(self):
@@ -214,18 +214,8 @@
     def _staying(self, run):
         pieces = [(run.first, run.last)]
         for move in self._moves:
-            if move.source != run.owner or not move.active:
-                continue
-            kept = []
-            for first, last in pieces:
-                if last < move.first or move.last < first:
-                    kept.append((first, last))
-                    continue
-                if first < move.first:
-                    kept.append((first, move.first - 1))
-                if move.last < last:
-                    kept.append((move.last + 1, last))
-            pieces = kept
+            if move.source == run.owner and move.active:
+                pieces = rows_without(pieces, (move.first, move.last))
         return pieces
 
     def _answer(self, beat, arrived):
--- a/guavastream/control/messages.py
+++ b/guavastream/control/messages.py
@@ -10,6 +10,7 @@
     "HelloAnswer",
     "InstallSnapshot",
     "RequestVote",
+    "VOTER_MESSAGES",
     "Vote",
 ]
 
@@ -89,3 +90,7 @@
     term: int
     success: bool
     match: int
+
+
+# What voters ask each other.
+VOTER_MESSAGES = (Hello, RequestVote, AppendEntries, InstallSnapshot)
--- a/guavastream/control/service.py
+++ b/guavastream/control/service.py
@@ -2,12 +2,7 @@
 
 import msgspec
 
-from guavastream.control.messages import (
-    AppendEntries,
-    Hello,
-    InstallSnapshot,
-    RequestVote,
-)
+from guavastream.control.messages import VOTER_MESSAGES, Hello
 from guavastream.exception import NotLeader, PeerFailure
 from guavastream.leases import LeaseTiming, Renew, Renewed, Submit, Submitted
 from guavastream.leases.messages import Watch, Watched
@@ -26,7 +21,6 @@
 
 __all__ = ["AskControl", "ChangeVoters", "ControlInfo", "ControlService", "HostReport"]
 
-VOTER_MESSAGES = (Hello, RequestVote, AppendEntries, InstallSnapshot)
 SUBMITTED = (
     ApplyDeclaration,
     FinishMoves,
--- a/guavastream/fleet/messages.py
+++ b/guavastream/fleet/messages.py
@@ -68,7 +68,6 @@
 
     id: str
     service: str
-    elapsed: float
     keys: tuple[tuple[int, int], ...]
     rest: int
     latency: float
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -29,6 +29,8 @@
 # A heartbeat counts only if it is answered within a second.
 BEAT_SECONDS = 0.85
 BEAT_ATTEMPT_SECONDS = 0.75
+# Part of that for which an answer may wait for a grant that is on its way.
+BEAT_WAIT_SECONDS = 0.55
 # A leader that answered within this time is waited for; else each control
 # host gets only a short while.
 TRUSTED_SECONDS = 2.5
@@ -224,11 +226,11 @@
             return None
         if beat.leaving:
             self._guard.note_left(beat.id)
-        attempt = BEAT_ATTEMPT_SECONDS
-        if arrived - self._answered_at > TRUSTED_SECONDS:
-            # Who leads is in doubt: an answer that may be held back could not
-            # be told from none, and there is time to ask several.
-            beat, attempt = replace(beat, wait=0.0), DOUBTED_ATTEMPT_SECONDS
+        # Where it is in doubt who leads, an answer that may be held back could
+        # not be told from none, and there is time to ask several.
+        attempt = DOUBTED_ATTEMPT_SECONDS
+        if arrived - self._answered_at <= TRUSTED_SECONDS:
+            beat, attempt = replace(beat, wait=BEAT_WAIT_SECONDS), BEAT_ATTEMPT_SECONDS
         try:
             answer = await self._control.call(
                 beat, timeout=BEAT_SECONDS, attempt=attempt
@@ -321,7 +323,6 @@
             report = LoadReport(
                 id=local[-1].id,
                 service=local[-1].service,
-                elapsed=REPORT_SECONDS,
                 keys=keys,
                 rest=sum(count for _, count in busiest[REPORTED_KEYS:]),
                 latency=self._guard.report.seconds,
--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -70,7 +70,6 @@
         self.clean = True
         self.idle_since = 0.0
         self.idle_seconds = DEFAULT_IDLE_SECONDS
-        self.uses = 0
 
     @property
     def usable(self):
@@ -162,7 +161,6 @@
     def begin(self):
         """Start a use of the connection."""
         self.in_use = True
-        self.uses += 1
         self._heard_bytes = False
 
     async def next_answer(self):
--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -44,9 +44,9 @@
     `target` is the path with its query, byte for byte as it was sent.
     """
 
-    __slots__ = ("method", "target", "headers", "body", "keep_alive", "length", "at")
+    __slots__ = ("method", "target", "headers", "body", "keep_alive", "length")
 
-    def __init__(self, *, method, target, headers, body, keep_alive, length, at):
+    def __init__(self, *, method, target, headers, body, keep_alive, length):
         self.method = method
         self.target = target
         self.headers = headers
@@ -54,8 +54,6 @@
         self.keep_alive = keep_alive
         # Bytes of the body as declared, -1 if it comes in chunks.
         self.length = length
-        # The loop's time at which the head was whole.
-        self.at = at
 
     @property
     def path(self):
@@ -225,7 +223,6 @@
             body=body,
             keep_alive=self._parser.should_keep_alive(),
             length=-1 if coding else length,
-            at=self._loop.time(),
         )
         self._head_since = None
         if self._refusal:
--- a/guavastream/placement/runs.py
+++ b/guavastream/placement/runs.py
@@ -8,9 +8,10 @@
 from bisect import bisect_left, bisect_right
 from dataclasses import dataclass, field
 
-__all__ = ["RunPlan", "RunView", "plan_runs"]
+from guavastream.fleet import KEYS
+
+__all__ = ["RunPlan", "RunView", "plan_runs", "rows_without"]
 
-KEYS = 65536
 # Rows that all servers together get when all keys are handed out for the
 # first time, and bounds for one of them. Busy keys lie close together, so
 # many small rows spread them before anything was measured.
@@ -197,7 +198,7 @@
         use[idle] += moved / capacity[idle]
         rows[idle] += 1
         rows[full] += 1
-        held[full] = list(_without(held[full], window))
+        held[full] = rows_without(held[full], window)
     return moves
 
 
@@ -249,12 +250,21 @@
     return (low, last) if low > first else None
 
 
-def _without(rows, window):
+def rows_without(rows, window):
+    """Return what is left of rows (first, last) where a window is taken out.
+
+    Examples
+    --------
+    >>> rows_without([(0, 9), (20, 29)], (5, 24))
+    [(0, 4), (25, 29)]
+    """
+    left = []
     for first, last in rows:
         if window[1] < first or last < window[0]:
-            yield first, last
+            left.append((first, last))
             continue
         if first < window[0]:
-            yield first, window[0] - 1
+            left.append((first, window[0] - 1))
         if window[1] < last:
-            yield window[1] + 1, last
+            left.append((window[1] + 1, last))
+    return left
--- a/guavastream/platform/api.py
+++ b/guavastream/platform/api.py
@@ -17,8 +17,6 @@
 METRICS_PATH = b"/metrics"
 MOST_BEAT_BYTES = 1 << 20
 MOST_CONFIG_BYTES = 16 << 20
-# Time within an acknowledgement's second for which it may wait for a grant.
-BEAT_WAIT_SECONDS = 0.55
 JSON = [(b"Content-Type", b"application/json")]
 STATUS_OF_CODE = {"ok": 200, "conflict": 412, "invalid": 422}
 
@@ -91,7 +89,6 @@
             body,
             host=self._settings.host,
             door=self._settings.inbound,
-            wait=BEAT_WAIT_SECONDS,
         )
         answer = await self._host.beat(beat)
         if answer is None or answer.gone:
--- a/guavastream/platform/tests/test_wire.py
+++ b/guavastream/platform/tests/test_wire.py
@@ -125,7 +125,7 @@
 
 def beat(**changes):
     body = json.dumps(BEAT | changes).encode()
-    return decode_beat("i-1", body, host="h", door="d", wait=0.5)
+    return decode_beat("i-1", body, host="h", door="d")
 
 
 def test_a_heartbeat_is_read():
--- a/guavastream/platform/wire.py
+++ b/guavastream/platform/wire.py
@@ -122,7 +122,7 @@
         raise _bad(place, error) from error
 
 
-def decode_beat(id, data, *, host, door, wait):
+def decode_beat(id, data, *, host, door):
     """Return the `Beat` of a heartbeat's body.
 
     Raises
@@ -166,7 +166,6 @@
         seq=raw.seq,
         holds=tuple(raw.holds),
         released=tuple(raw.released),
-        wait=wait,
     )
 
 
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -6,7 +6,7 @@
 
 from guavastream.http1 import Client, CutOff, NotSent
 from guavastream.kernel import part_logger
-from guavastream.relay.admission import Gate
+from guavastream.relay.admission import LAST_SECONDS, Gate
 from guavastream.relay.outcome import Lost, NotRun
 from guavastream.relay.pick import Report
 
@@ -20,8 +20,6 @@
 LEAVING_SECONDS = 1.6
 # Longest wait for a grant that the book already shows.
 GRANT_SECONDS = 1.2
-# Answers are given this long before a deadline, so that they arrive.
-LAST_SECONDS = 0.03
 POLL_SECONDS = 0.02
 # A server has ended if nobody listens at its address that often, spread over
 # that time.
--- a/guavastream/relay/job.py
+++ b/guavastream/relay/job.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import dataclass, field
 
+from guavastream.fleet import KEYS
 from guavastream.relay.dialect import OWN
 from guavastream.relay.outcome import NotRun
 
@@ -22,7 +23,6 @@
 LONGEST_FADING = 0.9999
 NO_CONFIG_RETRY_SECONDS = 0.3
 MOST_DIGITS = 10
-HIGHEST_KEY = 65535
 LONGEST_MS = 10**9
 
 
@@ -129,7 +129,7 @@
         service = self._choose_part(route)
         rules = index.config.services.get(service)
         keyed = rules is not None and rules.keyed
-        key = _number(headers.get(names.key.lower()), HIGHEST_KEY) if keyed else None
+        key = _number(headers.get(names.key.lower()), KEYS - 1) if keyed else None
         timeout = route.timeout
         left = _number(headers.get(names.deadline_ms.lower()), LONGEST_MS)
         if left is not None:
