Servers that went silent are passed over, and refused at once where they own the key

Cause: a frozen host or a dark server fails nothing; its requests wait out their time and end as 504, and new ones follow, since nothing completes that could tell. Change: the picker takes the time since the last answer as the least expected time of a server; an owner with four requests and no answer for 0.4 s and three usual times is refused at once as not run; the gate adds its server's silence to the expected wait and reports it. Tests: a dark server behind the gate, a silent one in the picker.

--- a/guavastream/relay/admission.py
+++ b/guavastream/relay/admission.py
@@ -108,7 +108,7 @@
         self._seconds = {}
         self._mean = 0.0
         self._waits = {}
-        self._empty_at = float("-inf")
+        self._empty_at = self._heard_at = float("-inf")
         self.slots = slots
 
     @property
@@ -123,16 +123,24 @@
 
     @property
     def seconds(self):
-        """Smoothed time of all requests at the server, 0 if unknown."""
-        return self._mean
+        """Smoothed time of all requests at the server, 0 if unknown.
+
+        No less than for how long the server has answered nothing.
+        """
+        return max(self._mean, self._silence()) if self._mean else 0.0
 
     def measured(self, kind):
         """Return the smoothed time of requests of a kind, 0 if unknown."""
-        return self._seconds.get(kind, 0.0)
+        seconds = self._seconds.get(kind, 0.0)
+        return max(seconds, self._silence()) if seconds else 0.0
 
     def usual(self, kind):
         """Return the smoothed time of requests of a kind, seconds."""
-        return self.measured(kind) or self._mean or USUAL_SECONDS
+        return self._seconds.get(kind) or self._mean or USUAL_SECONDS
+
+    def _silence(self):
+        """Return for how long the server has answered nothing, seconds."""
+        return self._clock() - self._heard_at if self._running else 0.0
 
     async def enter(self, *, rank, kind, wanted_by, deadline, call=False):
         """Wait for a slot; return what `leave` needs.
@@ -156,6 +164,8 @@
         """
         usual = self.usual(kind)
         if self._running < self.slots and not self._queue:
+            if not self._running:
+                self._heard_at = self._clock()
             self._running += 1
         else:
             now = self._clock()
@@ -198,10 +208,12 @@
             If the request or one behind it would not be in time.
         """
         place = bisect_left(self._queue, waiter.order, key=_order)
-        ahead = self._running_seconds / max(1, self._running)
+        mean = ahead = self._running_seconds / max(1, self._running)
         ahead += sum(other.usual for other in self._queue[:place])
         raw = ahead / self.slots
-        wait = self._factor(kind) * raw
+        # A server that froze or went dark frees no slot, and has long been
+        # silent when that shows; as long again is the best guess.
+        wait = self._factor(kind) * raw + max(0.0, self._silence() - mean)
         spare = 0.0 if call else self._spare(waiter, now)
         fits = now + wait + spare <= waiter.in_time
         if not fits or not (call or self._keeps_promises(waiter, place, ahead, now)):
@@ -275,6 +287,7 @@
         """
         self._running_seconds = max(0.0, self._running_seconds - usual)
         if seconds is not None:
+            self._heard_at = self._clock()
             before = self._seconds.get(kind, seconds)
             self._seconds[kind] = before + SMOOTHING * (seconds - before)
             self._mean = self._mean or seconds
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -201,6 +201,9 @@
             owner = book.owner_of(job.service, job.key)
             if owner is None:
                 raise NotRun("no_owner", retry_after=USUAL_RETRY)
+            if self._picker.is_silent(owner, job.route.name):
+                # It would wait out its time and end without an answer.
+                raise NotRun("silent", retry_after=USUAL_RETRY)
             return owner
         servers = [s for s in book.servers(job.service) if not s.leaving]
         server = self._picker.choose(
--- a/guavastream/relay/pick.py
+++ b/guavastream/relay/pick.py
@@ -26,6 +26,12 @@
 # over FADE_SECONDS, so that a server that recovers is tried again.
 FAILURE_BURDEN = 0.6
 FADE_SECONDS = 2.0
+# A server has stopped to answer if that many requests of this process wait
+# there and none was answered for this long, and for that many times what one
+# takes: at 20 requests a second chance alone does that once in a day.
+SILENT_REQUESTS = 4
+SILENT_SECONDS = 0.4
+SILENT_TIMES = 3.0
 # An unreachable host is passed over for this long, growing to the longest.
 FIRST_OUT_SECONDS = 0.4
 LONGEST_OUT_SECONDS = 3.0
@@ -93,6 +99,7 @@
     at: float = float("-inf")
     sent_since: int = 0
     mine: int = 0
+    heard_at: float = float("-inf")
     burden: float = 0.0
     burden_at: float = 0.0
     out_until: float = float("-inf")
@@ -184,14 +191,41 @@
         time = seen.kinds.get(kind) or self._typical.get(kind) or mean
         time *= 1 + max(0.0, min(load, 1.0) - BUSY_LOAD)
         time += mean * max(0.0, load - 1.0)
+        time = max(time, self._silence(seen, now))
         time *= 1 + seen.burden * math.exp((seen.burden_at - now) / FADE_SECONDS)
         if server.zone != self._zone:
             time *= ZONE_FACTOR
         return time * self._rng.uniform(0.95, 1.05)
 
+    def _silence(self, seen, now):
+        """Return for how long requests have been there without any answer.
+
+        Notes
+        -----
+        A server that froze or went dark fails nothing; its requests wait out
+        their time. How long it has been silent already is the best guess at
+        how long it will stay so.
+        """
+        return now - seen.heard_at if seen.mine else 0.0
+
+    def is_silent(self, server, kind):
+        """Whether a server has stopped to answer, as far as can be told.
+
+        One request may take long; several without any answer for many times
+        their usual time do not.
+        """
+        seen = self._of(server)
+        if seen.mine < SILENT_REQUESTS:
+            return False
+        usual = seen.kinds.get(kind) or self._typical.get(kind) or USUAL_SECONDS
+        silence = self._silence(seen, self._clock())
+        return silence > max(SILENT_SECONDS, SILENT_TIMES * usual)
+
     def begin(self, server):
         """Note a request on its way to a server."""
         seen = self._of(server)
+        if not seen.mine:
+            seen.heard_at = self._clock()
         seen.mine += 1
         seen.sent_since += 1
 
@@ -208,7 +242,7 @@
             change = TYPICAL_WEIGHT * (report.of_kind - before)
             self._typical[kind] = before + change
         seen.report = report
-        seen.at = self._clock()
+        seen.at = seen.heard_at = self._clock()
         seen.sent_since = 0
 
     def note_answer(self, server, *, failed):
@@ -219,6 +253,7 @@
         seen.burden = left + FAILURE_BURDEN if failed else left * 0.8
         seen.burden_at = now
         if not failed:
+            seen.heard_at = now
             seen.out_for = 0.0
 
     def note_unreachable(self, server):
--- a/guavastream/relay/tests/test_admission.py
+++ b/guavastream/relay/tests/test_admission.py
@@ -135,3 +135,31 @@
         await gate.enter(rank=0, **times)
 
     run_paused(main())
+
+
+def test_a_server_that_went_dark_refuses_at_once_instead_of_holding():
+    # It takes what is sent and answers nothing. Its slots stay busy until
+    # their callers give up; a new caller would only wait behind them.
+    async def main():
+        loop = asyncio.get_running_loop()
+        gate = Gate(clock=loop.time, slots=2)
+
+        async def enter():
+            now = loop.time()
+            times = {"wanted_by": now + TARGET, "deadline": now + DEADLINE}
+            return await gate.enter(rank=0, kind="k", **times)
+
+        usual = await enter()
+        gate.leave(usual, kind="k", seconds=WORK)
+        await enter()
+        await enter()
+        await asyncio.sleep(3 * WORK)
+        began = loop.time()
+        try:
+            await enter()
+        except NotRun:
+            assert loop.time() == began and gate.seconds > 2 * WORK
+        else:
+            raise AssertionError("waits behind a server that is dark")
+
+    run_paused(main())
--- a/guavastream/relay/tests/test_pick.py
+++ b/guavastream/relay/tests/test_pick.py
@@ -75,3 +75,36 @@
     picker = make_picker()
     assert picker.choose(servers, {"a"}).id == "b"
     assert picker.choose(servers, {"a", "b"}) is None
+
+
+def test_a_server_that_mostly_had_short_requests_is_not_taken_for_a_fast_one():
+    # Taken together, the times of short calls and long swaps sent all calls
+    # to the server that had calls already, while the others stood by.
+    servers = [server("calls"), server("swaps")]
+    picker = make_picker()
+    for kind, seconds in (("call", 0.04), ("swap", 0.25)):
+        for one in servers:
+            mean = 0.05 if one.id == "calls" else 0.2
+            report = Report(slots=8, seconds=mean, of_kind=seconds)
+            picker.note_report(one, report, kind=kind)
+    for kind in ("call", "swap"):
+        assert 30 < shares(picker, servers, kind=kind)["calls"] < 70
+
+
+def test_a_silent_server_is_passed_over_and_known_as_silent():
+    # Its host froze: requests there fail only when their time is over.
+    time = [0.0]
+    servers = [server("frozen"), server("sound")]
+    picker = make_picker(now=lambda: time[0])
+    for one in servers:
+        picker.note_report(one, Report(slots=8, seconds=0.1, of_kind=0.1), kind="k")
+        for _ in range(4):
+            picker.begin(one)
+    time[0] = 0.6
+    picker.note_report(servers[1], Report(slots=8, seconds=0.1, of_kind=0.1), kind="k")
+    assert shares(picker, servers, kind="k") == {"sound": 100}
+    assert [picker.is_silent(one, "k") for one in servers] == [True, False]
+    for _ in range(3):
+        picker.end(servers[0])
+    # Too few are left there to judge by; one more tells whether it is back.
+    assert not picker.is_silent(servers[0], "k")
