--- a/guavastream/control/messages.py
+++ b/guavastream/control/messages.py
@@ -10,6 +10,8 @@
     "HelloAnswer",
     "InstallSnapshot",
     "RequestVote",
+    "TakeOver",
+    "TakenOver",
     "VOTER_MESSAGES",
     "Vote",
 ]
@@ -33,7 +35,11 @@
 
 @message
 class RequestVote:
-    """A candidate asks for a vote; with `pre` nothing is promised."""
+    """A candidate asks for a vote; with `pre` nothing is promised.
+
+    `handed` tells that the leader of the term before has stopped acting and
+    asked the candidate to succeed it.
+    """
 
     to: str
     term: int
@@ -41,6 +47,22 @@
     last_index: int
     last_term: int
     pre: bool
+    handed: bool = False
+
+
+@message
+class TakeOver:
+    """The leader of `term` has stopped acting; `to` should lead now."""
+
+    to: str
+    term: int
+
+
+@message
+class TakenOver:
+    """Answer to `TakeOver`."""
+
+    accepted: bool
 
 
 @message
@@ -93,4 +115,4 @@
 
 
 # What voters ask each other.
-VOTER_MESSAGES = (Hello, RequestVote, AppendEntries, InstallSnapshot)
+VOTER_MESSAGES = (Hello, RequestVote, TakeOver, AppendEntries, InstallSnapshot)
--- a/guavastream/hosts/control_host.py
+++ b/guavastream/hosts/control_host.py
@@ -23,6 +23,8 @@
 TIMING = RaftTiming(
     heartbeat=0.06, election_min=0.35, election_max=0.55, lease=0.3, call=0.28
 )
+# After a hand-over whoever still asks is told who leads now for this long.
+HINT_SECONDS = 0.2
 CHANGE_SECONDS = 1.5
 READ_SECONDS = 0.8
 
@@ -139,6 +141,11 @@
         """Wait until a part has failed, and raise its error."""
         await self._tasks.wait_failed()
 
+    async def drain(self):
+        """Let another control host lead, so that nobody waits for an election."""
+        await self._raft.hand_over()
+        await asyncio.sleep(HINT_SECONDS)
+
     async def stop(self):
         """Stop at once; the log is synced whenever anything was promised."""
         await self._tasks.stop()
