Callers that cannot be in time come back later; no time left is told as not run

Change: whoever cannot be in time any more is told to come back after 0.3 of the time left, and waits longer behind the others while the queue does not stand; under 20 ms left a request is refused as not run. Tests: hardly any time left (failed first: 504). Ruled out: less to spare (late answers).

--- a/guavastream/relay/admission.py
+++ b/guavastream/relay/admission.py
@@ -34,19 +34,24 @@
 # A request in the queue is not overtaken if that leaves it less than this of
 # its usual time to spare: it was let in on a promise.
 KEPT = 0.3
-# A request that cannot be in time any more waits no longer than this share of
-# the time it has left, and behind all that can.
-LATE_SHARE = 0.05
+# A request that cannot be in time any more waits behind all that can, and no
+# longer than this share of the time it has left: a burst passes, a queue that
+# stands does not.
+LATE_SHARE = 0.3
+LATE_SHARE_STANDING = 0.05
 # Of a request's usual time at least this must be left before its deadline
 # when its turn comes, or its work would be cut off.
 LEAST_LEFT = 0.7
 # A request whose turn comes later than it could start to be in time, by more
 # than this of its usual time, gives way to those behind it.
 GRACE = 0.3
-# Advice to come back, seconds: soon, since one that comes back in time goes
-# before new requests, and a later one is late whatever happens.
+# Advice to come back, seconds: soon where it can still be in time then, since
+# it goes before new requests. Else after this share of the time it has left:
+# callers come back only once or twice, and spend that for nothing on a load
+# that lasts a second. They wait no longer than a third, whatever is said.
 SHORTEST_RETRY = 0.05
 LONGEST_RETRY = 0.15
+LATE_RETRY_SHARE = 0.3
 # Bounds of the factor between expected and real waits, and the weight of the
 # newest wait in it. More urgent requests that come later overtake, which no
 # count of those ahead foresees. A wait is known only when it is over: with a
@@ -73,6 +78,14 @@
     usual: float
     in_time: float
     latest: float
+    deadline: float
+
+    def retry_after(self, now, soon):
+        """Return when to come back: `soon`, or later if that is late anyway."""
+        late, _, wanted_by, _ = self.order
+        if not late and now + soon + self.usual <= wanted_by:
+            return soon
+        return max(soon, LATE_RETRY_SHARE * (self.deadline - now))
 
 
 class Gate:
@@ -188,7 +201,8 @@
         if call:
             in_time = latest
         elif late:
-            in_time = min(latest, now + LATE_SHARE * (deadline - now))
+            share = LATE_SHARE_STANDING if self._stands(now) else LATE_SHARE
+            in_time = min(latest, now + share * (deadline - now))
         else:
             in_time = wanted_by - usual
         return _Waiter(
@@ -197,6 +211,7 @@
             usual=usual,
             in_time=in_time,
             latest=latest,
+            deadline=deadline,
         )
 
     def _check(self, waiter, kind, now, call):
@@ -218,7 +233,7 @@
         fits = now + wait + spare <= waiter.in_time
         if not fits or not (call or self._keeps_promises(waiter, place, ahead, now)):
             again = min(max(SHORTEST_RETRY, wait / 2), LONGEST_RETRY)
-            raise NotRun("overloaded", retry_after=again)
+            raise NotRun("overloaded", retry_after=waiter.retry_after(now, again))
         return raw
 
     def _spare(self, waiter, now):
@@ -227,9 +242,12 @@
         if late:
             return 0.0
         rest = waiter.in_time - now
-        if now - self._empty_at < STANDING_SECONDS:
-            return min(SPARED * waiter.usual, SPARED_OF_REST * rest)
-        return min(SPARED_STANDING * waiter.usual, SPARED_OF_REST_STANDING * rest)
+        if self._stands(now):
+            return min(SPARED_STANDING * waiter.usual, SPARED_OF_REST_STANDING * rest)
+        return min(SPARED * waiter.usual, SPARED_OF_REST * rest)
+
+    def _stands(self, now):
+        return now - self._empty_at >= STANDING_SECONDS
 
     def _keeps_promises(self, waiter, place, ahead, now):
         """Whether all that a request would overtake can still be in time."""
@@ -305,8 +323,8 @@
             # take the place of one that can still be in time.
             yields = self._queue and now > waiter.in_time + GRACE * waiter.usual
             if now > waiter.latest or yields:
-                refusal = NotRun("overloaded", retry_after=SHORTEST_RETRY)
-                waiter.future.set_exception(refusal)
+                again = waiter.retry_after(now, SHORTEST_RETRY)
+                waiter.future.set_exception(NotRun("overloaded", retry_after=again))
                 continue
             self._running += 1
             waiter.future.set_result(None)
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -29,6 +29,9 @@
 # where a key or a server has to be found first.
 SHORTEST_RETRY = 0.05
 USUAL_RETRY = 0.3
+# A request with less time than this could not even reach a server; sent on, it
+# would end as one that may have run.
+LEAST_SECONDS = 0.02
 SERVER_ERROR = 500
 # Failures of a server after which a request that may repeat is tried again.
 TRIED_AGAIN = (500, 502)
@@ -109,6 +112,8 @@
             if self.leaving:
                 raise NotRun("leaving", retry_after=SHORTEST_RETRY)
             job = await self._reader.read(request, started=started)
+            if job.deadline - self._clock() < LEAST_SECONDS:
+                raise NotRun("no_time")
             async with asyncio.timeout_at(job.deadline):
                 await self._serve(job, responder)
         except NotRun as refused:
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -220,6 +220,20 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("path", [b"/read/x", b"/pay/x"])
+def test_a_request_with_hardly_any_time_left_is_told_that_it_has_not_run(path):
+    # The last try of a caller whose time is up. Sent on, it would end as 504
+    # without having reached a server: a payment of unknown outcome.
+    async def scenario(mesh):
+        for at in (0, 1):
+            for deadline in (1, 12, 25):
+                status, *_ = await mesh.ask(path, at=at, deadline=deadline)
+                assert status == 503
+        assert not mesh.ran()
+
+    play(scenario)
+
+
 def test_a_lost_host_s_requests_go_elsewhere():
     async def scenario(mesh):
         await mesh.hosts[1].back.stop()
