Cancellations are not lost; a fault soak of real processes, which found it

Worse, what is left of a lost lead would have gone on sending heartbeats under the newest term. Tests: a call cancelled as its answer comes (failed first), the term of late messages.

New: guavastream soak (schedules from a seed, a ledger of promises, each proved able to fail) and the platform's emulator, which the system test shares.

--- a/guavastream/commands/registry.py
+++ b/guavastream/commands/registry.py
@@ -2,6 +2,7 @@
 
 import argparse
 import importlib
+import importlib.metadata
 
 from guavastream.kernel import Registry
 
@@ -34,6 +35,9 @@
     for module, provided in MODULES.items():
         if names is None or set(names) & set(provided):
             importlib.import_module(module)
+    for point in importlib.metadata.entry_points(group="guavastream.commands"):
+        if names is None or point.name in names:
+            point.load()
 
 
 def command(name, *, summary, example=""):
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -161,7 +161,8 @@
                 return
             event.clear()
             try:
-                await asyncio.wait_for(event.wait(), left)
+                async with asyncio.timeout(left):
+                    await event.wait()
             except TimeoutError:
                 return
 
--- a/guavastream/control/leader.py
+++ b/guavastream/control/leader.py
@@ -49,6 +49,7 @@
         self._proposals = []
         self._match = {}
         self._learners = {}
+        self._lead_term = self.term
         self._ready_index = self._storage.last_index + 1
         self._proposals.append((COMMAND, b"", None))
         self._wake.set()
@@ -60,9 +61,8 @@
             while not self._step_down.is_set():
                 self._tend_peers(tasks)
                 try:
-                    await asyncio.wait_for(
-                        self._step_down.wait(), self._timing.heartbeat
-                    )
+                    async with asyncio.timeout(self._timing.heartbeat):
+                        await self._step_down.wait()
                 except TimeoutError:
                     pass
         finally:
@@ -187,7 +187,9 @@
     def _append(self, voter, previous, entries):
         return AppendEntries(
             to=voter,
-            term=self.term,
+            # Not the newest term: what is left of a lost lead must never
+            # pass for the word of the leader after it.
+            term=self._lead_term,
             leader=self.voter,
             leader_address=self._address,
             previous=previous,
@@ -200,7 +202,7 @@
         snapshot = self._storage.snapshot
         request = InstallSnapshot(
             to=voter,
-            term=self.term,
+            term=self._lead_term,
             leader=self.voter,
             leader_address=self._address,
             index=snapshot.index,
--- a/guavastream/control/raft.py
+++ b/guavastream/control/raft.py
@@ -94,7 +94,8 @@
             timeout = self._rng.uniform(timing.election_min, timing.election_max)
             patience = max(timing.heartbeat, self._heard + timeout - self._now())
             try:
-                await asyncio.wait_for(self._asked_to_lead.wait(), patience)
+                async with asyncio.timeout(patience):
+                    await self._asked_to_lead.wait()
                 silent = True
             except TimeoutError:
                 silent = self._now() - self._heard >= timeout
--- a/guavastream/control/tests/test_disks.py
+++ b/guavastream/control/tests/test_disks.py
@@ -68,7 +68,8 @@
         for _ in range(500):
             raft = self.rafts[await self.leader()]
             try:
-                return await asyncio.wait_for(raft.propose(data), 1.0)
+                async with asyncio.timeout(1.0):
+                    return await raft.propose(data)
             except (GuavastreamError, TimeoutError):
                 await asyncio.sleep(0.02)
         raise AssertionError("nothing is committed")
--- a/guavastream/control/tests/test_raft.py
+++ b/guavastream/control/tests/test_raft.py
@@ -85,7 +85,8 @@
         while loop.time() < deadline:
             try:
                 leader = await self.leader()
-                return await asyncio.wait_for(self.rafts[leader].propose(data), 1.0)
+                async with asyncio.timeout(1.0):
+                    return await self.rafts[leader].propose(data)
             except (NotLeader, TimeoutError):
                 await asyncio.sleep(0.01)
         raise AssertionError(f"{data!r} was not acknowledged")
@@ -366,7 +367,8 @@
         data = b"%d" % number
         for address in group.leaders():
             try:
-                await asyncio.wait_for(group.rafts[address].propose(data), 0.5)
+                async with asyncio.timeout(0.5):
+                    await group.rafts[address].propose(data)
                 acknowledged.append(data)
             except (GuavastreamError, TimeoutError):
                 pass
--- a/guavastream/control/tests/test_votes.py
+++ b/guavastream/control/tests/test_votes.py
@@ -173,3 +173,20 @@
         assert caught.value.code == "wrong_voter"
 
     run_paused(scenario())
+
+
+def test_what_is_left_of_a_lost_lead_does_not_speak_for_the_next(tmp_path):
+    """A leader is followed by another; a message of its own is still to be made.
+
+    Under the newest term it would pass for the word of that term's leader,
+    and followers would drop entries that the real one has committed.
+    """
+
+    async def scenario():
+        raft = make_voter(tmp_path)
+        raft._lead_term = raft.term
+        await asyncio.sleep(SILENCE)
+        await raft.handle(ask(raft, "b", term=9))
+        assert raft.term == 9 and raft._append("c", 0, ()).term == 3
+
+    run_paused(scenario())
--- a/guavastream/control/voter.py
+++ b/guavastream/control/voter.py
@@ -129,6 +129,7 @@
         self._commit = storage.snapshot.index
         self._applied = storage.snapshot.index
         self._ready_index = 0
+        self._lead_term = 0
         self._acked = {}
         self._match = {}
         self._learners = {}
@@ -244,7 +245,8 @@
         if self._applied > index:
             return
         try:
-            await asyncio.wait_for(self._advanced.wait(), timeout)
+            async with asyncio.timeout(timeout):
+                await self._advanced.wait()
         except TimeoutError:
             pass
 
--- a/guavastream/door/role.py
+++ b/guavastream/door/role.py
@@ -58,7 +58,8 @@
             watches=True,
         )
         try:
-            await asyncio.wait_for(node.membership.ready.wait(), READY_SECONDS)
+            async with asyncio.timeout(READY_SECONDS):
+                await node.membership.ready.wait()
         except TimeoutError:
             log.warning("No control host has confirmed the table yet.")
         self._server.start()
--- a/guavastream/guard/tests/test_server.py
+++ b/guavastream/guard/tests/test_server.py
@@ -75,7 +75,8 @@
     async def run(self, until):
         task = asyncio.ensure_future(self.link.run())
         try:
-            await asyncio.wait_for(until, 10)
+            async with asyncio.timeout(10):
+                await until
         finally:
             task.cancel()
             await asyncio.to_thread(self.server.stop_serving)
--- a/guavastream/leases/membership.py
+++ b/guavastream/leases/membership.py
@@ -174,7 +174,8 @@
 
     async def _pause(self):
         try:
-            await asyncio.wait_for(self._poke.wait(), self._timing.interval)
+            async with asyncio.timeout(self._timing.interval):
+                await self._poke.wait()
         except TimeoutError:
             pass
         self._poke.clear()
--- a/guavastream/messages/tests/test_zmq.py
+++ b/guavastream/messages/tests/test_zmq.py
@@ -7,7 +7,7 @@
 import zmq.asyncio
 
 from guavastream.exception import CallTimeout, NotLeader, PeerFailure
-from guavastream.messages import message
+from guavastream.messages import encode_message, message
 from guavastream.messages.zmq_transport import ZmqServer, ZmqTransport
 from guavastream.standins import FaultProxy
 from guavastream.timeline import HybridClock
@@ -101,3 +101,24 @@
         socket.close(0)
 
     with_server(scenario)
+
+
+def test_a_call_cancelled_as_its_answer_comes_ends_as_cancelled():
+    # A process is told to stop, or a leader loses its lead, in the moment in
+    # which an answer comes. A task that forgot the cancellation lived on: the
+    # process hung until it was killed, and what was left of an old lead would
+    # have gone on sending heartbeats.
+    async def main():
+        transport = ZmqTransport(hybrid=HybridClock(), on_reconnect=lambda _: None)
+        address = "127.0.0.1:1"
+        asked = Echo(text="x")
+        call = asyncio.ensure_future(transport.call(address, asked, timeout=5))
+        while not (channel := transport._channels.get(address)) or not channel._waiting:
+            await asyncio.sleep(0)
+        next(iter(channel._waiting.values())).set_result(encode_message(asked))
+        call.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await call
+        transport.close()
+
+    asyncio.run(main())
--- a/guavastream/messages/zmq_transport.py
+++ b/guavastream/messages/zmq_transport.py
@@ -79,7 +79,8 @@
         frames = [number, self._clock.stamp(), *encode_message(request)]
         try:
             await self._socket.send_multipart(frames, flags=zmq.NOBLOCK)
-            tag, body = await asyncio.wait_for(future, timeout)
+            async with asyncio.timeout(timeout):
+                tag, body = await future
         except (TimeoutError, zmq.Again):
             self._replace_if_silent()
             raise CallTimeout(f"{self._address} did not answer") from None
--- a/guavastream/platform/__main__.py
+++ b/guavastream/platform/__main__.py
@@ -78,7 +78,8 @@
     seen = _changed_at()
     while True:
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(reload.wait(), REREAD_SECONDS)
+            async with asyncio.timeout(REREAD_SECONDS):
+                await reload.wait()
         if _changed_at() == seen and not reload.is_set():
             continue
         reload.clear()
--- a/guavastream/platform/tests/rig.py
+++ b/guavastream/platform/emulator/machine.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the platform: its machines, backend servers and operator."""
+"""Processes of the system on loopback, with settings as the platform gives them."""
 
 import asyncio
 import json
@@ -6,13 +6,19 @@
 import signal
 import socket
 import sys
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from guavastream.http1 import Client, CutOff, NotSent
-from guavastream.platform.wire import DIALECT
-from guavastream.standins import DialectServer
 
-__all__ = ["BackendServer", "Machine", "call", "make_settings", "until"]
+__all__ = [
+    "HEARTBEAT",
+    "Machine",
+    "PORTS",
+    "call",
+    "free_ports",
+    "make_settings",
+    "until",
+]
 
 HEARTBEAT = 0.3
 POLL = 0.05
@@ -42,6 +48,7 @@
 
 
 def free_ports(ip, count):
+    """Return ports of an IP number that were free just now."""
     sockets = [socket.socket() for _ in range(count)]
     for item in sockets:
         item.bind((ip, 0))
@@ -79,11 +86,15 @@
     ports: list
     folder: object
     process: object = None
+    # Whether a fault is at work on the process.
+    struck: bool = False
 
     def address(self, port):
+        """Return IP:PORT of one of `PORTS`."""
         return f"{self.ip}:{self.ports[PORTS.index(port)]}"
 
     async def start(self, seeds, **changes):
+        """Start the process; changed settings are given by their names."""
         path = self.folder / f"{self.name}.conf"
         path.write_text(make_settings(self.name, self.ip, self.ports, seeds, **changes))
         self.process = await asyncio.create_subprocess_exec(
@@ -96,72 +107,7 @@
         )
 
     async def end(self, number=signal.SIGKILL):
+        """Send a signal and wait until the process has ended."""
         if self.process.returncode is None:
             self.process.send_signal(number)
         return await self.process.wait()
-
-
-@dataclass
-class BackendServer:
-    """A backend server that sends heartbeats and keeps to its holds."""
-
-    id: str
-    control: str
-    server: DialectServer
-    service: str = "s"
-    rows: list = field(default_factory=list)
-    released: list = field(default_factory=list)
-    state: str = "ready"
-    until: float = 0.0
-    acknowledged: str = ""
-    seq: int = 0
-
-    @classmethod
-    def make(cls, *, id, control, address):
-        server = DialectServer(id=id, dialect=DIALECT, address=address)
-        made = cls(id=id, control=control, server=server)
-        server.holds = made.holds
-        return made
-
-    def holds(self, key):
-        now = asyncio.get_running_loop().time()
-        return now < self.until and any(a <= key <= b for a, b, _ in self.rows)
-
-    async def run(self):
-        """Serve and send heartbeats until cancelled."""
-        await self.server.start()
-        while True:
-            pause = await self.beat()
-            await asyncio.sleep(pause)
-
-    async def beat(self):
-        sent = asyncio.get_running_loop().time()
-        self.seq += 1
-        told, state = list(self.released), self.state
-        body = {
-            "Service": self.service,
-            "Address": self.server.address,
-            "Zone": "a",
-            "Version": "v1",
-            "Slots": 8,
-            "State": state,
-            "ColdRemaining": "0ms",
-            "Seq": self.seq,
-            "Holds": self.rows,
-            "Released": told,
-        }
-        path = b"/api/instances/" + self.id.encode()
-        status, answer = await call(self.control, b"PUT", path, body)
-        if status != 200:
-            return HEARTBEAT
-        self.released = self.released[len(told) :]
-        self.acknowledged = state
-        said = json.loads(answer)
-        if "Holds" not in said:
-            return HEARTBEAT
-        kept = [row[:3] for row in said["Holds"]]
-        gone = [row for row in self.rows if row not in kept]
-        self.rows = kept
-        self.released += [[a, b, f"t{self.seq}-{a}"] for a, b, _ in gone]
-        self.until = sent + float(said["Hold"].removesuffix("ms")) / 1000
-        return 0.1 if gone else HEARTBEAT
--- /dev/null
+++ b/guavastream/platform/emulator/world.py
@@ -0,0 +1,294 @@
+"""A whole small platform: control hosts, hosts beside servers, an operator."""
+
+import asyncio
+import contextlib
+import os
+import shutil
+import signal
+from dataclasses import dataclass
+
+from guavastream.platform.emulator.machine import (
+    PORTS,
+    Machine,
+    call,
+    free_ports,
+    until,
+)
+from guavastream.platform.emulator.server import BackendServer
+from guavastream.standins import FaultProxy
+
+__all__ = ["Place", "ROUTES", "World", "make_config", "make_route"]
+
+HOST = b"a.example"
+# What callers ask: path, method, whether it may repeat, whether it has a key.
+ROUTES = {
+    "read": ("safe", "keyed", b"GET"),
+    "pay": ("unsafe", "keyed", b"POST"),
+    "order": ("unsafe", "plain", b"POST"),
+    "load": ("upload", "plain", b"POST"),
+}
+SERVICES = ("keyed", "plain")
+# Exits again of a server that was told to leave, seconds.
+LEAVE_SECONDS = 2.2
+SLOW_SECONDS = 0.2
+
+
+def make_route(name, **changes):
+    """Return a route of the configuration, by its name in `ROUTES`."""
+    kind, service, _ = ROUTES[name]
+    return {
+        "Host": HOST.decode(),
+        "PathPrefix": f"/{name}/",
+        "Kind": kind,
+        "Timeout": "2s",
+        "TargetLatency": "500ms",
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": 2,
+    } | changes
+
+
+def make_config(version):
+    """Return the first configuration."""
+    return {
+        "Version": f"{version:08x}",
+        "Routes": {name: make_route(name) for name in ROUTES},
+        "Services": {
+            name: {
+                "HealthPath": "/health",
+                "MaxConnections": 60,
+                "Sharding": name == "keyed",
+            }
+            for name in SERVICES
+        },
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 4194304,
+            "HeaderTimeout": "3000ms",
+            "IdleTimeout": "15000ms",
+        },
+    }
+
+
+@dataclass
+class Place:
+    """A host beside a server: its process, the server's life, the path to it."""
+
+    machine: Machine
+    service: str
+    server: object = None
+    proxy: object = None
+    task: object = None
+    lives: int = 0
+
+
+class World:
+    """Three control hosts, and some hosts with a backend server each.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings, data and logs.
+    keyed, plain : int
+        Servers of each service.
+    on_start : callable
+        Told each `BackendServer` before it begins to serve.
+    """
+
+    def __init__(self, *, folder, keyed=3, plain=2, on_start=lambda server: None):
+        # Addresses of this run's own, so that runs side by side do not meet.
+        net = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}"
+        ports = free_ports(f"{net}.1", len(PORTS))
+        self.folder = folder
+        self.control = [
+            Machine(f"core-{n}", f"{net}.{n}", ports, folder) for n in (1, 2, 3)
+        ]
+        names = ["keyed"] * keyed + ["plain"] * plain
+        self.places = [
+            Place(Machine(f"side-{n}", f"{net}.{n}", ports, folder), service)
+            for n, service in enumerate(names, 11)
+        ]
+        self._on_start = on_start
+        self._seeds = [machine.address("control") for machine in self.control]
+        self._tasks = set()
+
+    # Processes
+
+    async def start(self):
+        """Start everything and send the first configuration."""
+        for machine in self.control:
+            await self.start_control(machine, first=True)
+        for place in self.places:
+            await self.start_host(place)
+            self.start_server(place)
+        await until(self._sent_first)
+        await until(self.is_ready)
+
+    async def _sent_first(self):
+        status, _ = await self.change(self.control[0], make_config(1), 0)
+        return status == 200
+
+    async def start_control(self, machine, *, first=False):
+        """Start a control host's process."""
+        await machine.start(
+            self._seeds,
+            Serves="control_plane",
+            DataDir=self.folder / machine.name,
+            Bootstrap=str(first).lower(),
+        )
+
+    async def start_host(self, place):
+        """Start the process beside a server."""
+        machine = place.machine
+        listen = {
+            f"Listen.{name}": machine.address(name.lower())
+            for name in ("Outbound", "Inbound", "Ready")
+        }
+        await machine.start(
+            self._seeds, Serves="sidecar", Service=place.service, **listen
+        )
+
+    def start_server(self, place):
+        """Begin a new life of the server at a place."""
+        place.lives += 1
+        server = BackendServer.make(
+            id=f"{place.machine.name}-{place.lives}",
+            control=place.machine.address("control"),
+            address=(place.machine.ip, 0),
+            service=place.service,
+            seconds=0.03,
+        )
+        place.server = server
+        self._on_start(server)
+        place.task = asyncio.ensure_future(self._serve(place, server))
+
+    async def _serve(self, place, server):
+        await server.server.start()
+        proxy = place.proxy = FaultProxy(target=server.server.address)
+        server.announced = proxy.address
+        try:
+            await server.send_heartbeats()
+        finally:
+            proxy.close()
+
+    async def crash_server(self, place):
+        """End a server's life as a crash does."""
+        place.task.cancel()
+        await asyncio.gather(place.task, return_exceptions=True)
+
+    async def is_ready(self):
+        """Whether all hosts are ready and all servers with keys hold some."""
+        for place in self.places:
+            address = place.machine.address("ready")
+            status, _ = await call(address, b"GET", b"/api/readiness")
+            if status != 200:
+                return False
+            if place.service == "keyed" and not place.server.rows:
+                return False
+        return True
+
+    async def stop(self):
+        """End all processes."""
+        for task in self._tasks:
+            task.cancel()
+        for place in self.places:
+            if place.task:
+                await self.crash_server(place)
+        for machine in [*self.control, *(place.machine for place in self.places)]:
+            if machine.process:
+                with contextlib.suppress(ProcessLookupError):
+                    machine.process.send_signal(signal.SIGCONT)
+                await machine.end()
+
+    # Callers and operators
+
+    async def ask(self, client, place, name, id, key, body):
+        """Send a request to a host; return status and body, 0 if none came."""
+        _, service, method = ROUTES[name]
+        headers = [(b"Host", HOST), (b"Request-Id", id), (b"Deadline-Ms", b"2000")]
+        if service == "keyed":
+            headers.append((b"Shard-Key", b"%d" % key))
+        address = place.machine.address("outbound")
+        async with await client.open(address) as exchange:
+            exchange.send(method, f"/{name}/x".encode(), headers, body)
+            answer = await exchange.answer()
+            data, _ = await answer.body.read_up_to(1 << 24)
+            return answer.status, data
+
+    async def change(self, machine, body, base, *, method=b"PUT"):
+        """Send one change; return its status, 0 if there was none."""
+        address = machine.address("control")
+        headers = [(b"If-Match", f"{base:08x}".encode())]
+        return await call(address, method, b"/api/config", body, headers)
+
+    async def read(self, machine):
+        """Return the answer to a read of the configuration."""
+        return await call(machine.address("control"), b"GET", b"/api/config")
+
+    # Faults
+
+    async def strike(self, fault):
+        """Let a fault happen and, where it ends by itself, end it."""
+        if fault.group == "server":
+            await self._strike_server(self.places[fault.target], fault)
+            return
+        if fault.group == "control":
+            machine = self.control[fault.target]
+
+            async def restart():
+                await self.start_control(machine)
+        else:
+            place = self.places[fault.target]
+            machine = place.machine
+
+            async def restart():
+                await self.start_host(place)
+
+        await self._strike_process(machine, fault, restart)
+
+    async def _strike_process(self, machine, fault, restart):
+        if machine.process.returncode is not None or machine.struck:
+            return
+        machine.struck = True
+        try:
+            if fault.kind == "freeze":
+                machine.process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(fault.seconds)
+                machine.process.send_signal(signal.SIGCONT)
+                return
+            number = signal.SIGTERM if fault.kind == "stop" else signal.SIGKILL
+            await machine.end(number)
+            if fault.kind == "wipe":
+                shutil.rmtree(self.folder / machine.name)
+            await asyncio.sleep(fault.seconds)
+            await restart()
+        finally:
+            machine.struck = False
+
+    async def _strike_server(self, place, fault):
+        server, proxy = place.server, place.proxy
+        if proxy is None or place.machine.struck:
+            return
+        if fault.kind == "cut":
+            proxy.cut_open()
+        elif fault.kind == "silence":
+            proxy.silence()
+        elif fault.kind == "slow":
+            proxy.delay = SLOW_SECONDS
+            await asyncio.sleep(fault.seconds)
+            proxy.delay = 0.0
+        elif not place.task.done() and server.state == "ready":
+            await self._end_server(place, fault, server)
+
+    async def _end_server(self, place, fault, server):
+        server.state = "ending"
+        if fault.kind == "drain":
+            server.state = "draining"
+            await asyncio.sleep(LEAVE_SECONDS + fault.seconds)
+        if fault.kind != "crash":
+            await server.leave()
+        if fault.kind == "leave":
+            await asyncio.sleep(LEAVE_SECONDS)
+        await self.crash_server(place)
+        await asyncio.sleep(fault.seconds)
+        self.start_server(place)
--- /dev/null
+++ b/guavastream/platform/soak.py
@@ -0,0 +1,243 @@
+"""`guavastream soak`: real processes, faults drawn from a seed, promises kept."""
+
+import asyncio
+import json
+import random
+import tempfile
+import time
+from pathlib import Path
+
+from guavastream.commands import command
+from guavastream.exception import GuavastreamError
+from guavastream.http1 import Client, CutOff, NotSent
+from guavastream.platform.emulator import ROUTES, World, make_route, until
+from guavastream.soak import Ledger, make_schedule
+
+__all__ = ["run_soak"]
+
+EXIT_BROKEN_PROMISE = 5
+# Load and changes, seconds between two of one caller or operator.
+CALLER_PAUSE = 0.02
+CHANGE_PAUSE = 0.5
+# A caller gives up on a request after this, seconds; its deadline is 2 s.
+PATIENCE_SECONDS = 3.0
+# Within this after the last fault all keys must be served again, seconds.
+RECOVERY_SECONDS = 30.0
+PROBED_KEYS = 16
+MOST_BODY = 20000
+
+
+class SoakFailure(GuavastreamError):
+    """The system did not come back after the last fault."""
+
+    code = "not_recovered"
+
+
+class _Soak:
+    def __init__(self, *, seed, seconds, callers, folder):
+        self.ledger = Ledger()
+        self.counts = {}
+        self._rng = random.Random(seed)
+        self._seconds = seconds
+        self._callers = callers
+        self._ids = iter(range(1, 10**9))
+        self._world = World(folder=folder, on_start=self._watch)
+        counts = {
+            "control": len(self._world.control),
+            "host": len(self._world.places),
+            "server": len(self._world.places),
+        }
+        self.schedule = make_schedule(seed=seed, seconds=seconds, counts=counts)
+        self._version = 1
+
+    async def run(self):
+        """Play the whole schedule and return the broken promises."""
+        world = self._world
+        try:
+            await world.start()
+            work = [asyncio.ensure_future(self._call()) for _ in range(self._callers)]
+            work += [asyncio.ensure_future(self._operate()) for _ in range(2)]
+            work.append(asyncio.ensure_future(self._read()))
+            await self._strike_all()
+            await self._recover()
+            for task in work:
+                task.cancel()
+            for result in await asyncio.gather(*work, return_exceptions=True):
+                if not isinstance(result, asyncio.CancelledError):
+                    raise result
+            # A request that was refused must not run later either.
+            await asyncio.sleep(PATIENCE_SECONDS)
+        finally:
+            await world.stop()
+        return self.ledger.verdict()
+
+    async def _strike_all(self):
+        loop = asyncio.get_running_loop()
+        began, strikes = loop.time(), []
+        for fault in self.schedule:
+            await asyncio.sleep(max(0.0, began + fault.at - loop.time()))
+            strikes.append(asyncio.ensure_future(self._world.strike(fault)))
+        await asyncio.gather(*strikes)
+
+    async def _recover(self):
+        async def all_served():
+            if not await self._world.is_ready():
+                return False
+            step = 65536 // PROBED_KEYS
+            for place in self._world.places:
+                for number in range(PROBED_KEYS):
+                    if await self._ask(Client(), place, "read", number * step) != 200:
+                        return False
+            return True
+
+        try:
+            await until(all_served, RECOVERY_SECONDS)
+        except TimeoutError:
+            raise SoakFailure("Not all keys are served after the faults.") from None
+
+    def _watch(self, server):
+        loop = asyncio.get_running_loop()
+        server.on_left = lambda: self.ledger.acknowledged_leave(server.id, loop.time())
+
+        def on_run(entry, key):
+            self.ledger.ran(*entry[:4], server=server.id, at=loop.time())
+            if key is None:
+                return
+            others = [
+                place.server.id
+                for place in self._world.places
+                if place.server not in (None, server)
+                and place.service == server.service
+                and place.server.holds(key)
+            ]
+            fence = server.fence_of(key)
+            self.ledger.owned(key, fence, server=server.id, others=others)
+
+        server.server.on_run = on_run
+
+    # Callers
+
+    async def _call(self):
+        # Clients keep their connections, and use them until they are gone.
+        client = Client()
+        while True:
+            place = self._rng.choice(self._world.places)
+            name = self._rng.choice(sorted(ROUTES))
+            await self._ask(client, place, name, self._rng.randrange(65536))
+            await asyncio.sleep(self._rng.expovariate(1 / CALLER_PAUSE))
+
+    async def _ask(self, client, place, name, key):
+        kind, _, method = ROUTES[name]
+        id = b"q%d" % next(self._ids)
+        size = self._rng.randrange(MOST_BODY) if method == b"POST" else 0
+        body = self._rng.randbytes(size)
+        target = f"/{name}/x".encode()
+        self.ledger.asked(id, method, target, body, repeatable=kind == "safe")
+        status = 0
+        try:
+            async with asyncio.timeout(PATIENCE_SECONDS):
+                status, data = await self._world.ask(client, place, name, id, key, body)
+            self.ledger.answered(id, status, data, b"body of " + id)
+        except (NotSent, CutOff, TimeoutError):
+            pass
+        self.counts[status] = self.counts.get(status, 0) + 1
+        return status
+
+    # Operators
+
+    async def _operate(self):
+        loop, world = asyncio.get_running_loop(), self._world
+        while True:
+            await asyncio.sleep(self._rng.expovariate(1 / CHANGE_PAUSE))
+            base, self._version = self._version, self._version + 1
+            added = make_route("read", PathPrefix=f"/extra-{self._version % 7}/")
+            body = {
+                "Version": f"{self._version:08x}",
+                "Upsert": {"Routes": {f"extra-{self._version % 7}": added}},
+            }
+            machine = self._rng.choice(world.control)
+            status, _ = await world.change(machine, body, base, method=b"PATCH")
+            if status == 200:
+                self.ledger.accepted(int(body["Version"], 16), loop.time())
+            else:
+                await self._take_newest()
+
+    async def _take_newest(self):
+        """Build on the version in force, which another operator may have sent."""
+        machine = self._rng.choice(self._world.control)
+        status, data = await self._world.read(machine)
+        if status == 200:
+            self._version = int(json.loads(data)["Version"], 16)
+
+    async def _read(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self._rng.expovariate(1 / CHANGE_PAUSE))
+            sent = loop.time()
+            status, data = await self._world.read(self._rng.choice(self._world.control))
+            if status == 200:
+                self.ledger.read(int(json.loads(data)["Version"], 16), sent)
+
+
+def run_soak(*, seed, seconds, callers=6, folder=None):
+    """Play one seed; return broken promises, counts of answers and faults.
+
+    Raises
+    ------
+    SoakFailure
+        If the system does not come back after the last fault.
+    """
+
+    async def main(folder):
+        soak = _Soak(seed=seed, seconds=seconds, callers=callers, folder=folder)
+        return await soak.run(), soak.counts, len(soak.schedule)
+
+    if folder is not None:
+        return asyncio.run(main(Path(folder)))
+    with tempfile.TemporaryDirectory() as name:
+        return asyncio.run(main(Path(name)))
+
+
+@command(
+    "soak",
+    summary="Run real processes under faults drawn from seeds; check the promises.",
+    example="guavastream soak --seeds 3 --seconds 20",
+)
+def _setup_soak(parser):
+    parser.add_argument("--seed", type=int, default=1, help="first seed (1)")
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds (1)")
+    parser.add_argument(
+        "--seconds", type=float, default=20.0, help="faults begin within this (20)"
+    )
+    parser.add_argument("--callers", type=int, default=6, help="callers (6)")
+    parser.add_argument("--folder", help="keep settings, data and logs here")
+    return _soak
+
+
+def _soak(arguments):
+    failed = []
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        began = time.monotonic()
+        folder = arguments.folder and Path(arguments.folder) / f"seed-{seed}"
+        if folder:
+            folder.mkdir(parents=True)
+        try:
+            broken, counts, faults = run_soak(
+                seed=seed,
+                seconds=arguments.seconds,
+                callers=arguments.callers,
+                folder=folder,
+            )
+        except SoakFailure as error:
+            print(f"seed {seed}: {error}")
+            failed.append(seed)
+            continue
+        took = time.monotonic() - began
+        answers = ", ".join(f"{counts[status]} x {status}" for status in sorted(counts))
+        print(f"seed {seed}: {faults} faults in {took:.0f} s; {answers}")
+        for one in broken[:10]:
+            print(f"  broken: {one.promise}: {one.detail}")
+        if broken:
+            failed.append(seed)
+    print(f"{arguments.seeds} seeds, {len(failed)} broke a promise: {failed}")
+    return EXIT_BROKEN_PROMISE if failed else 0
--- a/guavastream/platform/tests/test_system.py
+++ b/guavastream/platform/tests/test_system.py
@@ -5,7 +5,7 @@
 import os
 import signal
 
-from guavastream.platform.tests.rig import (
+from guavastream.platform.emulator import (
     PORTS,
     BackendServer,
     Machine,
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -133,6 +133,10 @@
         """Requests at the server or waiting for it."""
         return self._gate.running + self._gate.waiting
 
+    def usual(self, kind):
+        """Return the usual time of a kind of request at the server, seconds."""
+        return self._gate.usual(kind)
+
     def report(self, kind=""):
         """Return the state of the local server, as seen by a kind of request."""
         gate = self._gate
@@ -272,9 +276,8 @@
             # Either the server is told of the key, or the book says that it
             # goes to another one; the second has no event of its own here.
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    held.changed.wait(), max(SHORTEST_POLL, min(POLL_SECONDS, left))
-                )
+                async with asyncio.timeout(max(SHORTEST_POLL, min(POLL_SECONDS, left))):
+                    await held.changed.wait()
 
     @contextlib.asynccontextmanager
     async def _send(self, instance, attempt):
--- a/guavastream/standins/dialect.py
+++ b/guavastream/standins/dialect.py
@@ -29,6 +29,8 @@
         Id, method, target, body and caller of each request that ran.
     cut : list of bytes
         Ids of those whose caller left while they ran.
+    on_run : callable
+        Told the entry of `ran` and the key, or None, when a request begins.
     behave : callable
         Coroutine function of request and responder that may answer in place
         of the server after the work is done; returns whether it did.
@@ -43,6 +45,7 @@
         self.cut = []
         self.sheds = False
         self.behave = None
+        self.on_run = lambda request, key: None
         self.running = 0
         self._dialect = dialect
         self._server = Server(address=address, handler=self._handle)
@@ -85,6 +88,7 @@
         self.running += 1
         caller = headers.get(names.caller.lower())
         self.ran.append((id, request.method, request.target, body, caller))
+        self.on_run(self.ran[-1], int(key) if key else None)
         try:
             await asyncio.sleep(self.seconds)
         except asyncio.CancelledError:
--- a/guavastream/standins/network.py
+++ b/guavastream/standins/network.py
@@ -90,7 +90,8 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         try:
-            answer = await asyncio.wait_for(answered, timeout)
+            async with asyncio.timeout(timeout):
+                answer = await answered
         except TimeoutError:
             raise CallTimeout(f"{target} did not answer") from None
         return raise_failure(decode_message(*answer))
--- a/guavastream/standins/proxy.py
+++ b/guavastream/standins/proxy.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 
 __all__ = ["FaultProxy"]
 
@@ -28,6 +29,8 @@
         self._limit = None
         self._left = float("inf")
         self._always = False
+        # Seconds by which each piece is held back.
+        self.delay = 0.0
         self._thread = threading.Thread(target=self._accept, daemon=True)
         self._thread.start()
 
@@ -51,6 +54,11 @@
         with self._lock:
             self._dead.update(range(len(self._pairs)))
 
+    def cut_open(self):
+        """End all open connections; new ones work."""
+        for pair in list(self._pairs):
+            _shut(pair)
+
     def silence_at_once(self):
         """Let every connection be silent from its first byte."""
         self._always = True
@@ -84,7 +92,11 @@
             except OSError:
                 return
             host, _, port = self._target.rpartition(":")
-            far = socket.create_connection((host, int(port)))
+            try:
+                far = socket.create_connection((host, int(port)))
+            except OSError:
+                near.close()
+                continue
             # Closed before a byte can come back, so that whoever tries again
             # finds it so.
             self._left -= 1
@@ -102,6 +114,8 @@
             while data := source.recv(CHUNK_BYTES):
                 if self._always or number in self._dead:
                     continue
+                if self.delay:
+                    time.sleep(self.delay)
                 if answers and self._limit is not None:
                     data = data[: self._limit - self._passed]
                     self._passed += len(data)
@@ -112,6 +126,10 @@
                 sink.sendall(data)
         # A silent connection stays open at both ends.
         if not (self._always or number in self._dead):
-            for sock in (source, sink):
-                with contextlib.suppress(OSError):
-                    sock.shutdown(socket.SHUT_RDWR)
+            _shut((source, sink))
+
+
+def _shut(pair):
+    for sock in pair:
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
--- a/guavastream/state/holder.py
+++ b/guavastream/state/holder.py
@@ -68,7 +68,8 @@
             event = asyncio.Event()
             self._events.append(event)
             try:
-                await asyncio.wait_for(event.wait(), max(0, deadline - loop.time()))
+                async with asyncio.timeout(max(0, deadline - loop.time())):
+                    await event.wait()
             except TimeoutError:
                 return False
         return True
