Large bodies come when their owner's link has room

Change: between hosts a body of 10 KB or more is announced by its head and sent when the owner's host asks (100 Continue): three at a time, in the gate's order, refused before it has come if it would be late. Tests: body sent only when asked for, three of twelve at a time, what is late does not come.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -121,6 +121,7 @@
             address=parse_address(settings.inbound),
             handler=self._hops.handle,
             limits=Limits(head_bytes=1 << 20, body_bytes=1 << 30, idle_seconds=60.0),
+            holds_bodies=True,
         )
         self._prober = Client()
         self._last_seq = {}
--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -23,6 +23,7 @@
 IDLE_SHARE = 0.75
 DEFAULT_IDLE_SECONDS = 8.0
 NO_BODY = (204, 304)
+CONTINUE = 100
 
 
 class NotSent(Exception):
@@ -66,6 +67,7 @@
         self._reason = b""
         self._headers = Headers()
         self._heard_bytes = False
+        self._may_go = False
         self.in_use = False
         self.clean = True
         self.idle_since = 0.0
@@ -121,6 +123,8 @@
         status = self._parser.get_status_code()
         if status < 200:
             self._current = None
+            self._may_go = self._may_go or status == CONTINUE
+            self._arrived.set()
             return
         headers = self._headers
         framed = (
@@ -161,7 +165,7 @@
     def begin(self):
         """Start a use of the connection."""
         self.in_use = True
-        self._heard_bytes = False
+        self._heard_bytes = self._may_go = False
 
     async def next_answer(self):
         """Return the next answer on the connection.
@@ -178,6 +182,21 @@
             await self._arrived.wait()
         return self._answers.popleft()
 
+    async def wait_go(self):
+        """Wait until the peer wants the body; False if it answers without.
+
+        Raises
+        ------
+        CutOff
+            If the connection ended first.
+        """
+        while not (self._may_go or self._answers):
+            if self._error is not None:
+                raise self._error
+            self._arrived.clear()
+            await self._arrived.wait()
+        return self._may_go
+
     def end(self):
         """End a use; anything left over makes the connection unusable."""
         self.in_use = False
@@ -241,6 +260,31 @@
         connection.write(head)
         self._sender = asyncio.ensure_future(self._send_stream(body, stream))
 
+    async def send_when_asked(self, method, target, headers, body, stream=None):
+        """Send the head, and the body once the peer asks for it.
+
+        A peer that refuses the request answers at once, and no byte of the
+        body has gone over the link; the connection ends then, since the peer
+        cannot know that none will follow.
+
+        Raises
+        ------
+        CutOff
+            If the connection ended first.
+        """
+        connection = self._connection
+        framing = (b"Content-Length", b"%d" % len(body))
+        if stream is not None:
+            framing = (b"Transfer-Encoding", b"chunked")
+        fields = [*headers, framing, (b"Expect", b"100-continue")]
+        connection.write(format_head(method + b" " + target + b" HTTP/1.1", fields))
+        if not await connection.wait_go():
+            connection.clean = False
+        elif stream is None:
+            connection.write(body)
+        else:
+            self._sender = asyncio.ensure_future(self._send_stream(body, stream))
+
     async def _send_stream(self, first, stream):
         connection = self._connection
         piece = first or await stream.read()
--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -44,7 +44,15 @@
     `target` is the path with its query, byte for byte as it was sent.
     """
 
-    __slots__ = ("method", "target", "headers", "body", "keep_alive", "length")
+    __slots__ = (
+        "awaits_go",
+        "body",
+        "headers",
+        "keep_alive",
+        "length",
+        "method",
+        "target",
+    )
 
     def __init__(self, *, method, target, headers, body, keep_alive, length):
         self.method = method
@@ -54,6 +62,8 @@
         self.keep_alive = keep_alive
         # Bytes of the body as declared, -1 if it comes in chunks.
         self.length = length
+        # Whether the body comes only after an interim answer (RFC 9110, 10.1.1).
+        self.awaits_go = False
 
     @property
     def path(self):
@@ -85,6 +95,10 @@
         """IP number of the caller."""
         return self._connection.peer
 
+    def go_ahead(self):
+        """Ask for the body, if the peer holds it back until then."""
+        self._connection.go_ahead(self._request)
+
     async def send(self, status, headers=(), body=b"", *, reason=b""):
         """Send a whole answer."""
         await self.start(status, headers, length=len(body), reason=reason, first=body)
@@ -227,8 +241,9 @@
         self._head_since = None
         if self._refusal:
             return
-        if headers.get(b"expect").lower() == b"100-continue":
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._current.awaits_go = headers.get(b"expect").lower() == b"100-continue"
+        if self._current.awaits_go and not self._server.holds_bodies:
+            self.go_ahead(self._current)
         self._requests.append(self._current)
         if len(self._requests) > MAX_AHEAD:
             self._pause()
@@ -317,6 +332,12 @@
 
     # What the responder uses
 
+    def go_ahead(self, request):
+        """Let the peer send the body that it asked for."""
+        if request.awaits_go:
+            request.awaits_go = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def closes_after(self, request):
         """Whether the connection ends after the answer to `request`."""
         return (
@@ -370,9 +391,21 @@
         Connections beyond which idle ones are ended, longest idle first.
     note_refused : callable, optional
         Told the status of each request that could not be read.
+    holds_bodies : bool
+        Whether the handler itself says when a body may come that its sender
+        holds back; else it may come at once.
     """
 
-    def __init__(self, *, address, handler, limits=None, most=2000, note_refused=None):
+    def __init__(
+        self,
+        *,
+        address,
+        handler,
+        limits=None,
+        most=2000,
+        note_refused=None,
+        holds_bodies=False,
+    ):
         self._address = address
         self._listener = None
         # In the order of their last use.
@@ -382,6 +415,7 @@
         self.limits = limits or Limits()
         self.closing = False
         self.ends_idle = False
+        self.holds_bodies = holds_bodies
         self.note_refused = note_refused or (lambda status: None)
 
     @property
--- a/guavastream/http1/tests/test_http1.py
+++ b/guavastream/http1/tests/test_http1.py
@@ -224,3 +224,34 @@
         assert asyncio.get_running_loop().time() - began == pytest.approx(5.0, abs=0.1)
 
     play(scenario)
+
+
+@pytest.mark.parametrize("asks", [True, False])
+def test_a_body_is_sent_only_when_the_peer_asks_for_it(asks):
+    # A peer without room answers at once. The body would have filled its link
+    # for nothing; and what it sees next on the connection must be no body.
+    body, seen = b"x" * 50_000, []
+
+    async def scenario():
+        async def handle(request, responder):
+            if request.method == b"POST":
+                await asyncio.sleep(0.2)
+                seen.append(request.body.ended)
+                if asks:
+                    responder.go_ahead()
+                    taken, _ = await request.body.read_up_to(1 << 20)
+                    assert taken == body
+            await responder.send(200 if asks else 503)
+
+        server = Server(address=ADDRESS, handler=handle, holds_bodies=True)
+        await server.start()
+        client = Client()
+        async with await client.open(PEER) as exchange:
+            await exchange.send_when_asked(b"POST", b"/", [(b"Host", b"x")], body)
+            answer = await exchange.answer()
+            await answer.body.read_up_to(1 << 10)
+        assert answer.status == (200 if asks else 503) and seen == [False]
+        assert client.idle_count == (1 if asks else 0)
+        assert (await ask(client))[0] == answer.status
+
+    play(scenario)
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -1,8 +1,10 @@
 """Between two hosts: a job on its way to the host beside its server."""
 
 import asyncio
+from dataclasses import replace
 
 from guavastream.http1 import CutOff
+from guavastream.relay.admission import Gate
 from guavastream.relay.dialect import OWN
 from guavastream.relay.guard import Attempt
 from guavastream.relay.job import read_body
@@ -15,6 +17,11 @@
 # that its word on whether the request ran is still heard.
 HOP_SECONDS = 0.02
 LENGTH = frozenset({b"content-length"})
+# Large bodies that come in at a time: two fill a link as well as twenty, and
+# a third is on its way while one of them waits for its sender.
+MOST_BODIES = 3
+# A body whose sender froze gives up its place after this, seconds.
+INTAKE_SECONDS = 2.0
 
 
 def hop_headers(job, server, *, now):
@@ -72,17 +79,19 @@
         # Set in the last moments of a stop: whoever still asks for the local
         # server is told that nothing ran.
         self.leaving = False
+        self._intake = Gate(clock=clock, slots=MOST_BODIES)
 
     async def handle(self, request, responder):
         """Answer a request that another host sent for the local server."""
         try:
-            attempt = await self._read(request)
-        except (ValueError, CutOff):
+            attempt = self._read(request)
+        except ValueError:
             await responder.send(400)
             return
         try:
             if self.leaving:
                 raise NotRun("unreachable")
+            attempt = await self._take_body(attempt, request, responder)
             async with asyncio.timeout_at(attempt.deadline):
                 async with self._guard.serve(attempt) as answer:
                     await self._pass_back(answer, responder, attempt.kind)
@@ -92,15 +101,54 @@
             await self._tell(responder, attempt.kind, lost.code)
         except TimeoutError:
             await self._tell(responder, attempt.kind, "no_answer")
+        except CutOff:
+            await responder.send(400)
+
+    async def _take_body(self, attempt, request, responder):
+        """Return the attempt with its body, taken when the link has room.
 
-    async def _read(self, request):
+        Notes
+        -----
+        Large bodies of many hosts meet on the link of this one. All at once
+        they fill its queue, and short requests wait behind them until their
+        time is over; a few at a time use the link as well, and what cannot be
+        served in time is refused before its body has come.
+        """
+        try:
+            async with asyncio.timeout_at(attempt.deadline):
+                if request.awaits_go:
+                    body, stream = await self._take_large(attempt, request, responder)
+                else:
+                    body, stream = await read_body(request)
+        except TimeoutError:
+            raise NotRun("no_time") from None
+        return replace(attempt, body=body, stream=stream)
+
+    async def _take_large(self, attempt, request, responder):
+        work = self._guard.usual(attempt.kind)
+        usual = await self._intake.enter(
+            rank=attempt.rank,
+            kind=attempt.kind,
+            wanted_by=attempt.wanted_by - work,
+            deadline=attempt.deadline - work,
+        )
+        began, seconds = self._clock(), None
+        try:
+            responder.go_ahead()
+            async with asyncio.timeout(INTAKE_SECONDS):
+                taken = await read_body(request)
+            seconds = self._clock() - began
+            return taken
+        finally:
+            self._intake.leave(usual, kind=attempt.kind, seconds=seconds)
+
+    def _read(self, request):
         headers = request.headers
         now = self._clock()
 
         def said(name):
             return headers.get(OWN + name)
 
-        body, stream = await read_body(request)
         fields = [
             (name, value)
             for name, value in headers.end_to_end(LENGTH)
@@ -113,8 +161,8 @@
             method=request.method,
             target=request.target,
             headers=fields,
-            body=body,
-            stream=stream,
+            body=b"",
+            stream=None,
             key=int(said(b"key")) if said(b"key") else None,
             safe=said(b"safe") == b"1",
             call=said(b"call") == b"1",
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -12,6 +12,7 @@
 from guavastream.relay.hop import hop_headers, read_failure, read_report
 from guavastream.relay.job import BadRequest, JobReader
 from guavastream.relay.outcome import VERDICTS, Lost, NotRun
+from guavastream.relay.pick import LARGE_BYTES
 
 __all__ = ["Ingress"]
 
@@ -272,8 +273,13 @@
             raise NotRun("unreachable", retry_after=USUAL_RETRY) from None
         async with exchange:
             headers = job.headers + hop_headers(job, server, now=self._clock())
-            exchange.send(job.method, job.target, headers, job.body, job.stream)
             try:
+                if job.stream is not None or len(job.body) >= LARGE_BYTES:
+                    await exchange.send_when_asked(
+                        job.method, job.target, headers, job.body, job.stream
+                    )
+                else:
+                    exchange.send(job.method, job.target, headers, job.body)
                 answer = await exchange.answer()
             except CutOff:
                 self._client.forget(server.door)
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -78,8 +78,10 @@
             handler=self.ingress.handle,
             limits=Limits(head_bytes=2000, body_bytes=4 << 20, head_seconds=1.0),
         )
-        hops = HopDoor(clock=loop.time, dialect=DIALECT, guard=self.guard)
-        self.back = Server(address=(self.ip, 2), handler=hops.handle)
+        self.hops = HopDoor(clock=loop.time, dialect=DIALECT, guard=self.guard)
+        self.back = Server(
+            address=(self.ip, 2), handler=self.hops.handle, holds_bodies=True
+        )
 
     def _count(self, name):
         self.counts[name] = self.counts.get(name, 0) + 1
--- /dev/null
+++ b/guavastream/relay/tests/test_hop.py
@@ -0,0 +1,102 @@
+"""Large bodies on their way to the host of their server."""
+
+import asyncio
+from types import SimpleNamespace
+
+from guavastream.http1.message import Headers
+from guavastream.relay import HopDoor, NotRun, Report
+from guavastream.relay.dialect import OWN
+from guavastream.relay.hop import MOST_BODIES
+from guavastream.relay.tests.rig import DIALECT
+from guavastream.standins import run_paused
+
+SECONDS_A_BODY = 0.1
+WORK = 0.2
+
+
+class Link:
+    """Bodies whose senders hold them back; counts those on their way."""
+
+    def __init__(self):
+        self.now = self.most = self.came = 0
+
+    def request(self, left_ms):
+        fields = {b"service": b"s", b"instance": b"i", b"rank": b"1", b"route": b"r"}
+        fields |= {b"left-ms": b"%d" % left_ms, b"wanted-ms": b"%d" % left_ms}
+        headers = Headers((OWN + name, value) for name, value in fields.items())
+        return SimpleNamespace(
+            headers=headers,
+            method=b"POST",
+            target=b"/load/x",
+            length=60_000,
+            awaits_go=True,
+            body=SimpleNamespace(read_up_to=self._come),
+        )
+
+    async def _come(self, limit):
+        self.now += 1
+        self.most = max(self.most, self.now)
+        await asyncio.sleep(SECONDS_A_BODY)
+        self.now -= 1
+        self.came += 1
+        return b"x" * 60_000, True
+
+
+class Responder:
+    """Keeps what it is told."""
+
+    started = False
+
+    def __init__(self):
+        self.asked = False
+        self.status = None
+
+    def go_ahead(self):
+        self.asked = True
+
+    async def send(self, status, headers=(), body=b"", *, reason=b""):
+        self.status = status
+
+
+class IdleGuard:
+    """A server that refuses what arrives; only the way there is looked at."""
+
+    def usual(self, kind):
+        return WORK
+
+    def report(self, kind):
+        return Report()
+
+    def serve(self, attempt):
+        raise NotRun("no_server")
+
+
+def upload(count, *, left_ms):
+    """Return the link and the responders after uploads of many hosts at once."""
+
+    async def main():
+        link = Link()
+        loop = asyncio.get_running_loop()
+        door = HopDoor(clock=loop.time, dialect=DIALECT, guard=IdleGuard())
+        responders = [Responder() for _ in range(count)]
+        await asyncio.gather(
+            *(door.handle(link.request(left_ms), r) for r in responders)
+        )
+        return link, responders
+
+    return run_paused(main())
+
+
+def test_few_large_bodies_come_in_at_a_time():
+    # All at once they fill the queue of the link, and short requests between
+    # them wait until their time is over.
+    link, responders = upload(12, left_ms=5000)
+    assert link.most == MOST_BODIES and link.came == 12
+    assert all(responder.asked for responder in responders)
+
+
+def test_what_would_be_too_late_is_refused_before_its_body_has_come():
+    link, responders = upload(30, left_ms=600)
+    refused = [r for r in responders if not r.asked]
+    assert refused and {r.status for r in refused} == {503}
+    assert link.came == 30 - len(refused) and link.most == MOST_BODIES
