--- a/guavastream/placement/runs.py
+++ b/guavastream/placement/runs.py
@@ -30,11 +30,8 @@
 # Use (share of slots that are busy) below which load is left where it is:
 # at half use hardly any request waits.
 CALM_USE = 0.35
-# Moves that are on their way at once for one service: at least so many, and one
-# for every other server. Each takes about a second; a hot range that needs six
-# of 42 servers took six seconds with six moves at a time, two with 21.
-LEAST_MOVES = 6
-SERVERS_A_MOVE = 2
+# Moves that are started at once for one service.
+MOST_MOVES = 6
 # A window is taken if its load is within this factor of what is wanted.
 FIT = 1.25
 
@@ -178,8 +175,7 @@
     moves = []
     capacity = view.capacity
     mean = loads.of(0, KEYS - 1) / sum(capacity.values())
-    most = max(LEAST_MOVES, len(capacity) // SERVERS_A_MOVE)
-    while len(moves) + len(view.moving) < most:
+    while len(moves) + len(view.moving) < MOST_MOVES:
         full = max(use, key=use.get)
         idle = min(use, key=use.get)
         empty = rows[idle] == 0
