--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -34,7 +34,7 @@
 
 
 class _Soak:
-    def __init__(self, *, seed, seconds, callers, folder):
+    def __init__(self, *, seed, seconds, callers, folder, calm):
         self.ledger = Ledger()
         self.counts = {}
         self._rng = random.Random(seed)
@@ -47,7 +47,9 @@
             "host": len(self._world.places),
             "server": len(self._world.places),
         }
-        self.schedule = make_schedule(seed=seed, seconds=seconds, counts=counts)
+        self.schedule = ()
+        if not calm:
+            self.schedule = make_schedule(seed=seed, seconds=seconds, counts=counts)
         self._version = 1
 
     async def run(self):
@@ -77,6 +79,7 @@
         for fault in self.schedule:
             await asyncio.sleep(max(0.0, began + fault.at - loop.time()))
             strikes.append(asyncio.ensure_future(self._world.strike(fault)))
+        await asyncio.sleep(max(0.0, began + self._seconds - loop.time()))
         await asyncio.gather(*strikes)
 
     async def _recover(self):
@@ -179,9 +182,22 @@
                 self.ledger.read(int(json.loads(data)["Version"], 16), sent)
 
 
-def run_soak(*, seed, seconds, callers=6, folder=None):
+def run_soak(*, seed, seconds, callers=6, folder=None, calm=False):
     """Play one seed; return broken promises, counts of answers and faults.
 
+    Parameters
+    ----------
+    seed : int
+        Draws the faults, and what callers ask.
+    seconds : float
+        Faults begin within this time.
+    callers : int
+        Callers, each with a connection to every host.
+    folder : path, optional
+        Keeps settings, data and logs of the processes.
+    calm : bool
+        Whether to leave the faults out.
+
     Raises
     ------
     SoakFailure
@@ -189,7 +205,9 @@
     """
 
     async def main(folder):
-        soak = _Soak(seed=seed, seconds=seconds, callers=callers, folder=folder)
+        soak = _Soak(
+            seed=seed, seconds=seconds, callers=callers, folder=folder, calm=calm
+        )
         return await soak.run(), soak.counts, len(soak.schedule)
 
     if folder is not None:
@@ -210,6 +228,7 @@
         "--seconds", type=float, default=20.0, help="faults begin within this (20)"
     )
     parser.add_argument("--callers", type=int, default=6, help="callers (6)")
+    parser.add_argument("--calm", action="store_true", help="without any fault")
     parser.add_argument("--folder", help="keep settings, data and logs here")
     return _soak
 
@@ -227,6 +246,7 @@
                 seconds=arguments.seconds,
                 callers=arguments.callers,
                 folder=folder,
+                calm=arguments.calm,
             )
         except SoakFailure as error:
             print(f"seed {seed}: {error}")
