--- a/guavastream/relay/tests/test_admission.py
+++ b/guavastream/relay/tests/test_admission.py
@@ -163,3 +163,88 @@
             raise AssertionError("waits behind a server that is dark")
 
     run_paused(main())
+
+
+async def fill(gate, loop, *, count=SLOTS):
+    """Take all slots with requests of a known usual time."""
+    now = loop.time()
+    times = {"wanted_by": now + TARGET, "deadline": now + DEADLINE}
+    usual = await gate.enter(rank=0, kind="k", **times)
+    gate.leave(usual, kind="k", seconds=WORK)
+    return [await gate.enter(rank=0, kind="k", **times) for _ in range(count)]
+
+
+async def refusal_of(gate, *, wanted_by, deadline):
+    try:
+        await gate.enter(rank=0, kind="k", wanted_by=wanted_by, deadline=deadline)
+    except NotRun as refused:
+        return refused
+    return None
+
+
+def test_a_late_request_waits_behind_those_that_can_be_in_time():
+    # It came back after a refusal and is late whatever happens. Sorted by the
+    # time it was wanted by it would go first, and make another one late.
+    async def main():
+        loop = asyncio.get_running_loop()
+        gate = Gate(clock=loop.time, slots=SLOTS)
+        usual = (await fill(gate, loop))[0]
+        now, served = loop.time(), []
+
+        async def enter(name, wanted_by):
+            await gate.enter(
+                rank=0, kind="k", wanted_by=wanted_by, deadline=now + DEADLINE
+            )
+            served.append(name)
+
+        late = asyncio.ensure_future(enter("late", now + WORK / 2))
+        await asyncio.sleep(0.001)
+        fresh = asyncio.ensure_future(enter("fresh", now + TARGET))
+        await asyncio.sleep(0.001)
+        for _ in range(2):
+            gate.leave(usual, kind="k", seconds=WORK)
+            await asyncio.sleep(0.001)
+        await asyncio.gather(late, fresh)
+        assert served == ["fresh", "late"]
+
+    run_paused(main())
+
+
+def test_advice_to_come_back_is_soon_only_where_that_is_in_time():
+    # Callers come back once or twice. One that cannot be in time any more
+    # would spend that within 0.2 s on a load that lasts a second.
+    async def main():
+        loop = asyncio.get_running_loop()
+        gate = Gate(clock=loop.time, slots=1)
+        await fill(gate, loop, count=1)
+        for _ in range(2):
+            asyncio.ensure_future(
+                refusal_of(gate, wanted_by=loop.time() + TARGET, deadline=DEADLINE)
+            )
+        await asyncio.sleep(0.001)
+        now = loop.time()
+        soon = await refusal_of(gate, wanted_by=now + 0.35, deadline=now + DEADLINE)
+        later = await refusal_of(gate, wanted_by=now + 0.1, deadline=now + 0.9)
+        assert loop.time() == now
+        assert soon.retry_after <= 0.15
+        assert 0.2 < later.retry_after <= 0.9 / 3
+
+    run_paused(main())
+
+
+def test_calls_are_let_in_as_long_as_they_can_run():
+    # A server waits for the answer: refused, the work it has done is wasted.
+    async def main():
+        loop = asyncio.get_running_loop()
+        gate = Gate(clock=loop.time, slots=1)
+        usual = (await fill(gate, loop, count=1))[0]
+        now = loop.time()
+        times = {"wanted_by": now + 1.5 * WORK, "deadline": now + 0.4}
+        assert await refusal_of(gate, **times) is not None and loop.time() == now
+        call = asyncio.ensure_future(gate.enter(rank=0, kind="k", call=True, **times))
+        await asyncio.sleep(WORK)
+        gate.leave(usual, kind="k", seconds=WORK)
+        await call
+        assert loop.time() - now < 0.4
+
+    run_paused(main())
