Soak: the next control host is struck only when the last has caught up

On a busy machine the fixed gap between faults of control hosts would not be enough for one that lost its disk to vote again, and the soak would break what the smallest group does not promise.

--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -32,6 +32,10 @@
 LEAVE_SECONDS = 2.2
 # By this each piece on a slow connection is held back, seconds.
 SLOW_SECONDS = 0.2
+# A control host that is back has caught up after this, seconds; one without
+# its disk only once the leader has said so.
+CATCH_UP_SECONDS = 2.0
+NEW_VOTER = "votes now"
 
 
 def make_route(name, **changes):
@@ -235,9 +239,16 @@
             return
         if fault.group == "control":
             machine = self.control[fault.target]
+            if any(other.struck for other in self.control):
+                # The group bears one at a time.
+                return
 
             async def restart():
+                voters = self._count_new_voters()
                 await self.start_control(machine)
+                if fault.kind == "wipe":
+                    await until(lambda: self._has_new_voters(voters))
+                await asyncio.sleep(CATCH_UP_SECONDS)
         else:
             place = self.places[fault.target]
             machine = place.machine
@@ -247,6 +258,13 @@
 
         await self._strike_process(machine, fault, restart)
 
+    def _count_new_voters(self):
+        paths = [self.folder / f"{machine.name}.log" for machine in self.control]
+        return sum(path.read_text().count(NEW_VOTER) for path in paths)
+
+    async def _has_new_voters(self, before):
+        return self._count_new_voters() > before
+
     async def _strike_process(self, machine, fault, restart):
         if machine.process.returncode is not None or machine.struck:
             return
