A server that comes back while it is removed is not renewed: keys had two owners

The host beside side-12-1 was restarted, its server's hold ran out, the leader proposed to remove it ("Servers are silent and hold nothing now"); the server's next heartbeat came before that was committed and was answered with all its keys for 2.8 s, while the commit freed them for others. Ruled out: holds counted wrongly (leader 12.454, server 12.35 at the latest), a thawed leader's late grant (another host led). Change: servers whose removal is on its way are not renewed; the same for those that their host says have ended. Test with slow commits failed first for both.

--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -68,6 +68,7 @@
         self._cold = {}
         self._joined = {}
         self._balanced = 0.0
+        self._removing = set()
 
     @property
     def _book(self):
@@ -83,6 +84,7 @@
         self._parked = {}
         self._moves = []
         self._joined = {}
+        self._removing = set()
 
     # Heartbeats
 
@@ -108,7 +110,7 @@
             return Beaten(index=self._book.index)
         await self._wait_for_news(beat, arrived)
         self._require_lead()
-        if self._seqs.get(beat.id) != beat.seq:
+        if self._seqs.get(beat.id) != beat.seq or beat.id in self._removing:
             return Beaten(index=self._book.index)
         return self._answer(beat, arrived)
 
@@ -243,8 +245,7 @@
         instance = self._book.instances.get(id)
         if ended:
             if instance is not None:
-                await self._propose(RemoveInstances(ids=(id,)))
-                self._holds.forget(id)
+                await self._remove((id,))
                 log.info("Server %s has ended.", id)
             return
         if instance is not None and not instance.leaving:
@@ -288,11 +289,25 @@
         ]
         if gone:
             log.info("Servers are silent and hold nothing now: %s.", ", ".join(gone))
-            await self._propose(RemoveInstances(ids=tuple(gone)))
-            for id in gone:
-                self._holds.forget(id)
+            await self._remove(tuple(gone))
         await self._expire_moves()
 
+    async def _remove(self, ids):
+        """Take servers out whose keys may be given to others at once.
+
+        Notes
+        -----
+        The commit takes a while. A server that comes back in that time must
+        not be renewed: it would go on holding keys that have another owner
+        as soon as the commit is there. If its fate stays unknown, so does
+        theirs until the next term.
+        """
+        self._removing.update(ids)
+        await self._propose(RemoveInstances(ids=ids))
+        for id in ids:
+            self._holds.forget(id)
+        self._removing.difference_update(ids)
+
     async def _expire_moves(self):
         now = self._clock()
         for move in list(self._moves):
--- /dev/null
+++ b/guavastream/control/tests/test_grants.py
@@ -0,0 +1,98 @@
+"""Heartbeats that come while the book is being changed."""
+
+import asyncio
+
+import pytest
+
+from guavastream.control import TableMachine
+from guavastream.control.grants import Granter
+from guavastream.control.holds import HoldTiming
+from guavastream.control.tests.test_fleet import FIRST
+from guavastream.fleet import (
+    KEYS,
+    Beat,
+    BookCodec,
+    GrantKeys,
+    JoinInstance,
+    encode_command,
+)
+from guavastream.standins import run_paused
+
+HOLDS = HoldTiming(hold=2.8, settle=1.0)
+COMMIT_SECONDS = 0.05
+
+
+class SlowLog:
+    """A leader whose commits take a while."""
+
+    is_leader, term, leader_address = True, 1, ""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.index = 0
+        self.predecessor_end = asyncio.get_running_loop().time()
+
+    def commit(self, command):
+        self.index += 1
+        return self.machine.apply(self.index, encode_command(command))
+
+    async def propose(self, data):
+        await asyncio.sleep(COMMIT_SECONDS)
+        self.index += 1
+        return self.machine.apply(self.index, data)
+
+
+def heartbeat(seq):
+    return Beat(
+        id="a",
+        service="s",
+        host="h",
+        door="h:2",
+        address="h:3",
+        zone="z",
+        slots=8,
+        leaving=False,
+        cold=0.0,
+        seq=seq,
+        holds=((0, KEYS - 1, 3),),
+    )
+
+
+@pytest.mark.parametrize("ended", [False, True])
+def test_a_server_that_comes_back_while_it_is_removed_is_not_renewed(ended):
+    # Its host was restarted, and its hold ran out meanwhile. The leader takes
+    # it out; before that is committed its next heartbeat comes. Renewed, it
+    # would hold its keys for 2.8 s beside the server that gets them next.
+    async def main():
+        loop = asyncio.get_running_loop()
+        machine = TableMachine(codec=BookCodec())
+        raft = SlowLog(machine)
+        granter = Granter(raft=raft, machine=machine, clock=loop.time, timing=HOLDS)
+        raft.commit(FIRST)
+        raft.commit(
+            JoinInstance(
+                id="a",
+                service="s",
+                host="h",
+                door="h:2",
+                address="h:3",
+                zone="z",
+                slots=8,
+            )
+        )
+        raft.commit(GrantKeys(service="s", rows=((0, KEYS - 1, "a"),)))
+        assert (await granter.beat(heartbeat(1))).rows
+        if ended:
+            removing = asyncio.ensure_future(granter.depart("a", ended=True))
+        else:
+            await asyncio.sleep(HOLDS.kept + 0.1)
+            removing = asyncio.ensure_future(granter._expire())
+        await asyncio.sleep(COMMIT_SECONDS / 2)
+        answer = await granter.beat(heartbeat(2))
+        assert answer.rows is None and not answer.hold
+        await removing
+        assert machine.table.owner_of("s", 7) is None
+        # Afterwards it joins again, with no keys.
+        assert (await granter.beat(heartbeat(3))).rows == ()
+
+    run_paused(main())
