--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -20,7 +20,7 @@
 __all__ = ["Place", "ROUTES", "World", "make_config", "make_route"]
 
 HOST = b"a.example"
-# What callers ask: path, method, whether it may repeat, whether it has a key.
+# What callers ask: kind of route, service and method, by the path's first part.
 ROUTES = {
     "read": ("safe", "keyed", b"GET"),
     "pay": ("unsafe", "keyed", b"POST"),
@@ -115,7 +115,6 @@
         ]
         self._on_start = on_start
         self._seeds = [machine.address("control") for machine in self.control]
-        self._tasks = set()
 
     # Processes
 
@@ -194,8 +193,6 @@
 
     async def stop(self):
         """End all processes."""
-        for task in self._tasks:
-            task.cancel()
         for place in self.places:
             if place.task:
                 await self.crash_server(place)
