Callers' addresses are not kept any more, since nothing reads them

Reading the whole change again: since calls are known by their ids, nobody asks for the address of a connection's other end; each connection looked it up. The words on a waiting request's times say what they hold. No change of behaviour.

--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -90,11 +90,6 @@
         self.started = False
         self.status = 0
 
-    @property
-    def peer(self):
-        """IP number of the caller."""
-        return self._connection.peer
-
     def go_ahead(self):
         """Ask for the body, if the peer holds it back until then."""
         self._connection.go_ahead(self._request)
@@ -158,14 +153,11 @@
         self._head_since = None
         self._in_head = True
         self.busy = False
-        self.peer = ""
 
     # What the loop calls
 
     def connection_made(self, transport):
         super().connection_made(transport)
-        name = transport.get_extra_info("peername")
-        self.peer = name[0] if name else ""
         self._server.opened(self)
         self._task = self._loop.create_task(self._run())
 
--- a/guavastream/relay/admission.py
+++ b/guavastream/relay/admission.py
@@ -71,7 +71,8 @@
     """A request in the queue; `order` sorts it, times are the clock's.
 
     `in_time` is the latest start for an answer in time, `latest` the latest
-    start of all; of a request that is let in late both are the same.
+    start of all. For a request that is late when it comes, `in_time` bounds its
+    wait; for a call both are the same.
     """
 
     order: tuple
