Keys granted by calls at the backend server's own address

Cause: rows travelled only in answers to heartbeats.

Change: the process beside a server asks the leader what it may hold (RenewKeys), carries that out (hosts.KeyKeeper, leases.KeyLeases decides which call is due) and gives rows back (ReturnKeys). Which way holds is told by the configuration for each service, else by the settings. The emulator and the soak serve both ways, with late calls.

Found on the way, by the tests: heartbeats and renewals of one server numbered in one sequence, so that a leaving server's heartbeat passed for an old one; now each kind is numbered apart.

--- a/guavastream/control/fleet.py
+++ b/guavastream/control/fleet.py
@@ -13,6 +13,8 @@
     JoinVoters,
     LoadReport,
     ReadRoutes,
+    RenewKeys,
+    ReturnKeys,
     RoutesRead,
     encode_command,
 )
@@ -78,6 +80,11 @@
         self._granter.ensure_term()
         if isinstance(request, Beat):
             return await self._granter.beat(request)
+        if isinstance(request, RenewKeys):
+            return await self._granter.renew(request)
+        if isinstance(request, ReturnKeys):
+            await self._granter.take_back(request)
+            return request
         if isinstance(request, Depart):
             await self._granter.depart(request.id, ended=request.ended)
             return request
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -1,6 +1,7 @@
 """The leader's part in who holds which keys: answers to heartbeats, and plans."""
 
 import asyncio
+from dataclasses import replace
 
 from guavastream.control.holds import Holds, HoldTiming, Move
 from guavastream.control.loads import KeyLoads
@@ -12,10 +13,13 @@
     LeaveInstance,
     ReleaseKeys,
     RemoveInstances,
+    RenewKeys,
     encode_command,
+    rows_without,
 )
 from guavastream.kernel import part_logger
-from guavastream.placement import RunView, plan_runs, rows_without
+from guavastream.placement import RunView, plan_runs
+from guavastream.routes import Granting
 
 __all__ = ["Granter"]
 
@@ -34,6 +38,8 @@
 # Patience with a source that does not release a row after it was told.
 MOVE_SECONDS = 6.0
 
+UNKNOWN = Granting.UNKNOWN
+
 log = part_logger("grants")
 
 
@@ -50,16 +56,21 @@
         Steady time in seconds, suspensions included.
     timing : HoldTiming
         Times of holds.
+    granting : Granting
+        How servers are granted keys where the configuration does not say.
     """
 
-    def __init__(self, *, raft, machine, clock, timing=None):
+    def __init__(
+        self, *, raft, machine, clock, timing=None, granting=Granting.HEARTBEAT
+    ):
         self._raft = raft
         self._machine = machine
         self._clock = clock
         self._timing = timing or HoldTiming()
+        self._granting = granting
         self._holds = Holds(clock=clock, timing=self._timing)
         self._term = 0
-        self._seqs = {}
+        self._newest = {}
         self._events = {}
         self._parked = {}
         self._moves = []
@@ -80,12 +91,24 @@
             return
         self._term = self._raft.term
         self._holds.start(self._book.instances, since=self._raft.predecessor_end)
-        self._seqs = {}
+        self._newest = {}
         self._parked = {}
         self._moves = []
         self._joined = {}
         self._removing = set()
 
+    # Each server is spoken for by its heartbeats, and by the renewals of the
+    # process beside it; both may come late and out of order.
+
+    def _newest_like(self, said):
+        return self._newest.get((type(said), said.id))
+
+    def _note_newest(self, said):
+        self._newest[type(said), said.id] = said
+
+    def _is_newest(self, said):
+        return self._newest_like(said) is said
+
     # Heartbeats
 
     async def beat(self, beat):
@@ -98,9 +121,10 @@
         """
         arrived = self._clock()
         self.ensure_term()
-        if beat.seq < self._seqs.get(beat.id, 0):
+        newest = self._newest_like(beat)
+        if newest is not None and beat.seq < newest.seq:
             return Beaten(index=self._book.index)
-        self._seqs[beat.id] = beat.seq
+        self._note_newest(beat)
         if not await self._take(beat):
             return Beaten(index=self._book.index, gone=True)
         self._holds.hear(beat.id)
@@ -108,12 +132,91 @@
         rules = self._book.config.services.get(beat.service)
         if rules is None or not rules.keyed:
             return Beaten(index=self._book.index)
+        if self._granting_of(beat.service) is not Granting.HEARTBEAT:
+            return Beaten(index=self._book.index)
         await self._wait_for_news(beat, arrived)
         self._require_lead()
-        if self._seqs.get(beat.id) != beat.seq or beat.id in self._removing:
+        if not self._is_newest(beat) or beat.id in self._removing:
             return Beaten(index=self._book.index)
         return self._answer(beat, arrived)
 
+    def _granting_of(self, service):
+        rules = self._book.config.services.get(service)
+        return rules and rules.granting or self._granting
+
+    # Calls of processes that carry grants out
+
+    async def renew(self, request):
+        """Say what a server may hold, to the process that grants it.
+
+        Raises
+        ------
+        NotLeader
+            If this control host does not lead, or no longer.
+        """
+        arrived = self._clock()
+        self.ensure_term()
+        nothing = Beaten(index=self._book.index)
+        if request.id not in self._book.instances:
+            return replace(nothing, gone=request.id in self._book.gone)
+        if self._granting_of(request.service) is not Granting.CALL:
+            return nothing
+        newest = self._newest_like(request)
+        if newest is not None and newest.asker == request.asker:
+            if request.seq < newest.seq:
+                return nothing
+        self._note_newest(request)
+        await self._wait_for_news(request, arrived)
+        self._require_lead()
+        if not self._is_newest(request) or request.id in self._removing:
+            return nothing
+        if request.id not in self._book.instances:
+            return nothing
+        drops = self._drops(request)
+        return replace(self._answer(request, arrived), drops=drops)
+
+    def _drops(self, request):
+        """Return the rows that a server still has and is to release."""
+        drops = []
+        for run in self._book.rows_of(request.id, request.service):
+            staying = self._staying(run)
+            going = [(run.first, run.last)]
+            for row in staying:
+                going = rows_without(going, row)
+            drops += [(first, last, run.fence) for first, last in going]
+        return tuple(drops)
+
+    async def take_back(self, request):
+        """Free rows that a server has released, and grant them on.
+
+        Raises
+        ------
+        NotLeader
+            If this control host does not lead, or no longer.
+        """
+        self.ensure_term()
+        runs = self._book.runs_of(request.service)
+        rows = [
+            row
+            for row in request.rows
+            if any(
+                run.owner == request.id
+                and run.fence == row[2]
+                and run.overlaps(row[0], row[1])
+                for run in runs
+            )
+        ]
+        if not rows:
+            return
+        command = ReleaseKeys(
+            service=request.service,
+            owner=request.id,
+            rows=tuple((first, last, handover) for first, last, _, handover in rows),
+            fences=tuple(row[2] for row in rows),
+        )
+        await self._propose(command)
+        await self._plan(request.service)
+
     async def _take(self, beat):
         """Bring the book in step with what a server says of itself."""
         book = self._book
@@ -157,7 +260,7 @@
         """Hold the answer back while there is nothing new to say."""
         event = self._events.setdefault(beat.id, asyncio.Event())
         self._parked[beat.id] = arrived + beat.wait
-        while self._seqs.get(beat.id) == beat.seq and not self._has_news(beat):
+        while self._is_newest(beat) and not self._has_news(beat):
             left = arrived + beat.wait - self._clock()
             if left <= 0:
                 return
@@ -198,8 +301,11 @@
                 self._notify((move.source,))
 
     def _has_news(self, beat):
-        said = {(first, last, fence) for first, last, fence in beat.holds}
-        return said != {row[:3] for row in self._rows(beat)} or bool(beat.released)
+        if set(beat.holds) != {row[:3] for row in self._rows(beat)}:
+            return True
+        if isinstance(beat, RenewKeys):
+            return set(beat.drops) != set(self._drops(beat))
+        return bool(beat.released)
 
     def _rows(self, beat):
         """Return all rows that a server is to hold, without those that leave."""
@@ -274,7 +380,7 @@
                 await self._expire()
                 self._activate_moves()
                 for name, rules in self._book.config.services.items():
-                    if rules.keyed:
+                    if rules.keyed and self._granting_of(name) is not UNKNOWN:
                         await self._plan(name)
             except NotLeader:
                 continue
@@ -397,6 +503,10 @@
                 target=target,
                 began=self._clock(),
             )
+            if self._granting_of(name) is Granting.CALL:
+                # Both ends can be told at any moment.
+                move.active = True
+                self._notify((move.source,))
             self._moves.append(move)
             log.debug(
                 "Keys %d to %d of %s go from %s to %s.",
@@ -410,6 +520,9 @@
     def _capacity(self, name):
         """Return requests a second that each server that stays can do."""
         servers = [i for i in self._book.servers(name) if not i.leaving]
+        if self._granting_of(name) is Granting.CALL:
+            # Nobody grants anything to a server before its process has asked.
+            servers = [i for i in servers if not self._holds.expired(i.id)]
         known = [self._latency[i.id] for i in servers if i.id in self._latency]
         usual = sorted(known)[len(known) // 2] if known else 1 / SLOT_RATE
         now = self._clock()
--- a/guavastream/control/holds.py
+++ b/guavastream/control/holds.py
@@ -2,12 +2,9 @@
 
 from dataclasses import dataclass
 
-__all__ = ["DRIFT", "HoldTiming", "Holds", "Move"]
+from guavastream.leases import DRIFT, MARGIN_SECONDS
 
-# A server's clock may run this much slow.
-DRIFT = 0.02
-# Granularity of clocks and timers at both ends, seconds.
-MARGIN = 0.05
+__all__ = ["HoldTiming", "Holds", "Move"]
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -41,7 +38,7 @@
     @property
     def kept(self):
         """How long after a heartbeat came its sender may still hold keys."""
-        return self.hold * (1 + DRIFT) + MARGIN
+        return self.hold * (1 + DRIFT) + MARGIN_SECONDS
 
 
 @dataclass(kw_only=True, slots=True)
--- a/guavastream/fleet/__init__.py
+++ b/guavastream/fleet/__init__.py
@@ -4,3 +4,4 @@
 from guavastream.fleet.codec import *
 from guavastream.fleet.commands import *
 from guavastream.fleet.messages import *
+from guavastream.fleet.rows import *
--- a/guavastream/fleet/apply.py
+++ b/guavastream/fleet/apply.py
@@ -109,9 +109,14 @@
 
     def free(run, row):
         # A release that was sent twice may come after the keys went on.
-        return _freed(run, row[2]) if run.owner == command.owner else run
-
-    runs = cut_runs(old, command.rows, free)
+        late = len(row) > 3 and row[3] != run.fence
+        return run if late or run.owner != command.owner else _freed(run, row[2])
+
+    rows = command.rows
+    if command.fences:
+        pairs = zip(command.rows, command.fences, strict=True)
+        rows = [(*row, fence) for row, fence in pairs]
+    runs = cut_runs(old, rows, free)
     return {"runs": book.runs | {command.service: runs}, "instances": instances}, None
 
 
--- a/guavastream/fleet/commands.py
+++ b/guavastream/fleet/commands.py
@@ -62,13 +62,16 @@
 class ReleaseKeys:
     """An owner gave up rows of (first, last, handover); "" is no handover.
 
-    `seq` numbers the owner's messages: a late one is told by it.
+    A late message must not free what its sender was granted since. It is told
+    by `seq`, which numbers the owner's messages, or by `fences`, one for each
+    row: only what was granted under that one is freed.
     """
 
     service: str
     owner: str
     rows: tuple[tuple[int, int, str], ...]
     seq: int = 0
+    fences: tuple[int, ...] = ()
 
 
 @message
--- a/guavastream/fleet/messages.py
+++ b/guavastream/fleet/messages.py
@@ -4,7 +4,7 @@
 from guavastream.routes import RouteConfig
 
 __all__ = ["Beat", "Beaten", "Depart", "JoinVoters", "LoadReport", "ReadRoutes"]
-__all__ += ["RoutesRead"]
+__all__ += ["RenewKeys", "ReturnKeys", "RoutesRead"]
 
 
 @message
@@ -32,19 +32,49 @@
     wait: float = 0.0
 
 
+@message
+class RenewKeys:
+    """A process asks what the server beside it may hold, and for how long.
+
+    For servers that are granted keys by calls. `holds` and `drops` are what
+    it was last told; the answer may take up to `wait` seconds while there is
+    nothing else to say. `asker` names the life of the process, whose messages
+    `seq` numbers.
+    """
+
+    id: str
+    service: str
+    asker: str
+    seq: int
+    holds: tuple[tuple[int, int, int], ...] = ()
+    drops: tuple[tuple[int, int, int], ...] = ()
+    wait: float = 0.0
+
+
+@message
+class ReturnKeys:
+    """Rows of (first, last, fence, handover) that a server holds no more."""
+
+    id: str
+    service: str
+    rows: tuple[tuple[int, int, int, str], ...]
+
+
 @message
 class Beaten:
-    """Answer to a heartbeat.
+    """Answer to a heartbeat, or to a renewal of keys.
 
     `rows` of (first, last, fence, handover) are all that the server is to
-    hold for `hold` seconds from when its heartbeat was sent; None renews
-    nothing. `gone` says that this life of the server is over.
+    hold for `hold` seconds from when the message was sent; None renews
+    nothing. `drops` are rows of (first, last, fence) that it is to release.
+    `gone` says that this life of the server is over.
     """
 
     index: int
     rows: tuple[tuple[int, int, int, str], ...] | None = None
     hold: float = 0.0
     gone: bool = False
+    drops: tuple[tuple[int, int, int], ...] = ()
 
 
 @message
--- a/guavastream/fleet/tests/test_book.py
+++ b/guavastream/fleet/tests/test_book.py
@@ -178,3 +178,18 @@
         3, change(3, 4, whole=False, routes=(), services=(), drop_services=("s",))
     )
     assert answer.code == "invalid"
+
+
+def test_a_late_release_does_not_take_keys_that_were_granted_anew():
+    # The message was held up for seconds; meanwhile its sender gave the keys
+    # up, and got them again under another fence. Freed now, they would have a
+    # second owner beside it.
+    row = (0, 9, "a")
+    book = book_of(join("a"), GrantKeys(service="s", rows=(row,)))
+    fence = find_run(book.runs_of("s"), 5).fence
+    release = ReleaseKeys(service="s", owner="a", rows=((0, 9, "h"),), fences=(fence,))
+    book, _ = book.apply(3, release)
+    assert book.owner_of("s", 5) is None
+    book, _ = book.apply(4, GrantKeys(service="s", rows=(row,)))
+    book, _ = book.apply(5, release)
+    assert book.owner_of("s", 5).id == "a"
--- a/guavastream/hosts/control_host.py
+++ b/guavastream/hosts/control_host.py
@@ -67,7 +67,11 @@
             may_form=settings.first_start,
         )
         self._granter = Granter(
-            raft=self._raft, machine=machine, clock=steady_time, timing=settings.holds
+            raft=self._raft,
+            machine=machine,
+            clock=steady_time,
+            timing=settings.holds,
+            granting=settings.granting,
         )
         self._keeper = VoterKeeper(
             raft=self._raft,
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -7,6 +7,7 @@
 
 from guavastream.exception import GuavastreamError
 from guavastream.fleet import BookCodec, Depart, LoadReport
+from guavastream.hosts.key_keeper import KeyKeeper, KeySender
 from guavastream.hosts.tasks import Tasks
 from guavastream.http1 import Client, CutOff, Limits, NotSent, Server
 from guavastream.kernel import Counters, parse_address, part_logger
@@ -70,9 +71,11 @@
         Checked settings.
     dialect : Dialect
         Header names.
+    key_dialect : KeyDialect
+        How orders about keys are written.
     """
 
-    def __init__(self, *, settings, dialect):
+    def __init__(self, *, settings, dialect, key_dialect):
         self.counters = Counters()
         self.stopping = False
         self._settings = settings
@@ -90,10 +93,20 @@
         self._index = None
         clock = self._loop.time
         self._picker = Picker(clock=clock, rng=random.Random(), zone=settings.zone)
+        self._keeper = KeyKeeper(
+            control=self._control,
+            sender=KeySender(dialect=key_dialect),
+            granting=settings.granting,
+            longest=settings.longest_hold,
+            door=settings.inbound,
+            count=self.counters.count,
+            on_refused=self._note_refused,
+        )
         self._guard = Guard(
             clock=clock,
             dialect=dialect,
             books=self._books,
+            keeper=self._keeper,
             door=settings.inbound,
             count=self.counters.count,
             on_refused=self._note_refused,
@@ -198,6 +211,7 @@
         book = self._books.table
         if book.instances is not before.instances:
             self._picker.keep_only(book.instances)
+        self._keeper.follow(book)
         config = book.config
         if config is before.config or not config.version:
             return
@@ -371,6 +385,7 @@
     async def stop(self):
         """End all that is left."""
         await self._tasks.stop()
+        await self._keeper.stop()
         await self._outbound.stop()
         await self._inbound.stop()
         self._transport.close()
--- a/guavastream/hosts/settings.py
+++ b/guavastream/hosts/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from guavastream.control.holds import HoldTiming
+from guavastream.routes import Granting
 
 __all__ = ["FleetSettings"]
 
@@ -34,6 +35,8 @@
         Interval of heartbeats and longest hold of keys, seconds.
     retry_ratio : float
         Second tries that all hosts may make for each request.
+    granting : Granting
+        How servers are granted keys where the configuration does not say.
     grace : float
         Time between a request to stop and the end, seconds.
     metrics : str
@@ -55,6 +58,7 @@
     heartbeat: float = 1.0
     longest_hold: float = 10.0
     retry_ratio: float = 0.2
+    granting: Granting = Granting.HEARTBEAT
     grace: float = 6.0
     metrics: str = ""
 
--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -15,6 +15,8 @@
 
 __all__ = ["Answer", "Client", "Exchange", "NotSent"]
 
+# Bytes of an answer's head beyond which it is taken for none.
+MOST_HEAD = 256 << 10
 # Answers to earlier requests that are skipped on one connection; a server
 # that sends more of them has lost track of it.
 MAX_STRAYS = 3
@@ -66,6 +68,7 @@
         self._error = None
         self._reason = b""
         self._headers = Headers()
+        self._head_bytes = 0
         self._heard_bytes = False
         self._may_go = False
         self.in_use = False
@@ -112,12 +115,17 @@
     def on_message_begin(self):
         self._reason = b""
         self._headers = Headers()
+        self._head_bytes = 0
 
     def on_status(self, status):
         self._reason += status
 
     def on_header(self, name, value):
         self._headers.append((name, value))
+        self._head_bytes += len(name) + len(value)
+        if self._head_bytes > MOST_HEAD:
+            self._fail(CutOff("a head without end"))
+            self.abort()
 
     def on_headers_complete(self):
         status = self._parser.get_status_code()
@@ -245,6 +253,10 @@
         """Whether any byte of an answer arrived."""
         return self._connection.heard_bytes
 
+    def reset(self):
+        """Reset the connection: what the peer has not read it never will."""
+        self._connection.reset()
+
     def send(self, method, target, headers, body=b"", stream=None):
         """Send a request; `stream` is what follows `body`, in chunks."""
         connection = self._connection
--- a/guavastream/http1/flow.py
+++ b/guavastream/http1/flow.py
@@ -1,11 +1,17 @@
 """What both ends of a connection share: writing, and waiting while it is full."""
 
 import asyncio
+import contextlib
+import socket
+import struct
 
 from guavastream.http1.message import tune_socket
 
 __all__ = ["FlowProtocol"]
 
+# On, for no time: closing ends the connection with a reset.
+LINGER_NONE = struct.pack("ii", 1, 0)
+
 
 class FlowProtocol(asyncio.Protocol):
     """A connection that bytes are written to, with back-pressure both ways."""
@@ -45,6 +51,14 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self):
+        """Reset the connection, and take back what the peer has not read."""
+        sock = self._transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            # Without it the peer's system keeps what has arrived for it.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        self.abort()
+
     def _pause(self):
         if not self._transport.is_closing():
             self._transport.pause_reading()
--- a/guavastream/placement/runs.py
+++ b/guavastream/placement/runs.py
@@ -8,9 +8,9 @@
 from bisect import bisect_left, bisect_right
 from dataclasses import dataclass, field
 
-from guavastream.fleet import KEYS
+from guavastream.fleet import KEYS, rows_without
 
-__all__ = ["RunPlan", "RunView", "plan_runs", "rows_without"]
+__all__ = ["RunPlan", "RunView", "plan_runs"]
 
 # Rows that all servers together get when all keys are handed out for the
 # first time, and bounds for one of them. Busy keys lie close together, so
@@ -248,23 +248,3 @@
         else:
             high = middle
     return (low, last) if low > first else None
-
-
-def rows_without(rows, window):
-    """Return what is left of rows (first, last) where a window is taken out.
-
-    Examples
-    --------
-    >>> rows_without([(0, 9), (20, 29)], (5, 24))
-    [(0, 4), (25, 29)]
-    """
-    left = []
-    for first, last in rows:
-        if window[1] < first or last < window[0]:
-            left.append((first, last))
-            continue
-        if first < window[0]:
-            left.append((first, window[0] - 1))
-        if window[1] < last:
-            left.append((window[1] + 1, last))
-    return left
--- a/guavastream/platform/__main__.py
+++ b/guavastream/platform/__main__.py
@@ -15,6 +15,7 @@
     part_logger,
 )
 from guavastream.platform.api import BesideApi, OperatorApi, serve_counters
+from guavastream.platform.keys import KeyOrders
 from guavastream.platform.settings import SETTINGS_VARIABLE, read_settings
 from guavastream.platform.wire import DIALECT
 
@@ -66,7 +67,7 @@
     else:
         from guavastream.hosts.server_host import ServerHost
 
-        host = ServerHost(settings=settings, dialect=DIALECT)
+        host = ServerHost(settings=settings, dialect=DIALECT, key_dialect=KeyOrders())
         api = BesideApi(host=host, settings=settings)
         handlers = [(settings.api, api.control), (settings.ready, api.ready)]
     handlers.append((settings.metrics, serve_counters(host.counters)))
--- a/guavastream/platform/emulator/server.py
+++ b/guavastream/platform/emulator/server.py
@@ -3,13 +3,21 @@
 import asyncio
 import contextlib
 import json
+import random
 from dataclasses import dataclass, field
 
+from guavastream.fleet import rows_without
 from guavastream.platform.emulator.machine import HEARTBEAT, call
+from guavastream.platform.keys import GRANT_PATH, RELEASE_PATH
+from guavastream.platform.units import parse_time
 from guavastream.platform.wire import DIALECT
 from guavastream.standins import DialectServer
 
-__all__ = ["BackendServer"]
+__all__ = ["BackendServer", "OrderedKeys"]
+
+# An order that gets no answer is carried out this much later, seconds.
+LATE_SECONDS = (2.0, 4.0)
+RELEASE_POLL = 0.01
 
 
 @dataclass
@@ -28,23 +36,40 @@
     seq: int = 0
     # Where others reach it, if not at its own address.
     announced: str = ""
+    # What it was granted by calls, if it takes any.
+    ordered: object = None
     # Called when its departure is acknowledged.
     on_left: object = lambda: None
 
     @classmethod
-    def make(cls, *, id, control, address, service="s", seconds=0.1):
-        """Return a server that answers after `seconds`."""
+    def make(
+        cls, *, id, control, address, service="s", seconds=0.1, ordered=False, late=0.0
+    ):
+        """Return a server that answers after `seconds`.
+
+        With `ordered` it is granted keys by calls; a share `late` of them
+        gets no answer and is carried out seconds later.
+        """
         server = DialectServer(id=id, dialect=DIALECT, address=address, seconds=seconds)
         made = cls(id=id, control=control, server=server, service=service)
         server.holds = made.holds
+        if ordered:
+            made.ordered = OrderedKeys(server=server, late=late)
         return made
 
     def fence_of(self, key):
         """Return the fence under which a key is held now, or None."""
+        if self.ordered is not None:
+            return self.ordered.fence_of(key)
         if asyncio.get_running_loop().time() >= self.until:
             return None
         return next((fence for a, b, fence in self.rows if a <= key <= b), None)
 
+    @property
+    def has_keys(self):
+        """Whether any key is held."""
+        return bool(self.rows if self.ordered is None else self.ordered.rows)
+
     def holds(self, key):
         """Whether a key is held now."""
         return self.fence_of(key) is not None
@@ -70,6 +95,8 @@
                 await asyncio.sleep(pause)
         finally:
             self.until = 0.0
+            if self.ordered is not None:
+                self.ordered.end()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.server.stop()
 
@@ -87,9 +114,9 @@
             "State": state,
             "ColdRemaining": "0ms",
             "Seq": self.seq,
-            "Holds": self.rows,
-            "Released": told,
         }
+        if self.ordered is None:
+            body |= {"Holds": self.rows, "Released": told}
         path = b"/api/instances/" + self.id.encode()
         status, answer = await call(self.control, b"PUT", path, body)
         if status != 200:
@@ -107,3 +134,88 @@
         self.released += [[a, b, f"t{self.seq}-{a}"] for a, b, _ in gone]
         self.until = sent + float(said["Hold"].removesuffix("ms")) / 1000
         return 0.1 if gone else HEARTBEAT
+
+
+class OrderedKeys:
+    """Keys that a server is granted by calls at its own address.
+
+    Parameters
+    ----------
+    server : DialectServer
+        Takes the calls.
+    late : float
+        Share of the calls that get no answer and are carried out later.
+    """
+
+    def __init__(self, *, server, late):
+        self._server = server
+        self._late = late
+        self._rng = random.Random(server.id)
+        self._rows = []
+        self._seen = []
+        self._tasks = set()
+        server.calls = {GRANT_PATH: self._take_grant, RELEASE_PATH: self._take_release}
+
+    @property
+    def rows(self):
+        """Rows (first, last) that are held now."""
+        now = asyncio.get_running_loop().time()
+        return [(first, last) for first, last, _, until in self._rows if now < until]
+
+    def fence_of(self, key):
+        """Return the fence under which a key is held now, or None."""
+        now = asyncio.get_running_loop().time()
+        fences = (f for a, b, f, until in self._rows if a <= key <= b and now < until)
+        return max(fences, default=None)
+
+    def end(self):
+        """Hold nothing any more; late calls do nothing either."""
+        self._rows = []
+        for task in self._tasks:
+            task.cancel()
+
+    async def _answer_late(self, work):
+        """Carry a call out later, as a task, and give no answer."""
+
+        async def later():
+            await asyncio.sleep(self._rng.uniform(*LATE_SECONDS))
+            work()
+
+        task = asyncio.ensure_future(later())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        await asyncio.sleep(LATE_SECONDS[1])
+
+    async def _take_grant(self, body, responder):
+        order = json.loads(body)
+        until = asyncio.get_running_loop().time() + parse_time(order["Hold"])
+        row = (order["From"], order["TargetVersion"], order["fence"], until)
+        if self._rng.random() < self._late:
+            await self._answer_late(lambda: self._grant(row))
+            responder.abort()
+            return
+        await responder.send(200 if self._grant(row) else 409)
+
+    def _grant(self, row):
+        first, last, fence, until = row
+        if any(a <= last and first <= b and f > fence for a, b, f in self._seen):
+            return False
+        self._seen.append((first, last, fence))
+        if until > asyncio.get_running_loop().time():
+            self._cut(first, last)
+            self._rows.append(row)
+        return True
+
+    def _cut(self, first, last):
+        rows, self._rows = self._rows, []
+        for a, b, fence, until in rows:
+            pieces = rows_without([(a, b)], (first, last))
+            self._rows += [(*piece, fence, until) for piece in pieces]
+
+    async def _take_release(self, body, responder):
+        order = json.loads(body)
+        first, last = order["From"], order["TargetVersion"]
+        self._cut(first, last)
+        while any(first <= key <= last for key in self._server.running_keys):
+            await asyncio.sleep(RELEASE_POLL)
+        await responder.send(200, [(b"Handover", b"t%d" % first)])
--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -53,7 +53,7 @@
     } | changes
 
 
-def make_config(version):
+def make_config(version, *, granting="heartbeat"):
     """Return the first configuration."""
     return {
         "Version": f"{version:08x}",
@@ -63,6 +63,7 @@
                 "HealthPath": "/health",
                 "MaxConnections": 60,
                 "Sharding": name == "keyed",
+                "Grants": granting,
             }
             for name in SERVICES
         },
@@ -96,15 +97,30 @@
         For settings, data and logs.
     keyed, plain : int
         Servers of each service.
+    granting : str
+        How servers are granted keys, "heartbeat" or "request".
+    late : float
+        Share of the orders about keys that are carried out late.
     on_start : callable
         Told each `BackendServer` before it begins to serve.
     """
 
-    def __init__(self, *, folder, keyed=3, plain=2, on_start=lambda server: None):
+    def __init__(
+        self,
+        *,
+        folder,
+        keyed=3,
+        plain=2,
+        granting="heartbeat",
+        late=0.0,
+        on_start=lambda server: None,
+    ):
         # Addresses of this run's own, so that runs side by side do not meet.
         net = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}"
         ports = free_ports(f"{net}.1", len(PORTS))
         self.folder = folder
+        self.granting = granting
+        self._late = late
         self.control = [
             Machine(f"core-{n}", f"{net}.{n}", ports, folder) for n in (1, 2, 3)
         ]
@@ -128,8 +144,12 @@
         await until(self._sent_first)
         await until(self.is_ready)
 
+    def make_config(self, version):
+        """Return the first configuration, with servers granted keys as here."""
+        return make_config(version, granting=self.granting)
+
     async def _sent_first(self):
-        status, _ = await self.change(self.control[0], make_config(1), 0)
+        status, _ = await self.change(self.control[0], self.make_config(1), 0)
         return status == 200
 
     async def start_control(self, machine, *, first=False):
@@ -161,6 +181,8 @@
             address=(place.machine.ip, 0),
             service=place.service,
             seconds=0.03,
+            ordered=self.granting == "request" and place.service == "keyed",
+            late=self._late,
         )
         place.server = server
         self._on_start(server)
@@ -187,7 +209,7 @@
             status, _ = await call(address, b"GET", b"/api/readiness")
             if status != 200:
                 return False
-            if place.service == "keyed" and not place.server.rows:
+            if place.service == "keyed" and not place.server.has_keys:
                 return False
         return True
 
--- a/guavastream/platform/settings.py
+++ b/guavastream/platform/settings.py
@@ -5,7 +5,9 @@
 from guavastream.exception import Finding, FindingsError
 from guavastream.hosts import FleetSettings
 from guavastream.kernel import parse_address
+from guavastream.platform.keys import GRANTING
 from guavastream.platform.units import parse_time
+from guavastream.routes import Granting
 
 __all__ = ["SETTINGS_VARIABLE", "parse_settings", "read_settings"]
 
@@ -82,6 +84,7 @@
         "heartbeat": reader.take("Heartbeat", parse_time, 1.0),
         "longest_hold": reader.take("Bounds.MaxHold", parse_time, 10.0),
         "retry_ratio": reader.take("Bounds.RetryBudgetRatio", float, 0.2),
+        "granting": GRANTING.get(raw.get("Grants", "heartbeat"), Granting.UNKNOWN),
         "grace": reader.take("Bounds.Grace", parse_time, 6.0),
         "metrics": f"{ip}:{int(ports[-1])}" if peer_port else "",
     }
--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -24,6 +24,8 @@
 # Within this after the last fault all keys must be served again, seconds.
 RECOVERY_SECONDS = 30.0
 PROBED_KEYS = 16
+# Share of the orders about keys that get no answer and are carried out later.
+LATE_ORDERS = 0.05
 MOST_BODY = 20000
 
 
@@ -34,14 +36,16 @@
 
 
 class _Soak:
-    def __init__(self, *, seed, seconds, callers, folder, calm):
+    def __init__(self, *, seed, seconds, callers, folder, calm, granting):
         self.ledger = Ledger()
         self.counts = {}
         self._rng = random.Random(seed)
         self._seconds = seconds
         self._callers = callers
         self._ids = iter(range(1, 10**9))
-        self._world = World(folder=folder, on_start=self._watch)
+        self._world = World(
+            folder=folder, on_start=self._watch, granting=granting, late=LATE_ORDERS
+        )
         counts = {
             "control": len(self._world.control),
             "host": len(self._world.places),
@@ -182,7 +186,9 @@
                 self.ledger.read(int(json.loads(data)["Version"], 16), sent)
 
 
-def run_soak(*, seed, seconds, callers=6, folder=None, calm=False):
+def run_soak(
+    *, seed, seconds, callers=6, folder=None, calm=False, granting="heartbeat"
+):
     """Play one seed; return broken promises, counts of answers and faults.
 
     Parameters
@@ -197,6 +203,9 @@
         Keeps settings, data and logs of the processes.
     calm : bool
         Whether to leave the faults out.
+    granting : str
+        How servers are granted keys, "heartbeat" or "request" (by calls, some
+        of which are carried out late).
 
     Raises
     ------
@@ -206,7 +215,12 @@
 
     async def main(folder):
         soak = _Soak(
-            seed=seed, seconds=seconds, callers=callers, folder=folder, calm=calm
+            seed=seed,
+            seconds=seconds,
+            callers=callers,
+            folder=folder,
+            calm=calm,
+            granting=granting,
         )
         return await soak.run(), soak.counts, len(soak.schedule)
 
@@ -229,6 +243,12 @@
     )
     parser.add_argument("--callers", type=int, default=6, help="callers (6)")
     parser.add_argument("--calm", action="store_true", help="without any fault")
+    parser.add_argument(
+        "--granting",
+        choices=("heartbeat", "request"),
+        default="heartbeat",
+        help="how servers are granted keys (heartbeat)",
+    )
     parser.add_argument("--folder", help="keep settings, data and logs here")
     return _soak
 
@@ -247,6 +267,7 @@
                 callers=arguments.callers,
                 folder=folder,
                 calm=arguments.calm,
+                granting=arguments.granting,
             )
         except SoakFailure as error:
             print(f"seed {seed}: {error}")
--- /dev/null
+++ b/guavastream/platform/tests/test_keys.py
@@ -0,0 +1,92 @@
+"""Orders about keys as the platform's servers take them."""
+
+import asyncio
+import json
+
+import pytest
+
+from guavastream.fleet import Instance
+from guavastream.hosts.key_keeper import KeySender
+from guavastream.http1 import CutOff, Headers
+from guavastream.leases import KeyCall
+from guavastream.platform.keys import MOST_HANDOVER, KeyOrders
+from guavastream.relay import KeyOutcome
+
+GRANT = KeyCall(first=4096, last=8191, fence=12, handover="5c0e", hold=1.9996)
+RELEASE = KeyCall(first=4096, last=8191, fence=12)
+
+
+def test_a_grant_and_a_release():
+    path, body = KeyOrders().encode(GRANT)
+    assert path == b"/api/grant"
+    assert json.loads(body) == {
+        "From": 4096,
+        "TargetVersion": 8191,
+        "fence": 12,
+        "Hold": "1999ms",
+        "Handover": "5c0e",
+    }
+    path, body = KeyOrders().encode(RELEASE)
+    assert path == b"/api/release"
+    assert json.loads(body) == {"From": 4096, "TargetVersion": 8191, "fence": 12}
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "outcome"),
+    [
+        (200, (), KeyOutcome.DONE),
+        (409, (), KeyOutcome.REFUSED),
+        (400, (), KeyOutcome.DENIED),
+        (421, (), KeyOutcome.DENIED),
+        (503, ((b"Not-Executed", b"1"),), KeyOutcome.DENIED),
+    ],
+)
+def test_what_an_answer_says(status, headers, outcome):
+    assert KeyOrders().decode(status, Headers(headers)).outcome is outcome
+
+
+@pytest.mark.parametrize("status", [100, 204, 302, 404, 500, 503])
+def test_an_unknown_answer_says_nothing(status):
+    # Whatever it means, the order may have been carried out or be so later.
+    assert KeyOrders().decode(status, Headers()) is None
+
+
+def test_a_handover_that_is_none_is_left_out():
+    for value in (b"x" * (MOST_HANDOVER + 1), b"\xff"):
+        answer = KeyOrders().decode(200, Headers([(b"Handover", value)]))
+        assert answer.handover == ""
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"SSH-2.0-x\r\n",
+        b"HTTP/1.1 200 OK\r\nHandover: " + b"x" * (1 << 20) + b"\r\n\r\n",
+        b"",
+    ],
+)
+def test_what_is_no_answer_ends_the_connection(answer):
+    # A server that lost its mind must not fill this process's memory, nor be
+    # taken to have done what it was told.
+    async def main():
+        async def handle(reader, writer):
+            await reader.readline()
+            writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        instance = Instance(
+            id="i",
+            service="s",
+            host="h",
+            door="d",
+            address=f"{host}:{port}",
+            zone="z",
+            slots=1,
+        )
+        with pytest.raises(CutOff):
+            await KeySender(dialect=KeyOrders()).send(instance, GRANT)
+        server.close()
+
+    asyncio.run(main())
--- a/guavastream/platform/tests/test_settings.py
+++ b/guavastream/platform/tests/test_settings.py
@@ -4,6 +4,7 @@
 
 from guavastream.exception import FindingsError
 from guavastream.platform.settings import parse_settings, read_settings
+from guavastream.routes import Granting
 
 CORE = """\
 NodeName=core-a-1
@@ -72,3 +73,11 @@
     with pytest.raises(FindingsError) as caught:
         read_settings({"GUAVASTREAM_BOOT": path})
     assert caught.value.findings[0].place == path
+
+
+def test_how_keys_are_granted():
+    assert parse_settings(SIDECAR).granting is Granting.HEARTBEAT
+    by_call = parse_settings(SIDECAR + "Grants=request\n")
+    assert by_call.granting is Granting.CALL
+    odd = parse_settings(SIDECAR + "Grants=pigeon\n")
+    assert odd.granting is Granting.UNKNOWN
--- a/guavastream/platform/tests/test_system.py
+++ b/guavastream/platform/tests/test_system.py
@@ -5,22 +5,23 @@
 import os
 import signal
 
+import pytest
+
 from guavastream.http1 import Client
 from guavastream.platform.emulator import (
     PORTS,
     Machine,
     World,
-    make_config,
     make_route,
     until,
 )
 
 
-def play(folder, scenario):
+def play(folder, scenario, **options):
     """Run a coroutine function of a started `World` of two servers with keys."""
 
     async def main():
-        world = World(folder=folder, keyed=2, plain=0)
+        world = World(folder=folder, keyed=2, plain=0, **options)
         try:
             await world.start()
             await scenario(world)
@@ -45,7 +46,8 @@
     return await until(once)
 
 
-def test_a_day_in_small(tmp_path):
+@pytest.mark.parametrize("granting", ["heartbeat", "request"])
+def test_a_day_in_small(tmp_path, granting):
     # Requests for keys all over reach their owners from both hosts; a change
     # is read back and in force; a lost control host and a planned stop of
     # one process cost no request.
@@ -58,10 +60,10 @@
         assert {run[4] for server in servers for run in server.ran} == {b"keyed"}
         assert all(server.ran for server in servers)
 
-        config = make_config(1)
+        config = world.make_config(1)
         patch = {"method": b"PATCH"}
         assert await change(world, 1, config, 0) == 200
-        assert await change(world, 1, make_config(3), 0) == 412
+        assert await change(world, 1, world.make_config(3), 0) == 412
         bad = {"Version": "00000003", "Remove": {"Services": ["keyed"]}}
         assert await change(world, 0, bad, 1, **patch) == 422
         assert await change(world, 0, b"{", 1, **patch) == 400
@@ -94,12 +96,12 @@
         leaving.state = "draining"
 
         async def handed_over():
-            return not leaving.rows and stopping.server.holds(50000)
+            return not leaving.has_keys and stopping.server.holds(50000)
 
         await until(handed_over)
         assert (await ask(world, other, 50000))[0] == 200
 
-    play(tmp_path, scenario)
+    play(tmp_path, scenario, granting=granting)
 
 
 def test_a_missing_setting_ends_the_process_with_every_finding(tmp_path):
--- a/guavastream/platform/tests/test_wire.py
+++ b/guavastream/platform/tests/test_wire.py
@@ -12,7 +12,7 @@
     encode_beaten,
     encode_config,
 )
-from guavastream.routes import Repeat, RouteIndex
+from guavastream.routes import Granting, Repeat, RouteIndex
 
 ROUTE = {
     "Host": "Jepu9.example",
@@ -164,3 +164,18 @@
 def test_the_largest_acknowledgement_stays_within_its_bound():
     rows = tuple((65000 + n, 65000 + n, 10**6, "f" * 16) for n in range(90))
     assert len(encode_beaten(Beaten(index=1, rows=rows, hold=3.0))) <= 4096
+
+
+@pytest.mark.parametrize(
+    ("said", "granting"),
+    [
+        ({}, None),
+        ({"Grants": "heartbeat"}, Granting.HEARTBEAT),
+        ({"Grants": "request"}, Granting.CALL),
+        ({"Grants": "pigeon"}, Granting.UNKNOWN),
+    ],
+)
+def test_how_a_service_is_granted_keys(said, granting):
+    services = {"huvo11a": CONFIG["Services"]["huvo11a"] | said}
+    change = put(CONFIG | {"Services": services, "Routes": {}})
+    assert change.services[0].granting is granting
--- a/guavastream/platform/wire.py
+++ b/guavastream/platform/wire.py
@@ -7,6 +7,7 @@
 
 from guavastream.exception import Finding, FindingsError
 from guavastream.fleet import KEYS, Beat, ChangeRoutes
+from guavastream.platform.keys import GRANTING
 from guavastream.platform.units import (
     format_time,
     format_version,
@@ -14,7 +15,14 @@
     parse_version,
 )
 from guavastream.relay import Dialect
-from guavastream.routes import CallerLimits, Part, Repeat, Route, ServiceRules
+from guavastream.routes import (
+    CallerLimits,
+    Granting,
+    Part,
+    Repeat,
+    Route,
+    ServiceRules,
+)
 
 __all__ = ["DIALECT", "decode_beat", "decode_change", "encode_beaten"]
 __all__ += ["encode_config"]
@@ -60,6 +68,7 @@
     max_connections: int = 120
     sharding: bool = False
     warmup: str = "0ms"
+    grants: str = ""
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -263,6 +272,7 @@
         keyed=raw.sharding,
         warmup=parse_time(raw.warmup),
         health=raw.health_path,
+        granting=GRANTING.get(raw.grants, Granting.UNKNOWN) if raw.grants else None,
         origin=origin,
     )
 
--- a/guavastream/relay/dialect.py
+++ b/guavastream/relay/dialect.py
@@ -1,8 +1,10 @@
 """Names of the headers by which callers, servers and this system speak."""
 
+import abc
 from dataclasses import dataclass
+from enum import Enum
 
-__all__ = ["OWN", "Dialect"]
+__all__ = ["OWN", "Dialect", "KeyDialect", "KeyOutcome", "KeyResult"]
 
 # Headers between our own processes; nobody else's are believed or passed on.
 OWN = b"guavastream-hop-"
@@ -44,3 +46,41 @@
     not_run: bytes = b"Guavastream-Not-Run"
     instance: bytes = b"Guavastream-Instance"
     call_mark: bytes = b"."
+
+
+class KeyOutcome(Enum):
+    """What a server says of an order about keys."""
+
+    DONE = "done"
+    # A higher fence was seen on one of the keys.
+    REFUSED = "refused"
+    # Not carried out, and never will be.
+    DENIED = "denied"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeyResult:
+    """An outcome, and after a release what the next holder needs."""
+
+    outcome: KeyOutcome
+    handover: str = ""
+
+
+class KeyDialect(abc.ABC):
+    """How orders about keys are written for backend servers."""
+
+    @abc.abstractmethod
+    def headers(self, instance):
+        """Return the headers of an order to an `Instance`, pairs of bytes."""
+
+    @abc.abstractmethod
+    def encode(self, call):
+        """Return path and body, bytes, of the POST request for a `KeyCall`."""
+
+    @abc.abstractmethod
+    def decode(self, status, headers):
+        """Return the `KeyResult` of an answer, or None if it says nothing.
+
+        Whatever is not known for sure to be a success or a refusal says
+        nothing: the order may still be carried out.
+        """
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -103,16 +103,27 @@
         IP:PORT where requests for the local server arrive.
     count : callable
         Counts an event by name.
+    keeper : KeyKeeper, optional
+        Knows what servers hold that are granted keys by calls.
     on_refused : callable, optional
         Told the instance at whose address nobody listens.
     """
 
     def __init__(
-        self, *, clock, dialect, books, door, count, on_refused=lambda instance: None
+        self,
+        *,
+        clock,
+        dialect,
+        books,
+        door,
+        count,
+        keeper=None,
+        on_refused=lambda instance: None,
     ):
         self._clock = clock
         self._dialect = dialect
         self._books = books
+        self._keeper = keeper
         self._door = door
         self._count = count
         self._on_refused = on_refused
@@ -239,6 +250,9 @@
         self._at_server.add(attempt.id)
         try:
             self._check_leaving(instance)
+            # While it waited, the key may have gone to another server.
+            if attempt.key is not None and not self._holds_key(attempt):
+                raise NotRun("moving")
             async with self._send(instance, attempt) as answer:
                 ran = True
                 yield answer
@@ -259,14 +273,7 @@
 
     async def _check_key(self, attempt):
         until = min(attempt.deadline - LAST_SECONDS, self._clock() + GRANT_SECONDS)
-        while True:
-            held = self._held if self._id == attempt.instance else None
-            # A process that has just started does not know what the server
-            # holds; the server does, and refuses what it must.
-            if held is None or (
-                held.covers(attempt.key) and self._clock() < held.until
-            ):
-                return
+        while not self._holds_key(attempt):
             owner = self._books.table.owner_of(attempt.service, attempt.key)
             if owner is None or owner.id != attempt.instance:
                 raise NotRun("moving")
@@ -277,7 +284,26 @@
             # goes to another one; the second has no event of its own here.
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(max(SHORTEST_POLL, min(POLL_SECONDS, left))):
-                    await held.changed.wait()
+                    await self._changed(attempt).wait()
+
+    def _holds_key(self, attempt):
+        """Whether the server holds the key of an attempt, as far as is known."""
+        leases = self._leases(attempt)
+        if leases is not None:
+            return leases.covers(attempt.key)
+        held = self._held if self._id == attempt.instance else None
+        # A process that has just started does not know what the server
+        # holds; the server does, and refuses what it must.
+        return held is None or (held.covers(attempt.key) and self._clock() < held.until)
+
+    def _leases(self, attempt):
+        return self._keeper and self._keeper.leases_of(attempt.instance)
+
+    def _changed(self, attempt):
+        """Return an event that is set when the held keys next change."""
+        if self._leases(attempt) is not None:
+            return self._keeper.changed(attempt.instance)
+        return self._held.changed
 
     @contextlib.asynccontextmanager
     async def _send(self, instance, attempt):
--- a/guavastream/routes/model.py
+++ b/guavastream/routes/model.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-__all__ = ["CallerLimits", "Part", "Repeat", "Route", "RouteConfig", "ServiceRules"]
+__all__ = ["CallerLimits", "Granting", "Part", "Repeat", "Route", "RouteConfig"]
+__all__ += ["ServiceRules"]
 
 
 class Repeat(StrEnum):
@@ -15,6 +16,17 @@
     UPLOAD = "upload"
 
 
+class Granting(StrEnum):
+    """How the backend servers of a service are granted keys."""
+
+    # By the answers to their heartbeats.
+    HEARTBEAT = "heartbeat"
+    # By calls of the process beside them.
+    CALL = "call"
+    # In a way that this version does not know: no keys are granted.
+    UNKNOWN = "unknown"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Part:
     """A service that gets a share of a route's requests, by weight."""
@@ -84,6 +96,8 @@
         Time for which keys that came without a handover are slow, seconds.
     health : str
         Path of the health check.
+    granting : Granting or None
+        How they are granted keys; None is as the process's settings say.
     origin : bytes
         The item as its operator wrote it.
     """
@@ -93,6 +107,7 @@
     keyed: bool = False
     warmup: float = 0.0
     health: str = "/health"
+    granting: Granting | None = None
     origin: bytes = b""
 
 
--- a/guavastream/standins/dialect.py
+++ b/guavastream/standins/dialect.py
@@ -29,6 +29,8 @@
         Id, method, target, body and caller of each request that ran.
     cut : list of bytes
         Ids of those whose caller left while they ran.
+    calls : dict of bytes to callable
+        Coroutine functions of body and responder that answer other paths.
     on_run : callable
         Told the entry of `ran` and the key, or None, when a request begins.
     behave : callable
@@ -45,8 +47,11 @@
         self.cut = []
         self.sheds = False
         self.behave = None
+        self.calls = {}
         self.on_run = lambda request, key: None
         self.running = 0
+        # Keys of the requests that run, as often as each runs.
+        self.running_keys = []
         self._dialect = dialect
         self._server = Server(address=address, handler=self._handle)
 
@@ -77,6 +82,9 @@
             await responder.send(200, fields)
             return
         body, _ = await request.body.read_up_to(1 << 24)
+        if request.path in self.calls:
+            await self.calls[request.path](body, responder)
+            return
         key = headers.get(names.key.lower())
         expected = headers.get(names.expected.lower()).decode()
         if expected != self.id or (key and not self.holds(int(key))):
@@ -89,6 +97,8 @@
         caller = headers.get(names.caller.lower())
         self.ran.append((id, request.method, request.target, body, caller))
         self.on_run(self.ran[-1], int(key) if key else None)
+        number = int(key) if key else -1
+        self.running_keys.append(number)
         try:
             await asyncio.sleep(self.seconds)
         except asyncio.CancelledError:
@@ -96,6 +106,7 @@
             raise
         finally:
             self.running -= 1
+            self.running_keys.remove(number)
         if self.behave is not None and await self.behave(request, responder):
             return
         sealed = [*echo, (names.seal, b"seal-" + id)] if names.seal else echo
