--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -7,6 +7,7 @@
 from guavastream.control.loads import KeyLoads, Loads
 from guavastream.exception import NotLeader
 from guavastream.fleet import (
+    Beat,
     Beaten,
     GrantKeys,
     JoinInstance,
@@ -17,7 +18,7 @@
     encode_command,
     rows_without,
 )
-from guavastream.kernel import Signal, TimeLimit, part_logger
+from guavastream.kernel import Policy, Signal, TimeLimit, part_logger
 from guavastream.placement import RunView, plan_runs
 from guavastream.routes import Granting
 
@@ -58,11 +59,21 @@
         Times of holds.
     granting : Granting
         How servers are granted keys where the configuration does not say.
+    policy : Policy, optional
+        Mechanisms that are in force.
     """
 
     def __init__(
-        self, *, raft, machine, clock, timing=None, granting=Granting.HEARTBEAT
+        self,
+        *,
+        raft,
+        machine,
+        clock,
+        timing=None,
+        granting=Granting.HEARTBEAT,
+        policy=None,
     ):
+        self._policy = policy or Policy()
         self._raft = raft
         self._machine = machine
         self._clock = clock
@@ -126,6 +137,7 @@
         if newest is not None and beat.seq < newest.seq:
             return Beaten(index=self._book.index)
         self._note_newest(beat)
+        new = beat.id not in self._book.instances
         if not await self._take(beat):
             return Beaten(index=self._book.index, gone=True)
         self._holds.hear(beat.id)
@@ -134,7 +146,7 @@
         if rules is None or not rules.keyed:
             return Beaten(index=self._book.index)
         if self._granting_of(beat.service) is not Granting.HEARTBEAT:
-            return Beaten(index=self._book.index)
+            return Beaten(index=self._book.index, new=new)
         await self._wait_for_news(beat, arrived)
         self._require_lead()
         if not self._is_newest(beat) or beat.id in self._removing:
@@ -363,7 +375,9 @@
         """Take a report of requests by key."""
         loads = self._loads.get(report.service)
         if loads is None:
-            loads = self._loads[report.service] = KeyLoads(clock=self._clock)
+            loads = self._loads[report.service] = KeyLoads(
+                clock=self._clock, policy=self._policy
+            )
         loads.note(report.keys, report.rest)
         if report.latency:
             self._latency[report.id] = report.latency
@@ -443,8 +457,13 @@
             return
         runs = book.runs_of(name)
         now = self._clock()
+        # Silent servers keep their keys until it is sure that they hold none.
+        absent = frozenset(
+            i.id for i in book.servers(name) if not i.leaving and i.id not in capacity
+        )
         free = any(not run.owner for run in runs)
-        stranded = any(run.owner and run.owner not in capacity for run in runs)
+        staying = {"", *capacity, *absent}
+        stranded = any(run.owner not in staying for run in runs)
         if not free and not stranded and now - self._balanced < BALANCE_SECONDS:
             return
         if not free:
@@ -455,8 +474,10 @@
         view = RunView(
             runs=self._book.runs_of(name),
             capacity=capacity,
+            absent=absent,
             load=loads.busy,
             areas=loads.areas,
+            policy=self._policy,
             moving={
                 (m.first, m.last): m.target
                 for m in moves
@@ -518,10 +539,9 @@
 
     def _capacity(self, name):
         """Return requests a second that each server that stays can do."""
-        servers = [i for i in self._book.servers(name) if not i.leaving]
-        if self._granting_of(name) is Granting.CALL:
-            # Nobody grants anything to a server before its process has asked.
-            servers = [i for i in servers if not self._holds.expired(i.id)]
+        servers = [
+            i for i in self._book.servers(name) if not i.leaving and self._is_present(i)
+        ]
         known = [self._latency[i.id] for i in servers if i.id in self._latency]
         usual = sorted(known)[len(known) // 2] if known else 1 / SLOT_RATE
         now = self._clock()
@@ -533,6 +553,17 @@
             capacity[server.id] = max(rate, 0.1)
         return capacity
 
+    def _is_present(self, server):
+        """Whether a server was heard in this term, and may hold something.
+
+        After the loss of all power the book is full of servers that ended;
+        keys must not go to those, nor from one to another.
+        """
+        by_call = self._granting_of(server.service) is Granting.CALL
+        kind = RenewKeys if by_call else Beat
+        heard = (kind, server.id) in self._newest
+        return heard and not self._holds.expired(server.id)
+
     def _settles(self, name):
         """Whether the first servers of a service are still coming."""
         if name in self._book.runs:
--- a/guavastream/control/loads.py
+++ b/guavastream/control/loads.py
@@ -4,9 +4,12 @@
 from dataclasses import dataclass, field
 
 from guavastream.fleet import KEYS
+from guavastream.kernel import Policy
 
 __all__ = ["AREAS", "KeyLoads", "Loads"]
 
+# Time for which a report counts.
+REPORT_SECONDS = 0.25
 # Time over which requests are averaged. Busy keys change within seconds, so
 # that older ones tell little; shorter, the noise of single requests decides.
 WINDOW_SECONDS = 2.0
@@ -20,6 +23,8 @@
 # Keys below this are counted by area, requests a second. Most requests go to
 # keys that are rare by themselves, and many of these lie close together.
 FLOOR = 1.5
+# Requests that must have come for it; fewer are chance.
+LEAST_COUNT = 3.0
 # Parts of all keys, of equal size, by which rare keys are counted; and the
 # time over which they are, since their popularity changes slowly.
 AREAS = 256
@@ -36,13 +41,27 @@
 
 
 class _Average:
-    """Counts by key that fade with time; `rates` are requests a second."""
+    """Counts by key that fade with time; `rates` are requests a second.
+
+    At first they are means over the time so far: a leader that has just been
+    elected would else take all servers to be idle for seconds, and move
+    nothing.
+    """
 
     def __init__(self, *, clock, seconds):
         self._clock = clock
         self._seconds = seconds
+        # What comes first was counted before.
+        self._since = clock() - REPORT_SECONDS
         self._at = clock()
-        self.rates = {}
+        self._sums = {}
+
+    @property
+    def rates(self):
+        """Requests a second, by key."""
+        age = self._at - self._since
+        weight = self._seconds * -math.expm1(-age / self._seconds)
+        return {key: total / weight for key, total in self._sums.items()}
 
     def fade(self, least):
         """Bring the rates up to date, and forget those below `least`."""
@@ -50,14 +69,19 @@
         factor = math.exp((self._at - now) / self._seconds)
         self._at = now
         if factor < 0.999:
-            self.rates = {
-                key: rate * factor
-                for key, rate in self.rates.items()
-                if rate * factor > least
+            floor = least * self._seconds
+            self._sums = {
+                key: total * factor
+                for key, total in self._sums.items()
+                if total * factor > floor
             }
 
+    def total(self, key):
+        """Return the faded number of requests of a key."""
+        return self._sums.get(key, 0.0)
+
     def add(self, key, count):
-        self.rates[key] = self.rates.get(key, 0.0) + count / self._seconds
+        self._sums[key] = self._sums.get(key, 0.0) + count
 
 
 class KeyLoads:
@@ -67,6 +91,8 @@
     ----------
     clock : callable
         Steady time in seconds.
+    policy : Policy, optional
+        Mechanisms that are in force.
 
     Examples
     --------
@@ -74,11 +100,12 @@
     >>> loads = KeyLoads(clock=lambda: now)
     >>> loads.note(((7, 40), (300, 1)), 0)
     >>> found = loads.read()
-    >>> found.busy, found.areas[1] > 0, found.areas[0]
-    ({7: 80.0}, True, 0.0)
+    >>> found.busy[7] > found.areas[1] > 0 == found.areas[2]
+    True
     """
 
-    def __init__(self, *, clock):
+    def __init__(self, *, clock, policy=None):
+        self._policy = policy or Policy()
         self._long = _Average(clock=clock, seconds=WINDOW_SECONDS)
         self._short = _Average(clock=clock, seconds=SHORT_SECONDS)
         self._areas = _Average(clock=clock, seconds=AREA_SECONDS)
@@ -104,21 +131,22 @@
         self._fade()
         busy = {}
         # What its busy keys had over the time of an area is not of the others.
-        areas = dict(self._areas.rates)
-        for key in self._long.rates.keys() | self._short.rates.keys():
-            rate = self._rate(key)
-            if rate >= FLOOR:
+        areas = self._areas.rates
+        usual, lately = self._long.rates, self._short.rates
+        for key in usual.keys() | lately.keys():
+            before = usual.get(key, 0.0)
+            rate = self._rate(before, lately.get(key, 0.0))
+            if rate >= FLOOR and self._long.total(key) >= LEAST_COUNT:
                 busy[key] = rate
                 area = key // AREA_KEYS
-                taken = min(rate, self._long.rates.get(key, 0.0))
-                areas[area] = max(0.0, areas.get(area, 0.0) - taken)
+                areas[area] = max(0.0, areas.get(area, 0.0) - min(rate, before))
         return Loads(
             busy=busy, areas=tuple(areas.get(area, 0.0) for area in range(AREAS))
         )
 
-    def _rate(self, key):
-        usual = self._long.rates.get(key, 0.0)
-        lately = self._short.rates.get(key, 0.0)
+    def _rate(self, usual, lately):
+        if not self._policy.changes:
+            return usual
         # The deviation of a rate that is counted over about twice the time.
         noise = math.sqrt(max(usual, LEAST_SIGMA) / (2 * SHORT_SECONDS))
         return lately if abs(lately - usual) > CHANGE_SIGMAS * noise else usual
--- a/guavastream/control/tests/test_loads.py
+++ b/guavastream/control/tests/test_loads.py
@@ -36,6 +36,16 @@
     assert found.busy[7] == pytest.approx(20.0, rel=0.5)
 
 
+def test_the_first_reports_count_in_full():
+    # A leader that has just been elected knows nothing. It took all servers
+    # to be idle for seconds, while some refused a third of their requests.
+    reports = Reports()
+    rates = {7: 40.0} | dict.fromkeys(range(1000, 4000, 10), 0.3)
+    found = reports.play(0.5, rates)
+    assert found.busy[7] == pytest.approx(40.0, rel=0.3)
+    assert sum(found.areas) == pytest.approx(90.0, rel=0.4)
+
+
 def test_a_key_that_gets_hot_shows_within_half_a_second():
     # It has a server of its own before most of its callers have been refused.
     reports = Reports()
--- a/guavastream/fleet/messages.py
+++ b/guavastream/fleet/messages.py
@@ -67,7 +67,8 @@
     `rows` of (first, last, fence, handover) are all that the server is to
     hold for `hold` seconds from when the message was sent; None renews
     nothing. `drops` are rows of (first, last, fence) that it is to release.
-    `gone` says that this life of the server is over.
+    `gone` says that this life of the server is over, `new` that nobody knew
+    of it before this heartbeat.
     """
 
     index: int
@@ -75,6 +76,7 @@
     hold: float = 0.0
     gone: bool = False
     drops: tuple[tuple[int, int, int], ...] = ()
+    new: bool = False
 
 
 @message
--- a/guavastream/hosts/control_host.py
+++ b/guavastream/hosts/control_host.py
@@ -72,6 +72,7 @@
             clock=steady_time,
             timing=settings.holds,
             granting=settings.granting,
+            policy=settings.policy,
         )
         self._keeper = VoterKeeper(
             raft=self._raft,
--- a/guavastream/hosts/key_keeper.py
+++ b/guavastream/hosts/key_keeper.py
@@ -140,6 +140,7 @@
         self._asker = f"{rng.getrandbits(64):x}"
         self._rng = rng
         self._lives = {}
+        self._new = set()
         self._answered_at = float("-inf")
         self._told_unknown = set()
 
@@ -152,6 +153,12 @@
         """Return an event that is set when the held keys next change."""
         return self._lives[id].changed
 
+    def note_new(self, id):
+        """Note that no process before this one knew a life of the server."""
+        self._new.add(id)
+        if id in self._lives:
+            self._lives[id].leases.note_new()
+
     def follow(self, book):
         """Begin and end lives as the book says."""
         wanted = {
@@ -161,6 +168,7 @@
         }
         for id in [id for id in self._lives if id not in wanted]:
             life = self._lives.pop(id)
+            self._new.discard(id)
             asyncio.ensure_future(life.tasks.stop())
         for id, instance in wanted.items():
             if id not in self._lives:
@@ -190,6 +198,8 @@
             changed=Signal(loop=self._loop),
         )
         self._lives[instance.id] = life
+        if instance.id in self._new:
+            leases.note_new()
         life.tasks.spawn(self._renew(life))
         life.tasks.spawn(self._work(life))
 
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -24,6 +24,9 @@
 # A watch returns at once when there is news; this is how long it waits else.
 WATCH_SECONDS = 0.6
 WATCH_PATIENCE = 0.4
+FIRST_WATCH_SECONDS = 0.1
+# Doubled with each round, since a whole book may take a while on a narrow link.
+FIRST_WATCH_PATIENCE = 0.1
 RETRY_SECONDS = 0.05
 # Failures in a row after which the seeds of the settings are asked too.
 FAILURES_TO_RESEED = 3
@@ -92,7 +95,10 @@
         self._books = TableHolder(codec=BookCodec())
         self._index = None
         self._picker = Picker(
-            clock=self._loop.time, rng=random.Random(), zone=settings.zone
+            clock=self._loop.time,
+            rng=random.Random(),
+            zone=settings.zone,
+            policy=settings.policy,
         )
         self._keeper = KeyKeeper(
             control=self._control,
@@ -111,6 +117,7 @@
             door=settings.inbound,
             count=self.counters.count,
             on_refused=self._note_refused,
+            policy=settings.policy,
         )
         self._ending = None
         self._beaten_at = {}
@@ -125,6 +132,7 @@
             ratio=settings.retry_ratio,
             count=self.counters.count,
             observe=self.counters.observe,
+            policy=settings.policy,
         )
         self._hops = HopDoor(loop=self._loop, dialect=dialect, guard=self._guard)
         self._outbound = Server(
@@ -181,10 +189,17 @@
         failures = random.randrange(len(self._seeds) or 1)
         in_a_row = 0
         while True:
-            request = Watch(index=self._books.table.index, wait=WATCH_SECONDS)
+            wait, patience = WATCH_SECONDS, WATCH_PATIENCE
+            if self._index is None:
+                # Callers are refused until there is a book; control hosts that
+                # were lost together come back one after the other.
+                wait = FIRST_WATCH_SECONDS
+                rounds = in_a_row // len(self._control.addresses)
+                patience = min(FIRST_WATCH_PATIENCE * 2**rounds, WATCH_SECONDS)
+            request = Watch(index=self._books.table.index, wait=wait)
             try:
                 answer = await self._control.call_any(
-                    failures, request, timeout=WATCH_SECONDS + WATCH_PATIENCE
+                    failures, request, timeout=wait + patience
                 )
             except GuavastreamError as error:
                 failures += 1
@@ -256,6 +271,8 @@
             self._answered_at = float("-inf")
             raise
         self._answered_at = self._loop.time()
+        if answer.new:
+            self._keeper.note_new(beat.id)
         if answer.rows is not None:
             until = arrived + answer.hold
             self._guard.note_dropped(beat.id, answer.rows)
--- a/guavastream/hosts/settings.py
+++ b/guavastream/hosts/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from guavastream.control.holds import HoldTiming
+from guavastream.kernel import Policy
 from guavastream.routes import Granting
 
 __all__ = ["FleetSettings"]
@@ -41,6 +42,8 @@
         Time between a request to stop and the end, seconds.
     metrics : str
         IP:PORT where counters are served.
+    policy : Policy
+        Mechanisms that are in force.
     """
 
     host: str
@@ -61,6 +64,7 @@
     granting: Granting = Granting.HEARTBEAT
     grace: float = 6.0
     metrics: str = ""
+    policy: Policy = Policy()
 
     @property
     def holds(self):
--- a/guavastream/hosts/tests/test_key_keeper.py
+++ b/guavastream/hosts/tests/test_key_keeper.py
@@ -108,6 +108,35 @@
     assert play_orders(tmp_path, scenario).longest_gap < 0.05
 
 
+def test_after_all_lost_power_keys_are_spread_at_once(tmp_path):
+    # Hosts and servers come back one after the other, with new lives. Keys
+    # went to the first that came, and to servers of before that had ended,
+    # and stayed there for the 2 s in which new processes doubt everything.
+    async def scenario(fleet):
+        for address in list(fleet.core.rafts):
+            fleet.core.kill(address)
+        for place in fleet.places:
+            await place.kill_process()
+            place.crash_server()
+        await asyncio.sleep(0.8)
+        for address in fleet.core.addresses:
+            fleet.core.start(address, first=False)
+        for place in fleet.places:
+            place.start_process()
+            place.start_server()
+            await asyncio.sleep(0.1)
+        began = asyncio.get_running_loop().time()
+        await fleet.core.until(fleet.is_served)
+        assert asyncio.get_running_loop().time() - began < 2.0
+        await asyncio.sleep(0.8)
+        counts = [
+            sum(place.server.holds(key) for key in KEYS_SEEN) for place in fleet.places
+        ]
+        assert min(counts) > len(KEYS_SEEN) / len(counts) / 2
+
+    play_orders(tmp_path, scenario)
+
+
 def test_keys_of_a_lost_host_are_granted_when_their_time_is_over(tmp_path):
     # Process and server fall silent together; the server may work on.
     async def scenario(fleet):
--- a/guavastream/kernel/__init__.py
+++ b/guavastream/kernel/__init__.py
@@ -6,6 +6,7 @@
 from guavastream.kernel.logs import *
 from guavastream.kernel.loops import *
 from guavastream.kernel.metrics import *
+from guavastream.kernel.policy import *
 from guavastream.kernel.registry import *
 from guavastream.kernel.roles import *
 from guavastream.kernel.settings import *
--- a/guavastream/leases/keys.py
+++ b/guavastream/leases/keys.py
@@ -181,7 +181,9 @@
         self._in_flight = set()
         self._heard_at = clock()
         self._lost = 0
-        self._doubts = [((0, KEYS - 1), self._bound(self._heard_at, self._longest))]
+        # What a predecessor of this process may have sent.
+        self._unknown = ((0, KEYS - 1), self._bound(self._heard_at, self._longest))
+        self._doubts = [self._unknown]
 
     @property
     def told(self):
@@ -206,6 +208,13 @@
         now = self._clock()
         return [row.row for row in self._rows if now < row.until]
 
+    def note_new(self):
+        """Note that this life of the server began in the time of this process.
+
+        No predecessor has sent it anything, and nothing is in doubt.
+        """
+        self._doubts = [doubt for doubt in self._doubts if doubt is not self._unknown]
+
     # What the leader says
 
     def take(self, answer, *, sent):
--- a/guavastream/leases/tests/test_keys.py
+++ b/guavastream/leases/tests/test_keys.py
@@ -153,6 +153,18 @@
     assert leases.returned()
 
 
+def test_a_new_life_of_the_server_leaves_nothing_in_doubt():
+    # After all lost power its keys are moved to where they are needed at once.
+    now = 100.0
+    leases = KeyLeases(clock=lambda: now, rng=random.Random(1))
+    leases.note_new()
+    drops = ((0, 9, 7),)
+    leases.take(Beaten(index=1, rows=(), hold=HOLD, drops=drops), sent=now)
+    (release,) = leases.due()
+    leases.note_done(release)
+    assert leases.returned()
+
+
 def test_a_server_that_answers_nothing_is_dark():
     bench = Bench()
     bench.granted(ALL)
--- a/guavastream/placement/runs.py
+++ b/guavastream/placement/runs.py
@@ -10,6 +10,7 @@
 from heapq import nlargest
 
 from guavastream.fleet import KEYS, rows_without
+from guavastream.kernel import Policy
 
 __all__ = ["RunPlan", "RunView", "plan_runs"]
 
@@ -53,7 +54,9 @@
     runs : tuple of Run
         All keys with their owners.
     capacity : dict of str to float
-        Requests a second that each server can do; leaving ones are absent.
+        Requests a second that each server can do; leaving ones are not there.
+    absent : frozenset of str
+        Silent servers, which neither get keys nor give any.
     load : dict of int to float
         Requests a second for each busy key.
     rest : float
@@ -62,14 +65,18 @@
         Requests a second for other keys, by equal parts of all keys.
     moving : dict of tuple to str
         Rows (first, last) that are on the move, and their targets.
+    policy : Policy
+        Mechanisms that are in force.
     """
 
     runs: tuple
     capacity: dict
+    absent: frozenset = frozenset()
     load: dict = field(default_factory=dict)
     rest: float = 0.0
     areas: tuple = ()
     moving: dict = field(default_factory=dict)
+    policy: Policy = Policy()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -89,6 +96,8 @@
         for key in self.keys:
             self.sums.append(self.sums[-1] + view.load[key])
         rare = view.areas or (0.0,)
+        if not view.policy.areas:
+            rare = (sum(rare),)
         total = self.sums[-1] + view.rest + sum(rare)
         even = (max(total, 1.0) * EVEN_SHARE + view.rest) / len(rare)
         self._area_keys = KEYS / len(rare)
@@ -148,11 +157,11 @@
             continue
         if run.owner in held:
             held[run.owner].append((run.first, run.last))
-        else:
+        elif run.owner not in view.absent:
             stranded.append((run.first, run.last))
     grants = _spread(view, loads, use, rows, _chunks(view, free))
     moves = _spread(view, loads, use, rows, stranded)
-    if not free and not stranded:
+    if not free and not stranded and view.policy.balance:
         moves = _balance(view, loads, use, rows, held)
     return RunPlan(grants=tuple(grants), moves=tuple(moves))
 
@@ -212,7 +221,7 @@
         )
         window, target = _window(loads, held[full], wanted), idle
         if window is None or not _relieves(view, loads, use, full, window, idle):
-            window, target = _hottest(view, loads, use, held[full], full)
+            window, target = _hottest(view, loads, held[full], full)
         if window is None:
             break
         moved = loads.of(*window)
@@ -230,7 +239,7 @@
     return use[target] + loads.of(*window) / view.capacity[target] < use[full]
 
 
-def _hottest(view, loads, use, rows, full):
+def _hottest(view, loads, rows, full):
     """Return the busiest key of a server as a row, and where it does better.
 
     One key that is more than its server can do cannot be cut; what helps is
@@ -244,7 +253,7 @@
         ]
     ]
     hottest = max(keys, key=view.load.get, default=None)
-    if hottest is None:
+    if hottest is None or not view.policy.hottest:
         return None, None
     load = view.load[hottest]
     alone = load / view.capacity[full]
--- a/guavastream/platform/settings.py
+++ b/guavastream/platform/settings.py
@@ -4,7 +4,7 @@
 
 from guavastream.exception import Finding, FindingsError
 from guavastream.hosts import FleetSettings
-from guavastream.kernel import parse_address
+from guavastream.kernel import POLICY_VARIABLE, Policy, parse_address
 from guavastream.platform.keys import GRANTING
 from guavastream.platform.units import parse_time
 from guavastream.routes import Granting
@@ -31,7 +31,7 @@
     path = environ.get(SETTINGS_VARIABLE, DEFAULT_PATH)
     try:
         with open(path, encoding="utf-8") as file:
-            return parse_settings(file.read())
+            return parse_settings(file.read(), environ.get(POLICY_VARIABLE, ""))
     except (OSError, UnicodeDecodeError) as error:
         text = f"Cannot be read ({error})."
         raise FindingsError([Finding(place=path, code="unreadable", text=text)]) from (
@@ -39,8 +39,8 @@
         )
 
 
-def parse_settings(text):
-    """Return the `FleetSettings` that a settings file asks for.
+def parse_settings(text, policy=""):
+    """Return the `FleetSettings` of a settings file and a text of switches.
 
     Raises
     ------
@@ -86,6 +86,7 @@
         "retry_ratio": reader.take("Bounds.RetryBudgetRatio", float, 0.2),
         "granting": GRANTING.get(raw.get("Grants", "heartbeat"), Granting.UNKNOWN),
         "grace": reader.take("Bounds.Grace", parse_time, 6.0),
+        "policy": reader.policy(policy),
         "metrics": f"{ip}:{int(ports[-1])}" if peer_port else "",
     }
     if reader.findings:
@@ -118,5 +119,12 @@
             self.findings.append(Finding(place=name, code="bad_value", text=text))
             return default
 
+    def policy(self, text):
+        try:
+            return Policy.parse(text)
+        except FindingsError as error:
+            self.findings += error.findings
+            return Policy()
+
     def address(self, name):
         return self.take(name, lambda text: parse_address(text) and text, "")
--- a/guavastream/relay/admission.py
+++ b/guavastream/relay/admission.py
@@ -10,7 +10,7 @@
 from bisect import bisect_left, insort
 from dataclasses import dataclass
 
-from guavastream.kernel import TimeLimit
+from guavastream.kernel import Policy, TimeLimit
 from guavastream.relay.outcome import NotRun
 
 __all__ = ["Gate"]
@@ -38,7 +38,7 @@
 # A request that cannot be in time any more waits behind all that can, and no
 # longer than this share of the time it has left: a burst passes, a queue that
 # stands does not.
-LATE_SHARE = 0.3
+LATE_SHARE = 0.12
 LATE_SHARE_STANDING = 0.05
 # Of a request's usual time at least this must be left before its deadline
 # when its turn comes, or its work would be cut off.
@@ -100,6 +100,8 @@
         The running loop; its time is the clock.
     slots : int
         Requests that the server runs at a time.
+    policy : Policy, optional
+        Mechanisms that are in force.
 
     Notes
     -----
@@ -115,9 +117,10 @@
        Systems: EDF and Related Algorithms", Kluwer, 1998.
     """
 
-    def __init__(self, *, loop, slots=1):
+    def __init__(self, *, loop, slots=1, policy=None):
         self._loop = loop
         self._clock = loop.time
+        self._policy = policy or Policy()
         self._queue = []
         self._numbers = itertools.count()
         self._running = 0
@@ -157,7 +160,9 @@
 
     def _silence(self):
         """Return for how long the server has answered nothing, seconds."""
-        return self._clock() - self._heard_at if self._running else 0.0
+        if not self._running or not self._policy.silence:
+            return 0.0
+        return self._clock() - self._heard_at
 
     async def enter(self, *, rank, kind, wanted_by, deadline, call=False):
         """Wait for a slot; return what `leave` needs.
@@ -201,7 +206,7 @@
     def _waiter(self, rank, usual, wanted_by, deadline, call, now):
         latest = deadline - max(LAST_SECONDS, usual * LEAST_LEFT)
         rest = wanted_by - now - usual
-        late = rest <= 0 and not call
+        late = rest <= 0 and not call and self._policy.late_last
         if call:
             in_time = latest
         elif late:
@@ -234,6 +239,8 @@
         # silent when that shows; as long again is the best guess.
         wait = self._factor(kind) * raw + max(0.0, self._silence() - mean)
         spare = 0.0 if call else self._spare(waiter, now)
+        if not self._policy.refusal:
+            return raw
         fits = now + wait + spare <= waiter.in_time
         if not fits or not (call or self._keeps_promises(waiter, place, ahead, now)):
             again = min(max(SHORTEST_RETRY, wait / 2), LONGEST_RETRY)
@@ -251,10 +258,14 @@
         return min(SPARED * waiter.usual, SPARED_OF_REST * rest)
 
     def _stands(self, now):
+        if not self._policy.standing:
+            return False
         return now - self._empty_at >= STANDING_SECONDS
 
     def _keeps_promises(self, waiter, place, ahead, now):
         """Whether all that a request would overtake can still be in time."""
+        if not self._policy.promises:
+            return True
         ahead += waiter.usual
         for other in self._queue[place:]:
             if other.order[:2] != waiter.order[:2]:
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -19,7 +19,7 @@
 # server; well within the 2 s that the operators allow.
 LEAVING_SECONDS = 1.6
 # Longest wait for a grant that the book already shows.
-GRANT_SECONDS = 1.2
+GRANT_SECONDS = 0.4
 POLL_SECONDS = 0.02
 # A server has ended if nobody listens at its address that often, spread over
 # that time.
@@ -113,6 +113,8 @@
         Knows what servers hold that are granted keys by calls.
     on_refused : callable, optional
         Told the instance at whose address nobody listens.
+    policy : Policy, optional
+        Mechanisms that are in force.
     """
 
     def __init__(
@@ -125,6 +127,7 @@
         count,
         keeper=None,
         on_refused=lambda instance: None,
+        policy=None,
     ):
         self._loop = loop
         self._clock = loop.time
@@ -135,7 +138,7 @@
         self._count = count
         self._on_refused = on_refused
         self._client = Client()
-        self._gate = Gate(loop=loop)
+        self._gate = Gate(loop=loop, policy=policy)
         self._id = ""
         self._held = None
         self._left_at = {}
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from guavastream.http1 import Client, CutOff, NotSent
-from guavastream.kernel import TimeLimit, part_logger
+from guavastream.kernel import Policy, TimeLimit, part_logger
 from guavastream.relay.budget import RetryShare
 from guavastream.relay.dialect import OWN
 from guavastream.relay.guard import Attempt
@@ -22,7 +22,7 @@
 WHOLE_ANSWER = 256 << 10
 # Longest wait for a key without an owner, as a share of the time left: a
 # caller that is told by then has time enough to come back and be served.
-OWNER_PATIENCE = 0.5
+OWNER_PATIENCE = 0.3
 # A server that is gone may come back without a new book, so that waiting for
 # one is cut into pieces.
 POLL_SECONDS = 0.03
@@ -70,6 +70,8 @@
         Counts an event by name.
     observe : callable
         Takes the name of a duration and its seconds.
+    policy : Policy, optional
+        Mechanisms that are in force.
     """
 
     def __init__(
@@ -85,7 +87,9 @@
         ratio,
         count,
         observe,
+        policy=None,
     ):
+        self._policy = policy or Policy()
         self._loop = loop
         self._clock = loop.time
         self._dialect = dialect
@@ -105,7 +109,12 @@
         self._limits = set()
         self._ends_at = float("inf")
         self._reader = JobReader(
-            loop=loop, dialect=dialect, routes=routes, service=service, runs=guard.runs
+            loop=loop,
+            dialect=dialect,
+            routes=routes,
+            service=service,
+            runs=guard.runs,
+            policy=self._policy,
         )
 
     async def handle(self, request, responder):
@@ -188,12 +197,14 @@
                 raise failure
             if verdict.arrived:
                 arrivals += 1
+                if not self._policy.second_tries:
+                    raise failure
                 if arrivals >= job.route.attempts or not share.spend():
                     raise failure
             if code == "server_failed":
                 continue
             if verdict.awaits_owner and (job.keyed or code == "no_server"):
-                if self._clock() >= patience:
+                if self._clock() >= patience or not self._policy.owner_waits:
                     raise failure
                 await self._wait_for_book(book.index, patience)
                 tried.clear()
--- a/guavastream/relay/job.py
+++ b/guavastream/relay/job.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from guavastream.fleet import KEYS
-from guavastream.kernel import TimeLimit
+from guavastream.kernel import Policy, TimeLimit
 from guavastream.relay.dialect import OWN
 from guavastream.relay.outcome import NotRun
 from guavastream.relay.returns import Returns
@@ -101,9 +101,12 @@
         Service of this host, told to servers as the caller's.
     runs : callable
         Whether the local server runs the request of an id.
+    policy : Policy, optional
+        Mechanisms that are in force.
     """
 
-    def __init__(self, *, loop, dialect, routes, service, runs):
+    def __init__(self, *, loop, dialect, routes, service, runs, policy=None):
+        self._policy = policy or Policy()
         self._loop = loop
         self._dialect = dialect
         self._routes = routes
@@ -149,7 +152,7 @@
         deadline = started + timeout - LAST_HOP_SECONDS
         id = headers.get(names.request_id.lower())
         call = self._is_call(id)
-        if gives_up is not None and not call:
+        if gives_up is not None and not call and self._policy.returns:
             what = (route.name, request.target)
             first = self._returns.take(what, gives_up=gives_up, now=started)
         wanted_by = min(first + route.target, deadline)
--- a/guavastream/relay/pick.py
+++ b/guavastream/relay/pick.py
@@ -3,6 +3,8 @@
 import math
 from dataclasses import dataclass, field
 
+from guavastream.kernel import Policy
+
 __all__ = ["Picker", "Report", "format_report", "parse_report"]
 
 # A report older than this says little about what waits at a server now.
@@ -119,9 +121,12 @@
         Breaks ties, so that hosts do not all choose the same server.
     zone : str
         Own availability zone.
+    policy : Policy, optional
+        Mechanisms that are in force.
     """
 
-    def __init__(self, *, clock, rng, zone=""):
+    def __init__(self, *, clock, rng, zone="", policy=None):
+        self._policy = policy or Policy()
         self._clock = clock
         self._rng = rng
         self._zone = zone
@@ -164,7 +169,8 @@
                 best, least = server, time
             if server.zone == self._zone and time < least_near:
                 nearest, least_near = server, time
-        return nearest if least_near <= enough else best
+        stays = least_near <= enough and self._policy.near
+        return nearest if stays else best
 
     def _without_out(self, servers):
         now = self._clock()
@@ -191,7 +197,9 @@
             there = max(there, report.running + report.waiting + seen.sent_since)
         mean = report.seconds or USUAL_SECONDS
         load = (there + 1) / report.slots
-        time = seen.kinds.get(kind) or self._typical.get(kind) or mean
+        time = mean
+        if self._policy.kinds:
+            time = seen.kinds.get(kind) or self._typical.get(kind) or mean
         time *= 1 + max(0.0, min(load, 1.0) - BUSY_LOAD)
         time += mean * max(0.0, load - 1.0)
         time = max(time, self._silence(seen, now))
@@ -209,7 +217,9 @@
         their time. How long it has been silent already is the best guess at
         how long it will stay so.
         """
-        return now - seen.heard_at if seen.mine else 0.0
+        if not seen.mine or not self._policy.silence:
+            return 0.0
+        return now - seen.heard_at
 
     def is_silent(self, server, kind):
         """Whether a server has stopped to answer, as far as can be told.
@@ -253,7 +263,8 @@
         seen = self._of(server)
         now = self._clock()
         left = seen.burden * math.exp((seen.burden_at - now) / FADE_SECONDS)
-        seen.burden = left + FAILURE_BURDEN if failed else left * 0.8
+        if self._policy.burden:
+            seen.burden = left + FAILURE_BURDEN if failed else left * 0.8
         seen.burden_at = now
         if not failed:
             seen.heard_at = now
