A model of a deployment in virtual time, and guavastream experiment

The mechanisms can be switched off by name (kernel.Policy, also read from the environment by the processes). Loads by key no longer go through all keys for each report.

--- a/guavastream/commands/registry.py
+++ b/guavastream/commands/registry.py
@@ -24,6 +24,7 @@
         "voters",
     ),
     "guavastream.commands.timeline": ("timeline",),
+    "guavastream.commands.experiment": ("experiment",),
     "guavastream.commands.bench": ("demo", "bench", "capacity"),
 }
 
--- a/guavastream/control/loads.py
+++ b/guavastream/control/loads.py
@@ -25,6 +25,8 @@
 FLOOR = 1.5
 # Requests that must have come for it; fewer are chance.
 LEAST_COUNT = 3.0
+# A key with fewer faded requests is forgotten.
+FORGOTTEN = 0.2
 # Parts of all keys, of equal size, by which rare keys are counted; and the
 # time over which they are, since their popularity changes slowly.
 AREAS = 256
@@ -45,43 +47,42 @@
 
     At first they are means over the time so far: a leader that has just been
     elected would else take all servers to be idle for seconds, and move
-    nothing.
+    nothing. What comes later counts more, in place of all that came before
+    counting less: nothing needs to be gone through for each report.
+
+    References
+    ----------
+    .. [1] G. Cormode et al., "Forward Decay: A Practical Time Decay Model for
+       Streaming Systems", ICDE 2009.
     """
 
     def __init__(self, *, clock, seconds):
         self._clock = clock
         self._seconds = seconds
         # What comes first was counted before.
-        self._since = clock() - REPORT_SECONDS
-        self._at = clock()
+        self._since = self._origin = clock() - REPORT_SECONDS
         self._sums = {}
 
-    @property
-    def rates(self):
-        """Requests a second, by key."""
-        age = self._at - self._since
-        weight = self._seconds * -math.expm1(-age / self._seconds)
-        return {key: total / weight for key, total in self._sums.items()}
-
-    def fade(self, least):
-        """Bring the rates up to date, and forget those below `least`."""
-        now = self._clock()
-        factor = math.exp((self._at - now) / self._seconds)
-        self._at = now
-        if factor < 0.999:
-            floor = least * self._seconds
-            self._sums = {
-                key: total * factor
-                for key, total in self._sums.items()
-                if total * factor > floor
-            }
-
-    def total(self, key):
-        """Return the faded number of requests of a key."""
-        return self._sums.get(key, 0.0)
+    def _growth(self):
+        return math.exp((self._clock() - self._origin) / self._seconds)
 
     def add(self, key, count):
-        self._sums[key] = self._sums.get(key, 0.0) + count
+        """Count requests of a key."""
+        weight = count * self._growth()
+        self._sums[key] = self._sums.get(key, 0.0) + weight
+
+    def totals(self):
+        """Return the faded numbers of requests by key, without forgotten ones."""
+        growth = self._growth()
+        least = FORGOTTEN * growth
+        self._sums = {key: v / growth for key, v in self._sums.items() if v > least}
+        self._origin = self._clock()
+        return self._sums
+
+    def scale(self):
+        """Return what makes a number of requests a rate, a second."""
+        age = self._clock() - self._since
+        return 1 / (self._seconds * -math.expm1(-age / self._seconds))
 
 
 class KeyLoads:
@@ -112,7 +113,6 @@
 
     def note(self, keys, rest):
         """Count requests: pairs of key and count, and those for other keys."""
-        self._fade()
         for key, count in keys:
             self._long.add(key, count)
             self._short.add(key, count)
@@ -121,22 +121,20 @@
             for area in range(AREAS):
                 self._areas.add(area, rest / AREAS)
 
-    def _fade(self):
-        self._long.fade(FLOOR / 8)
-        self._short.fade(FLOOR / 8)
-        self._areas.fade(0.0)
-
     def read(self):
         """Return the `Loads` of now."""
-        self._fade()
-        busy = {}
+        usual, lately = self._long.totals(), self._short.totals()
+        scales = self._long.scale(), self._short.scale()
+        scale = self._areas.scale()
         # What its busy keys had over the time of an area is not of the others.
-        areas = self._areas.rates
-        usual, lately = self._long.rates, self._short.rates
-        for key in usual.keys() | lately.keys():
-            before = usual.get(key, 0.0)
-            rate = self._rate(before, lately.get(key, 0.0))
-            if rate >= FLOOR and self._long.total(key) >= LEAST_COUNT:
+        areas = {area: v * scale for area, v in self._areas.totals().items()}
+        busy = {}
+        for key, total in usual.items():
+            if total < LEAST_COUNT:
+                continue
+            before = total * scales[0]
+            rate = self._rate(before, lately.get(key, 0.0) * scales[1])
+            if rate >= FLOOR:
                 busy[key] = rate
                 area = key // AREA_KEYS
                 areas[area] = max(0.0, areas.get(area, 0.0) - min(rate, before))
--- a/guavastream/kernel/policy.py
+++ b/guavastream/kernel/policy.py
@@ -8,7 +8,8 @@
 __all__ = ["POLICY_VARIABLE", "Policy"]
 
 POLICY_VARIABLE = "GUAVASTREAM_POLICY"
-WORDS = {"on": True, "off": False}
+# How the text of a value is read, by the type of its field.
+READERS = {bool: {"on": True, "off": False}.__getitem__, float: float}
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -50,6 +51,10 @@
         Rare keys are counted where they lie.
     changes : bool
         A key whose load changes is known by its last moments.
+    spare : float
+        Times the usual reserve that a request must have to be let in.
+    late_wait, owner_wait : float
+        Times the usual patience of late requests, and with a missing owner.
     """
 
     returns: bool = True
@@ -67,6 +72,9 @@
     hottest: bool = True
     areas: bool = True
     changes: bool = True
+    spare: float = 1.0
+    late_wait: float = 1.0
+    owner_wait: float = 1.0
 
     @classmethod
     def parse(cls, text):
@@ -83,18 +91,18 @@
         >>> policy.near, policy.kinds
         (False, True)
         """
-        names = {field.name for field in dataclasses.fields(cls)}
-        switches, findings = {}, []
+        kinds = {field.name: field.type for field in dataclasses.fields(cls)}
+        values, findings = {}, []
         for part in filter(None, (part.strip() for part in text.split(","))):
             name, _, word = part.partition("=")
-            if name in names and word in WORDS:
-                switches[name] = WORDS[word]
-                continue
-            known = ", ".join(sorted(names))
-            found = f"{part!r} is no switch; they are {known}, each on or off."
-            findings.append(
-                Finding(place=POLICY_VARIABLE, code="bad_value", text=found)
-            )
+            try:
+                values[name] = READERS[kinds[name]](word)
+            except (KeyError, ValueError):
+                known = ", ".join(sorted(kinds))
+                found = f"{part!r} means nothing; known are {known}: on, off, or times."
+                findings.append(
+                    Finding(place=POLICY_VARIABLE, code="bad_value", text=found)
+                )
         if findings:
             raise FindingsError(findings)
-        return cls(**switches)
+        return cls(**values)
--- a/guavastream/relay/admission.py
+++ b/guavastream/relay/admission.py
@@ -211,6 +211,7 @@
             in_time = latest
         elif late:
             share = LATE_SHARE_STANDING if self._stands(now) else LATE_SHARE
+            share *= self._policy.late_wait
             in_time = min(latest, now + share * (deadline - now))
         else:
             in_time = wanted_by - usual
@@ -254,8 +255,10 @@
             return 0.0
         rest = waiter.in_time - now
         if self._stands(now):
-            return min(SPARED_STANDING * waiter.usual, SPARED_OF_REST_STANDING * rest)
-        return min(SPARED * waiter.usual, SPARED_OF_REST * rest)
+            spare = min(SPARED_STANDING * waiter.usual, SPARED_OF_REST_STANDING * rest)
+        else:
+            spare = min(SPARED * waiter.usual, SPARED_OF_REST * rest)
+        return self._policy.spare * spare
 
     def _stands(self, now):
         if not self._policy.standing:
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -174,7 +174,8 @@
         share.earn()
         tried = set()
         arrivals = 0
-        patience = self._clock() + (job.deadline - self._clock()) * OWNER_PATIENCE
+        patience = OWNER_PATIENCE * self._policy.owner_wait
+        patience = self._clock() + (job.deadline - self._clock()) * patience
         while True:
             book = self._books.table
             server = None
