Lines say what decided a refusal, and guavastream explain reads them

A refusal said only "overloaded", at the ingress. The owner's host now writes what decided it, the ingress the servers that were weighed, the leader the loads and capacities of a plan; all bounded as before. Requests also stay on their own host, or in their availability zone, where that is fast enough.

--- a/guavastream/commands/registry.py
+++ b/guavastream/commands/registry.py
@@ -25,6 +25,7 @@
     ),
     "guavastream.commands.timeline": ("timeline",),
     "guavastream.commands.experiment": ("experiment",),
+    "guavastream.commands.explain": ("explain",),
     "guavastream.commands.bench": ("demo", "bench", "capacity"),
 }
 
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from heapq import nlargest
 
 from guavastream.control.holds import Holds, HoldTiming, Move
 from guavastream.control.loads import KeyLoads, Loads
@@ -39,6 +40,8 @@
 # Patience with a source that does not release a row after it was told.
 MOVE_SECONDS = 6.0
 
+# Busiest keys that a line about a plan tells.
+LOGGED_KEYS = 5
 UNKNOWN = Granting.UNKNOWN
 
 log = part_logger("grants")
@@ -488,6 +491,17 @@
         if plan.grants:
             await self._propose(GrantKeys(service=name, rows=plan.grants))
             self._notify(row[2] for row in plan.grants)
+        if plan.moves:
+            log.info(
+                "Keys move.",
+                extra={
+                    "service": name,
+                    "moves": plan.moves,
+                    "capacity": {id: round(rate) for id, rate in capacity.items()},
+                    "busiest": dict(nlargest(LOGGED_KEYS, loads.busy.items(), _rate)),
+                    "rare": round(sum(loads.areas), 1),
+                },
+            )
         for first, last, target in plan.moves:
             self._begin_move(name, first, last, target)
 
@@ -585,6 +599,10 @@
         return await self._raft.propose(encode_command(command))
 
 
+def _rate(item):
+    return item[1]
+
+
 def _joining(beat):
     return JoinInstance(
         id=beat.id,
--- a/guavastream/experiment/model.py
+++ b/guavastream/experiment/model.py
@@ -87,6 +87,7 @@
     zone: str
     picker: Picker
     returns: Returns
+    here: str = ""
     shares: dict = field(default_factory=dict)
 
 
@@ -183,6 +184,7 @@
             returns=Returns(),
         )
         id = f"{service.name}-{number}-{next(self._ids)}"
+        host.here = id
         instance = Instance(
             id=id,
             service=service.name,
@@ -392,6 +394,7 @@
             tried,
             kind=kind.name,
             target=kind.target,
+            here=request.host.here,
         )
         if chosen is None:
             raise NotRun("no_server", retry_after=USUAL_RETRY)
--- a/guavastream/leases/keys.py
+++ b/guavastream/leases/keys.py
@@ -31,7 +31,7 @@
 LEAST_HOLD = 0.2
 # Part of a hold after which it is renewed, drawn anew for each row so that
 # the rows of a server spread over time.
-RENEW_SHARES = (0.4, 0.6)
+RENEW_SHARES = (0.55, 0.7)
 # Pause after a lost call, doubled with each further one up to the longest.
 FIRST_PAUSE = 0.03
 LONGEST_PAUSE = 0.3
--- a/guavastream/leases/tests/test_keys.py
+++ b/guavastream/leases/tests/test_keys.py
@@ -12,10 +12,13 @@
     GRANT_SECONDS,
     LONGEST_HOLD,
     RELEASE_SECONDS,
+    RENEW_SHARES,
 )
 
 HOLD = 2.8
 SLOW_CLOCK = 1 / 0.98
+# After this time each row is due for renewal, and still held.
+RENEWAL = LONGEST_HOLD * RENEW_SHARES[1]
 ALL = (0, KEYS - 1, 7, "")
 
 
@@ -85,7 +88,7 @@
     assert bench.leases.returned() == ((10, 19, 7, "h"),)
     # A new leader that does not know of the move says what the book says.
     bench.tell(ALL)
-    bench.now += LONGEST_HOLD / 2
+    bench.now += RENEWAL
     rows = {call.row for call in bench.leases.due()}
     assert rows == {(0, 9), (20, KEYS - 1)}
     bench.leases.note_told(bench.leases.returned())
@@ -170,7 +173,7 @@
     bench.granted(ALL)
     for _ in range(DARK_CALLS):
         bench.tell(ALL)
-        bench.now += LONGEST_HOLD / 2
+        bench.now += RENEWAL
         for call in bench.leases.due():
             bench.leases.note_lost(call)
     assert bench.leases.is_dark
--- a/guavastream/placement/runs.py
+++ b/guavastream/placement/runs.py
@@ -19,7 +19,7 @@
 # many small rows spread them before anything was measured.
 FIRST_ROWS_OF_ALL = 200
 LEAST_FIRST_ROWS = 4
-MOST_FIRST_ROWS = 32
+MOST_FIRST_ROWS = 12
 # Rows beyond which no server gets more for the sake of balance; a
 # heartbeat's answer must stay within 4 KiB, which is about 90 rows.
 MOST_ROWS = 75
@@ -138,7 +138,7 @@
     ... )
     >>> plan = plan_runs(view)
     >>> len(plan.grants), sorted({row[2] for row in plan.grants})
-    (64, ['a', 'b'])
+    (24, ['a', 'b'])
     """
     if not view.capacity:
         return RunPlan()
--- a/guavastream/relay/admission.py
+++ b/guavastream/relay/admission.py
@@ -245,7 +245,23 @@
         fits = now + wait + spare <= waiter.in_time
         if not fits or not (call or self._keeps_promises(waiter, place, ahead, now)):
             again = min(max(SHORTEST_RETRY, wait / 2), LONGEST_RETRY)
-            raise NotRun("overloaded", retry_after=waiter.retry_after(now, again))
+            reasons = {
+                "fits": fits,
+                "late": waiter.order[0],
+                "wait_ms": int(1000 * wait),
+                "factor": round(self._factor(kind), 2),
+                "spare_ms": int(1000 * spare),
+                "usual_ms": int(1000 * waiter.usual),
+                "ahead": place,
+                "waiting": len(self._queue),
+                "running": self._running,
+                "to_target_ms": int(1000 * (waiter.order[2] - now)),
+                "to_deadline_ms": int(1000 * (waiter.deadline - now)),
+                "stands": self._stands(now),
+                "silent_ms": int(1000 * self._silence()),
+            }
+            retry_after = waiter.retry_after(now, again)
+            raise NotRun("overloaded", retry_after=retry_after, reasons=reasons)
         return raw
 
     def _spare(self, waiter, now):
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -139,12 +139,17 @@
         self._on_refused = on_refused
         self._client = Client()
         self._gate = Gate(loop=loop, policy=policy)
-        self._id = ""
+        self._id = self._here = ""
         self._held = None
         self._left_at = {}
         self._keys = {}
         self._at_server = set()
 
+    @property
+    def here(self):
+        """Id of the instance that was last served here, or ""."""
+        return self._here
+
     def runs(self, id):
         """Whether the local server runs the request of an id."""
         return id in self._at_server
@@ -241,6 +246,7 @@
         instance = self.local(attempt.instance)
         if instance is None or instance.service != attempt.service:
             raise NotRun("no_server")
+        self._here = instance.id
         if attempt.key is not None and not attempt.again:
             # Those that come back would count twice, just where keys are lacking
             # a server that has time for them.
@@ -250,13 +256,17 @@
             await self._check_key(attempt)
         gate = self._gate
         gate.slots = instance.slots
-        usual = await gate.enter(
-            rank=attempt.rank,
-            kind=attempt.kind,
-            wanted_by=attempt.wanted_by,
-            deadline=attempt.deadline,
-            call=attempt.call,
-        )
+        try:
+            usual = await gate.enter(
+                rank=attempt.rank,
+                kind=attempt.kind,
+                wanted_by=attempt.wanted_by,
+                deadline=attempt.deadline,
+                call=attempt.call,
+            )
+        except NotRun as refused:
+            self._log_refusal(attempt, refused)
+            raise
         began = self._clock()
         exchange = None
         self._at_server.add(attempt.id)
@@ -275,6 +285,22 @@
                 seconds = self._clock() - began
             gate.leave(usual, kind=attempt.kind, seconds=seconds)
 
+    def _log_refusal(self, attempt, refused):
+        """Say what decided a refusal: the ingress knows no more than its code."""
+        log.info(
+            "Refused before the server.",
+            extra={
+                "request": attempt.id.decode("latin-1"),
+                "code": refused.code,
+                "service": attempt.service,
+                "kind": attempt.kind,
+                "key": attempt.key,
+                "call": attempt.call,
+                "again": attempt.again,
+                **(refused.reasons or {}),
+            },
+        )
+
     def _check_leaving(self, instance):
         if not instance.leaving and instance.id not in self._left_at:
             return
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import random
 from dataclasses import replace
 
@@ -187,7 +188,7 @@
             except Lost as error:
                 failure, code = error, error.code
             verdict = VERDICTS[code]
-            self._note_try(job, server, code)
+            self._note_try(book, job, server, code)
             if responder.started:
                 raise failure
             if server is not None:
@@ -215,11 +216,19 @@
             if not self._has_other(book, job, tried):
                 raise failure
 
-    def _note_try(self, job, server, code):
+    def _note_try(self, book, job, server, code):
         self._count(f"tries.{code}")
+        if not log.isEnabledFor(logging.INFO):
+            return
+        weighed = ()
+        if not job.keyed:
+            weighed = self._picker.weighed(book.servers(job.service), job.route.name)
         log.info(
             "Try failed.",
             extra={
+                "service": job.service,
+                "kind": job.route.name,
+                "weighed": weighed,
                 "request": job.id.decode("latin-1"),
                 "code": code,
                 "server": server.id if server else "",
@@ -255,6 +264,7 @@
             kind=job.route.name,
             size=len(job.body),
             target=job.route.target,
+            here=self._guard.here,
         )
         if server is None:
             raise NotRun("no_server", retry_after=USUAL_RETRY)
@@ -413,6 +423,8 @@
                 "request": job.id.decode("latin-1"),
                 "code": code,
                 "service": job.service,
+                "kind": job.route.name,
+                "again": job.again,
                 "key": job.key,
                 "took_ms": int((self._clock() - job.started) * 1000),
             },
--- a/guavastream/relay/outcome.py
+++ b/guavastream/relay/outcome.py
@@ -58,12 +58,15 @@
         A key of `VERDICTS`.
     retry_after : float
         Seconds after which another try may fare better, 0 if unknown.
+    reasons : dict, optional
+        Values that decided it, for the log.
     """
 
-    def __init__(self, code, *, retry_after=0.0):
+    def __init__(self, code, *, retry_after=0.0, reasons=None):
         super().__init__(code)
         self.code = code
         self.retry_after = retry_after
+        self.reasons = reasons
 
 
 class Lost(Exception):
--- a/guavastream/relay/pick.py
+++ b/guavastream/relay/pick.py
@@ -140,7 +140,9 @@
             seen = self._seen[server.id] = _Seen(report=report)
         return seen
 
-    def choose(self, servers, avoid=frozenset(), *, kind="", size=0, target=0.0):
+    def choose(
+        self, servers, avoid=frozenset(), *, kind="", size=0, target=0.0, here=""
+    ):
         """Return the server with the least expected time, or None.
 
         Parameters
@@ -155,6 +157,8 @@
             Bytes of the request's body.
         target : float
             Seconds in which an answer has its full worth.
+        here : str
+            Id of the server on this host, which needs no hop to another one.
         """
         fresh = [s for s in servers if s.id not in avoid]
         pool = self._without_out(fresh)
@@ -165,6 +169,8 @@
         nearest, least_near = None, math.inf
         for server in pool:
             time = self._expected(server, kind)
+            if server.id == here and time <= enough and self._policy.near:
+                return server
             if time < least:
                 best, least = server, time
             if server.zone == self._zone and time < least_near:
@@ -234,6 +240,19 @@
         silence = self._silence(seen, self._clock())
         return silence > max(SILENT_SECONDS, SILENT_TIMES * usual)
 
+    def weighed(self, servers, kind):
+        """Return what is known of servers, for the log: a list of dicts."""
+        now = self._clock()
+        return [
+            {
+                "server": server.id,
+                "expected_ms": int(1000 * self._expected(server, kind)),
+                "mine": self._of(server).mine,
+                "report_ms": int(1000 * min(now - self._of(server).at, 1e6)),
+            }
+            for server in servers
+        ]
+
     def begin(self, server):
         """Note a request on its way to a server."""
         seen = self._of(server)
--- a/guavastream/relay/tests/test_pick.py
+++ b/guavastream/relay/tests/test_pick.py
@@ -70,6 +70,30 @@
     assert shares(picker, [near, far], **kwargs)["far"] == 100
 
 
+def test_requests_stay_in_their_zone_while_they_are_in_time_by_far():
+    # Bytes between zones cost, and nobody waits too long for so little; a
+    # server that is slow or full is left all the same.
+    near, far = server("near", "a"), server("far", "b")
+    picker = make_picker()
+    picker.note_report(near, Report(slots=8, seconds=0.15))
+    picker.note_report(far, Report(slots=8, seconds=0.1))
+    assert shares(picker, [near, far], target=0.4)["near"] == 100
+    assert shares(picker, [near, far], target=0.2)["far"] == 100
+    picker.note_report(near, Report(running=8, waiting=4, slots=8, seconds=0.15))
+    assert shares(picker, [near, far], target=0.4)["far"] == 100
+
+
+def test_the_server_on_the_same_host_needs_no_hop():
+    servers = [server("here"), server("next door")]
+    picker = make_picker()
+    picker.note_report(servers[0], Report(slots=8, seconds=0.12))
+    picker.note_report(servers[1], Report(slots=8, seconds=0.1))
+    found = shares(picker, servers, target=0.4, here="here")
+    assert found["here"] == 100
+    found = shares(picker, servers, target=0.2, here="here")
+    assert found["next door"] == 100
+
+
 def test_what_was_tried_is_not_tried_again():
     servers = [server("a"), server("b")]
     picker = make_picker()
