Sight: failed watches, late answers, and lines that stay short

They tell of the best four now, plans of their first eight moves. A host says when news of the book did not come and for how long it has heard nothing, and counts answers that came when nobody waited any more, with their bytes. The follower of the book is a class of its own, without a change in what it does, and the fake network has links of limited rate.

--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -40,8 +40,9 @@
 # Patience with a source that does not release a row after it was told.
 MOVE_SECONDS = 6.0
 
-# Busiest keys that a line about a plan tells.
+# Busiest keys, and moves, that a line about a plan tells.
 LOGGED_KEYS = 5
+LOGGED_MOVES = 8
 UNKNOWN = Granting.UNKNOWN
 
 log = part_logger("grants")
@@ -496,8 +497,14 @@
                 "Keys move.",
                 extra={
                     "service": name,
-                    "moves": plan.moves,
-                    "capacity": {id: round(rate) for id, rate in capacity.items()},
+                    "moves": plan.moves[:LOGGED_MOVES],
+                    "number": len(plan.moves),
+                    "servers": len(capacity),
+                    "capacity": {
+                        target: round(capacity[target])
+                        for _, _, target in plan.moves[:LOGGED_MOVES]
+                        if target in capacity
+                    },
                     "busiest": dict(nlargest(LOGGED_KEYS, loads.busy.items(), _rate)),
                     "rare": round(sum(loads.areas), 1),
                 },
@@ -518,7 +525,14 @@
         if rows:
             await self._propose(GrantKeys(service=name, rows=tuple(rows)))
             self._notify(row[2] for row in rows)
-            log.info("Moved keys are granted.", extra={"service": name, "rows": rows})
+            log.info(
+                "Moved keys are granted.",
+                extra={
+                    "service": name,
+                    "rows": rows[:LOGGED_MOVES],
+                    "number": len(rows),
+                },
+            )
         done = {(m.first, m.last) for m in moves if not self._is_pending(m)}
         self._moves = [
             m for m in self._moves if m.service != name or (m.first, m.last) not in done
--- /dev/null
+++ b/guavastream/hosts/book_follower.py
@@ -0,0 +1,102 @@
+"""Follows the replicated book from one control host or another."""
+
+import asyncio
+import random
+
+from guavastream.exception import GuavastreamError
+from guavastream.kernel import part_logger
+from guavastream.leases.messages import Watch
+
+__all__ = ["BookFollower"]
+
+# A watch returns at once when there is news; this is how long it waits else.
+WATCH_SECONDS = 0.6
+WATCH_PATIENCE = 0.4
+FIRST_WATCH_SECONDS = 0.1
+# Doubled with each round, since a whole book may take a while on a narrow link.
+FIRST_WATCH_PATIENCE = 0.1
+RETRY_SECONDS = 0.05
+# Failures in a row after which the seeds of the settings are asked too.
+FAILURES_TO_RESEED = 3
+
+log = part_logger("host")
+
+
+class BookFollower:
+    """Keeps the copy of the book in one process up to date.
+
+    Parameters
+    ----------
+    control : ControlClient
+        Reaches the control hosts.
+    books : TableHolder
+        The copy.
+    seeds : tuple of str
+        Control hosts of the settings, asked when the known ones are silent.
+    on_change : callable
+        Told the book before and the book after each change.
+    count : callable, optional
+        Counts an event by name.
+    """
+
+    def __init__(self, *, control, books, seeds, on_change, count=lambda name: None):
+        self.seeds = seeds
+        self._control = control
+        self._books = books
+        self._on_change = on_change
+        self._count = count
+        self._loop = asyncio.get_running_loop()
+        self._answered_at = self._loop.time()
+
+    async def run(self):
+        """Follow until cancelled."""
+        failures = random.randrange(len(self.seeds) or 1)
+        in_a_row = 0
+        while True:
+            wait, patience = WATCH_SECONDS, WATCH_PATIENCE
+            if not self._books.table.config.version:
+                # Callers are refused until there is a book; control hosts that
+                # were lost together come back one after the other.
+                wait = FIRST_WATCH_SECONDS
+                rounds = in_a_row // len(self._control.addresses)
+                patience = min(FIRST_WATCH_PATIENCE * 2**rounds, WATCH_SECONDS)
+            request = Watch(index=self._books.table.index, wait=wait)
+            try:
+                answer = await self._control.call_any(
+                    failures, request, timeout=wait + patience
+                )
+            except GuavastreamError as error:
+                failures += 1
+                in_a_row += 1
+                self._note_failure(error)
+                if in_a_row == FAILURES_TO_RESEED:
+                    log.info("Control hosts are out of reach: %s.", error)
+                if in_a_row % FAILURES_TO_RESEED == 0:
+                    self._control.learn(
+                        dict.fromkeys((*self._control.addresses, *self.seeds))
+                    )
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            if in_a_row >= FAILURES_TO_RESEED:
+                log.info("Control hosts are in reach again.")
+            in_a_row = 0
+            self._control.learn(answer.hosts)
+            self._take(answer)
+
+    def _note_failure(self, error):
+        self._count("watch_failures")
+        log.info(
+            "The book after %d did not come: %s.",
+            self._books.table.index,
+            error,
+            extra={"silent_ms": round((self._loop.time() - self._answered_at) * 1e3)},
+        )
+
+    def _take(self, answer):
+        self._answered_at = self._loop.time()
+        before = self._books.table
+        if answer.table:
+            self._books.load(answer.table)
+        else:
+            self._books.extend(answer.commands)
+        self._on_change(before, self._books.table)
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -7,12 +7,12 @@
 
 from guavastream.exception import GuavastreamError
 from guavastream.fleet import BookCodec, Depart, LoadReport
+from guavastream.hosts.book_follower import BookFollower
 from guavastream.hosts.key_keeper import KeyKeeper, KeySender
 from guavastream.hosts.tasks import Tasks
 from guavastream.http1 import Client, CutOff, Limits, NotSent, Server
 from guavastream.kernel import Counters, parse_address, part_logger
 from guavastream.leases import ControlClient
-from guavastream.leases.messages import Watch
 from guavastream.messages.zmq_transport import ZmqTransport
 from guavastream.relay import Guard, HopDoor, Ingress, Picker
 from guavastream.routes import RouteIndex
@@ -21,15 +21,6 @@
 
 __all__ = ["ServerHost"]
 
-# A watch returns at once when there is news; this is how long it waits else.
-WATCH_SECONDS = 0.6
-WATCH_PATIENCE = 0.4
-FIRST_WATCH_SECONDS = 0.1
-# Doubled with each round, since a whole book may take a while on a narrow link.
-FIRST_WATCH_PATIENCE = 0.1
-RETRY_SECONDS = 0.05
-# Failures in a row after which the seeds of the settings are asked too.
-FAILURES_TO_RESEED = 3
 # A heartbeat counts only if it is answered within a second.
 BEAT_SECONDS = 0.85
 BEAT_ATTEMPT_SECONDS = 0.75
@@ -87,12 +78,19 @@
         self._transport = ZmqTransport(
             hybrid=HybridClock(),
             on_reconnect=lambda address: self.counters.count("peer_reconnects"),
+            on_late=self._note_late,
         )
-        self._seeds = settings.seeds
         self._control = ControlClient(
             transport=self._transport, addresses=settings.seeds
         )
         self._books = TableHolder(codec=BookCodec())
+        self._follower = BookFollower(
+            control=self._control,
+            books=self._books,
+            seeds=settings.seeds,
+            on_change=self._note_book,
+            count=self.counters.count,
+        )
         self._index = None
         self._picker = Picker(
             clock=self._loop.time,
@@ -172,12 +170,12 @@
         """
         await self._inbound.start()
         await self._outbound.start()
-        self._tasks.spawn(self._watch())
+        self._tasks.spawn(self._follower.run())
         self._tasks.spawn(self._report())
 
     def take_seeds(self, seeds):
         """Take the seeds of changed settings."""
-        self._seeds = seeds
+        self._follower.seeds = seeds
 
     async def wait_failed(self):
         """Wait until a part has failed, and raise its error."""
@@ -185,46 +183,11 @@
 
     # The book
 
-    async def _watch(self):
-        failures = random.randrange(len(self._seeds) or 1)
-        in_a_row = 0
-        while True:
-            wait, patience = WATCH_SECONDS, WATCH_PATIENCE
-            if self._index is None:
-                # Callers are refused until there is a book; control hosts that
-                # were lost together come back one after the other.
-                wait = FIRST_WATCH_SECONDS
-                rounds = in_a_row // len(self._control.addresses)
-                patience = min(FIRST_WATCH_PATIENCE * 2**rounds, WATCH_SECONDS)
-            request = Watch(index=self._books.table.index, wait=wait)
-            try:
-                answer = await self._control.call_any(
-                    failures, request, timeout=wait + patience
-                )
-            except GuavastreamError as error:
-                failures += 1
-                in_a_row += 1
-                if in_a_row == FAILURES_TO_RESEED:
-                    log.info("Control hosts are out of reach: %s.", error)
-                if in_a_row % FAILURES_TO_RESEED == 0:
-                    self._control.learn(
-                        dict.fromkeys((*self._control.addresses, *self._seeds))
-                    )
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            if in_a_row >= FAILURES_TO_RESEED:
-                log.info("Control hosts are in reach again.")
-            in_a_row = 0
-            self._control.learn(answer.hosts)
-            self._take(answer)
-
-    def _take(self, answer):
-        before = self._books.table
-        if answer.table:
-            self._books.load(answer.table)
-        else:
-            self._books.extend(answer.commands)
-        book = self._books.table
+    def _note_late(self, size):
+        self.counters.count("late_answers")
+        self.counters.count("late_answer_bytes", size)
+
+    def _note_book(self, before, book):
         if book.instances is not before.instances:
             self._picker.keep_only(book.instances)
         self._keeper.follow(book)
--- a/guavastream/messages/tests/test_zmq.py
+++ b/guavastream/messages/tests/test_zmq.py
@@ -28,12 +28,14 @@
     return request
 
 
-def with_server(scenario):
+def with_server(scenario, on_late=lambda size: None):
     async def run():
         server = ZmqServer(address="127.0.0.1:0", handler=answer, hybrid=HybridClock())
         server.start()
         replaced = []
-        transport = ZmqTransport(hybrid=HybridClock(), on_reconnect=replaced.append)
+        transport = ZmqTransport(
+            hybrid=HybridClock(), on_reconnect=replaced.append, on_late=on_late
+        )
         try:
             await scenario(server, transport, replaced)
         finally:
@@ -85,6 +87,26 @@
     with_server(scenario)
 
 
+def test_answers_that_come_too_late_are_counted():
+    late = []
+
+    async def scenario(server, transport, replaced):
+        given_up = asyncio.Event()
+
+        async def wait(request):
+            await given_up.wait()
+            return request
+
+        server._handler = wait
+        with pytest.raises(CallTimeout):
+            await transport.call(server.address, Echo(text="a"), timeout=0.01)
+        given_up.set()
+        await transport.call(server.address, Echo(text="b"), timeout=5)
+        assert late == [len(encode_message(Echo(text="a"))[1])]
+
+    with_server(scenario, on_late=late.append)
+
+
 def test_malformed_message_is_counted_and_the_peer_told():
     async def scenario(server, transport, replaced):
         counted = []
--- a/guavastream/messages/zmq_transport.py
+++ b/guavastream/messages/zmq_transport.py
@@ -109,10 +109,11 @@
 class _Channel:
     """The connection to one peer."""
 
-    def __init__(self, *, address, clock, on_reconnect):
+    def __init__(self, *, address, clock, on_reconnect, on_late):
         self._address = address
         self._clock = clock
         self._on_reconnect = on_reconnect
+        self._on_late = on_late
         self._waiting = {}
         self._heard = 0.0
         self._loop = asyncio.get_running_loop()
@@ -130,9 +131,11 @@
         number, stamp, tag, body = frames
         self._clock.observe(stamp)
         future = self._waiting.pop(number, None)
-        # A late answer finds nobody waiting and is dropped.
-        if future is not None and not future.done():
-            future.set_result((tag, body))
+        if future is None or future.done():
+            # Nobody waits for it any more.
+            self._on_late(len(body))
+            return
+        future.set_result((tag, body))
 
     async def call(self, number, request, timeout):
         future = self._loop.create_future()
@@ -188,11 +191,20 @@
         Clock whose stamps travel with every message.
     on_reconnect : callable, optional
         Told the address of each connection that was replaced as silent.
+    on_late : callable, optional
+        Told the size of each answer that came when nobody waited any more.
     """
 
-    def __init__(self, *, hybrid, on_reconnect=lambda address: None):
+    def __init__(
+        self,
+        *,
+        hybrid,
+        on_reconnect=lambda address: None,
+        on_late=lambda size: None,
+    ):
         self._clock = _PeerClock(hybrid=hybrid)
         self._on_reconnect = on_reconnect
+        self._on_late = on_late
         self._channels = {}
         self._numbers = itertools.count(1)
 
@@ -203,6 +215,7 @@
                 address=address,
                 clock=self._clock,
                 on_reconnect=self._on_reconnect,
+                on_late=self._on_late,
             )
         number = next(self._numbers).to_bytes(STAMP_BYTES, "big")
         return await channel.call(number, request, timeout)
--- a/guavastream/relay/pick.py
+++ b/guavastream/relay/pick.py
@@ -1,5 +1,6 @@
 """Choose a server for a request that has no key, by expected waiting time."""
 
+import heapq
 import math
 from dataclasses import dataclass, field
 
@@ -41,6 +42,9 @@
 LONGEST_OUT_SECONDS = 3.0
 # Of a service's servers at most this share is passed over.
 MOST_OUT = 0.5
+# Servers that a line of the log tells of. All 31 of a service made lines of
+# 3 KB: an incident's logs then held the last third of a second.
+LOGGED_SERVERS = 4
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -241,16 +245,24 @@
         return silence > max(SILENT_SECONDS, SILENT_TIMES * usual)
 
     def weighed(self, servers, kind):
-        """Return what is known of servers, for the log: a list of dicts."""
+        """Return the best servers as they are known now, for the log.
+
+        Returns
+        -------
+        list of dict
+            At most LOGGED_SERVERS, the one with the least expected time first.
+        """
         now = self._clock()
+        times = [(self._expected(server, kind), server) for server in servers]
+        best = heapq.nsmallest(LOGGED_SERVERS, times, key=lambda pair: pair[0])
         return [
             {
                 "server": server.id,
-                "expected_ms": int(1000 * self._expected(server, kind)),
+                "expected_ms": int(1000 * time),
                 "mine": self._of(server).mine,
                 "report_ms": int(1000 * min(now - self._of(server).at, 1e6)),
             }
-            for server in servers
+            for time, server in best
         ]
 
     def begin(self, server):
--- a/guavastream/relay/tests/test_pick.py
+++ b/guavastream/relay/tests/test_pick.py
@@ -132,3 +132,14 @@
         picker.end(servers[0])
     # Too few are left there to judge by; one more tells whether it is back.
     assert not picker.is_silent(servers[0], "k")
+
+
+def test_a_line_tells_of_the_best_few_servers_only():
+    # With every server of a large service in each line, the lines of the
+    # second in question had been pushed out when somebody came to read them.
+    servers = [server(str(number)) for number in range(31)]
+    picker = make_picker()
+    for number, one in enumerate(servers):
+        picker.note_report(one, Report(slots=8, seconds=0.1 * (31 - number)))
+    told = picker.weighed(servers, "page")
+    assert [item["server"] for item in told] == ["30", "29", "28", "27"]
--- a/guavastream/standins/network.py
+++ b/guavastream/standins/network.py
@@ -49,6 +49,7 @@
         self.slowest = slowest
         self._handlers = {}
         self._cut = set()
+        self._links = {}
         self._tasks = set()
 
     def transport(self, address):
@@ -75,6 +76,13 @@
             if other != address:
                 self.cut(address, other)
 
+    def narrow(self, address, rate):
+        """Let the link of an address pass `rate` bytes a second, in turn.
+
+        What was sent crosses the link also when nobody waits for it any more.
+        """
+        self._links[address] = _Link(rate=rate)
+
     def heal(self):
         """End all cuts."""
         self._cut.clear()
@@ -97,7 +105,7 @@
         return raise_failure(decode_message(*answer))
 
     async def _deliver(self, source, target, encoded, answered):
-        if not await self._passes(source, target):
+        if not await self._passes(source, target, encoded):
             return
         handler = self._handlers.get(target)
         if handler is None:
@@ -106,16 +114,35 @@
             answer = await handler(decode_message(*encoded))
         except Exception as error:
             answer = failure_of(error)
-        if await self._passes(target, source) and not answered.done():
-            answered.set_result(encode_message(answer))
+        encoded = encode_message(answer)
+        if await self._passes(target, source, encoded) and not answered.done():
+            answered.set_result(encoded)
 
-    async def _passes(self, source, target):
+    async def _passes(self, source, target, encoded):
         if (source, target) in self._cut or self._rng.random() < self.lost:
             return False
-        await asyncio.sleep(self._rng.uniform(0, self.slowest))
+        size = sum(len(frame) for frame in encoded)
+        links = [self._links[end] for end in (source, target) if end in self._links]
+        through = max((link.take(size) for link in links), default=0.0)
+        await asyncio.sleep(through + self._rng.uniform(0, self.slowest))
         return (source, target) not in self._cut
 
 
+class _Link:
+    """A link that passes one message after the other."""
+
+    def __init__(self, *, rate):
+        self._rate = rate
+        self._loop = asyncio.get_running_loop()
+        self._free_at = 0.0
+
+    def take(self, size):
+        """Queue `size` bytes; return the seconds until all have passed."""
+        now = self._loop.time()
+        self._free_at = max(now, self._free_at) + size / self._rate
+        return self._free_at - now
+
+
 class _FakeTransport(Transport):
     def __init__(self, *, network, address):
         self._network = network
