A large change reaches hosts behind narrow links, in parts

Cause: an answer of any size was waited for as long as a small one. 1,200 routes were 400 KB for each host; a link of 3.95 Mbit/s that uploads share needs more than the 1.0 s of a watch (0.7 s for a first book). The answer came when nobody waited, the next control host was asked for the same, and that queued behind the first.

Change: commands and books are compressed; answers over 8 KB are read in parts that get shorter where they do not come; patience grows by rounds; who is far behind gets a book and the commands after it in one step; batches between control hosts are bounded and large entries are given time by their size.

--- a/guavastream/control/fleet.py
+++ b/guavastream/control/fleet.py
@@ -21,7 +21,7 @@
 from guavastream.kernel import part_logger
 from guavastream.leases import Submit, Submitted
 from guavastream.leases.messages import Watch, Watched
-from guavastream.messages import decode_message
+from guavastream.messages import PartShelf, ReadPart, decode_message
 
 __all__ = ["FleetService", "VoterKeeper"]
 
@@ -63,6 +63,7 @@
         self._granter = granter
         self._voters = voters
         self._losses = losses
+        self._shelf = PartShelf(clock=asyncio.get_running_loop().time)
 
     async def handle(self, request):
         """Answer one message.
@@ -75,7 +76,9 @@
         if isinstance(request, VOTER_MESSAGES):
             return await self._raft.handle(request)
         if isinstance(request, Watch):
-            return await self._watch(request)
+            return self._shelf.cut(await self._watch(request))
+        if isinstance(request, ReadPart):
+            return self._shelf.read(request)
         self._require_lead()
         self._granter.ensure_term()
         if isinstance(request, Beat):
@@ -92,7 +95,7 @@
             self._granter.note_load(request)
             return request
         if isinstance(request, ReadRoutes):
-            return RoutesRead(config=self._machine.table.config)
+            return self._shelf.cut(RoutesRead(config=self._machine.table.config))
         if isinstance(request, Submit):
             return await self._submit(request)
         if isinstance(request, JoinVoters):
@@ -111,10 +114,8 @@
         if self._raft.leader_age > FRESH_SECONDS:
             raise NotReady("No leader is heard here.")
         hosts = tuple(self._raft.voters.values())
-        commands = machine.since(request.index)
-        if commands is None:
-            return Watched(table=machine.dump(), hosts=hosts)
-        return Watched(commands=commands, hosts=hosts)
+        table, commands = machine.news(request.index)
+        return Watched(table=table, commands=commands, hosts=hosts)
 
     async def _submit(self, request):
         command = decode_message(request.tag, request.body)
--- a/guavastream/control/leader.py
+++ b/guavastream/control/leader.py
@@ -13,6 +13,13 @@
 __all__ = ["Leader"]
 
 BATCH = 256
+# Bytes of entries in one message. A link of 170 Mbit/s passes them in 12 ms:
+# without a limit a follower that had been away was sent all that it had missed
+# at once, again and again, because it never came within the time of a call.
+BATCH_BYTES = 256 << 10
+# Slowest rate that is expected between control hosts, in bytes a second. A
+# single large entry, or a snapshot, is waited for accordingly.
+SLOWEST_RATE = 2_000_000
 SNAPSHOT_SECONDS = 5.0
 # A leader whose disk takes longer for one write makes way for another: the
 # others' disks are well, and commands wait for nothing. Ten times the slowest
@@ -169,9 +176,11 @@
                 match = await self._install(voter, address)
             else:
                 previous = following - 1
-                entries = self._storage.slice(following, BATCH)
+                entries = self._storage.slice(following, BATCH, BATCH_BYTES)
                 request = self._append(voter, previous, entries)
-                match = await self._send(voter, address, request)
+                size = sum(len(entry.data) for entry in entries)
+                timeout = self._timing.call + size / SLOWEST_RATE
+                match = await self._send(voter, address, request, timeout=timeout)
             if match is None:
                 await asyncio.sleep(self._timing.heartbeat)
                 continue
@@ -210,7 +219,8 @@
             data=snapshot.data,
             voters=snapshot.voters,
         )
-        return await self._send(voter, address, request, timeout=SNAPSHOT_SECONDS)
+        timeout = SNAPSHOT_SECONDS + len(snapshot.data) / SLOWEST_RATE
+        return await self._send(voter, address, request, timeout=timeout)
 
     async def _send(self, voter, address, request, timeout=None):
         """Send to a follower; return success and index, or None if unheard."""
--- a/guavastream/control/machine.py
+++ b/guavastream/control/machine.py
@@ -8,6 +8,11 @@
 __all__ = ["TableMachine"]
 
 KEPT_COMMANDS = 4000
+# Who lacks more commands than this gets a dump, which takes less of a link and
+# of a processor than to make the table anew. A dump may be behind by as many,
+# which go with it: at a start of all hosts the table changes with each that
+# joins, and a dump made for each would cost the square of their number.
+BEHIND_COMMANDS = 200
 
 
 class TableMachine(StateMachine):
@@ -27,6 +32,11 @@
     (1, 1)
     >>> machine.since(5) == () and machine.since(-1) is None
     True
+    >>> machine.news(0)[1]
+    ()
+    >>> machine.apply(2, encode_command(Noop()))
+    >>> [index for index, _ in machine.news(0)[1]], machine.news(1)[0]
+    ([2], b'')
     """
 
     def __init__(self, *, codec=None):
@@ -53,6 +63,25 @@
             self._dumped = (self._table.index, self._codec.encode(self._table))
         return self._dumped[1]
 
+    def news(self, index):
+        """Return what a watcher at `index` lacks.
+
+        Returns
+        -------
+        table : bytes
+            A dump of now or of some moments ago; none if commands are enough.
+        commands : tuple
+            Pairs of index and command after that.
+        """
+        commands = self.since(index) if index else None
+        if commands is not None and len(commands) <= BEHIND_COMMANDS:
+            return b"", commands
+        at, dumped = self._dumped
+        behind = self._table.index - at
+        if not dumped or at < self._floor or behind > BEHIND_COMMANDS:
+            return self.dump(), ()
+        return dumped, self.since(at)
+
     def load(self, index, data):
         self._table = self._codec.decode(data)
         self._recent.clear()
--- a/guavastream/control/service.py
+++ b/guavastream/control/service.py
@@ -6,7 +6,7 @@
 from guavastream.exception import NotLeader, PeerFailure
 from guavastream.leases import LeaseTiming, Renew, Renewed, Submit, Submitted
 from guavastream.leases.messages import Watch, Watched
-from guavastream.messages import decode_message, message
+from guavastream.messages import PartShelf, ReadPart, decode_message, message
 from guavastream.state import (
     ApplyDeclaration,
     FinishMoves,
@@ -101,6 +101,7 @@
         self._clock = clock
         self._timing = timing or LeaseTiming()
         self._hosts = {}
+        self._shelf = PartShelf(clock=clock)
 
     async def handle(self, request):
         """Answer one message.
@@ -113,7 +114,9 @@
         if isinstance(request, VOTER_MESSAGES):
             return await self._raft.handle(request)
         if isinstance(request, Watch):
-            return await self._watch(request)
+            return self._shelf.cut(await self._watch(request))
+        if isinstance(request, ReadPart):
+            return self._shelf.read(request)
         self._require_lead()
         if isinstance(request, Renew):
             return self._renew(request)
@@ -135,10 +138,8 @@
         machine = self._machine
         if machine.table.index <= request.index:
             await self._raft.wait_applied(machine.table.index, request.wait)
-        commands = machine.since(request.index)
-        if commands is None:
-            return Watched(table=machine.dump())
-        return Watched(commands=commands)
+        table, commands = machine.news(request.index)
+        return Watched(table=table, commands=commands)
 
     def _renew(self, request):
         self._planner.ensure_term()
--- a/guavastream/control/storage.py
+++ b/guavastream/control/storage.py
@@ -1,5 +1,6 @@
 """The control log on disk: checksummed records, synced before they count."""
 
+import math
 import os
 import struct
 import threading
@@ -122,10 +123,19 @@
             return self.entries[offset].term
         return 0 if index == 0 else None
 
-    def slice(self, start, limit):
-        """Return up to `limit` entries from index `start`."""
+    def slice(self, start, limit, most_bytes=math.inf):
+        """Return up to `limit` entries from index `start`.
+
+        They hold `most_bytes` at most, but for a single one that is larger.
+        """
         offset = start - self.first_index
-        return tuple(self.entries[offset : offset + limit])
+        entries = self.entries[offset : offset + limit]
+        size = 0
+        for number, entry in enumerate(entries):
+            size += len(entry.data)
+            if number and size > most_bytes:
+                return tuple(entries[:number])
+        return tuple(entries)
 
     def save_meta(self, **changes):
         """Change the meta and sync it."""
--- a/guavastream/fleet/codec.py
+++ b/guavastream/fleet/codec.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from guavastream.fleet.book import Book
+from guavastream.messages import pack, unpack
 from guavastream.state import TableCodec, decode_command, encode_command
 
 __all__ = ["BookCodec"]
@@ -24,10 +25,10 @@
         return Book()
 
     def encode(self, table):
-        return msgspec.msgpack.encode(table)
+        return pack(msgspec.msgpack.encode(table))
 
     def decode(self, data):
-        return _decoder.decode(data)
+        return _decoder.decode(unpack(data))
 
 
 __all__ += ["decode_command", "encode_command"]
--- a/guavastream/hosts/book_follower.py
+++ b/guavastream/hosts/book_follower.py
@@ -9,12 +9,15 @@
 
 __all__ = ["BookFollower"]
 
-# A watch returns at once when there is news; this is how long it waits else.
+# A watch returns at once when there is news; this is how long it waits else,
+# and how much longer the beginning of its answer may take. That is a part of
+# some 30 KB; on a link that stands full it may take longer than any fixed time,
+# so the patience is doubled with each round of all control hosts.
 WATCH_SECONDS = 0.6
 WATCH_PATIENCE = 0.4
 FIRST_WATCH_SECONDS = 0.1
-# Doubled with each round, since a whole book may take a while on a narrow link.
 FIRST_WATCH_PATIENCE = 0.1
+LONGEST_PATIENCE = 1.6
 RETRY_SECONDS = 0.05
 # Failures in a row after which the seeds of the settings are asked too.
 FAILURES_TO_RESEED = 3
@@ -57,9 +60,9 @@
             if not self._books.table.config.version:
                 # Callers are refused until there is a book; control hosts that
                 # were lost together come back one after the other.
-                wait = FIRST_WATCH_SECONDS
-                rounds = in_a_row // len(self._control.addresses)
-                patience = min(FIRST_WATCH_PATIENCE * 2**rounds, WATCH_SECONDS)
+                wait, patience = FIRST_WATCH_SECONDS, FIRST_WATCH_PATIENCE
+            rounds = in_a_row // len(self._control.addresses)
+            patience = min(patience * 2**rounds, LONGEST_PATIENCE)
             request = Watch(index=self._books.table.index, wait=wait)
             try:
                 answer = await self._control.call_any(
@@ -95,8 +98,5 @@
     def _take(self, answer):
         self._answered_at = self._loop.time()
         before = self._books.table
-        if answer.table:
-            self._books.load(answer.table)
-        else:
-            self._books.extend(answer.commands)
+        self._books.take(answer.table, answer.commands)
         self._on_change(before, self._books.table)
--- a/guavastream/hosts/tests/orders.py
+++ b/guavastream/hosts/tests/orders.py
@@ -196,10 +196,7 @@
                 turn += 1
                 await asyncio.sleep(0.05)
                 continue
-            if answer.table:
-                books.load(answer.table)
-            else:
-                books.extend(answer.commands)
+            books.take(answer.table, answer.commands)
             self.keeper.follow(books.table)
 
     def _note_refused(self, instance):
--- a/guavastream/hosts/tests/test_book_follower.py
+++ b/guavastream/hosts/tests/test_book_follower.py
@@ -21,11 +21,12 @@
 from guavastream.control.tests.test_fleet import FIRST, Core
 from guavastream.fleet import BookCodec, ChangeRoutes
 from guavastream.hosts.book_follower import BookFollower
+from guavastream.leases import Watch
 from guavastream.routes import Part, Repeat, Route
 from guavastream.standins import FakeNetwork, run_paused
 from guavastream.state import TableHolder
 
-HOST = "10.1.0.1:1"
+HOST = "10.2.0.1:1"
 # What is left of a link of 4 Mbit/s, of which bodies of requests take half.
 NARROW = 250_000.0
 # Time after its acknowledgement within which a change is to be in force.
@@ -44,8 +45,8 @@
     def route():
         name, prefix = f"r-{word(7)}", f"/{word(8)}/{word(4)}/"
         origin = (
-            f'{{"Host":"a","PathPrefix":"{prefix}","Kind":"safe","Timeout":"2000ms",'
-            '"TargetLatency":"1200ms","Priority":2,"Service":"s","MaxAttempts":2}'
+            f'{{"host":"a","prefix":"{prefix}","repeat":"safe","timeout":"2000ms",'
+            '"target":"1200ms","priority":2,"service":"s","attempts":2,"parts":1}'
         )
         return Route(
             name=name,
@@ -128,3 +129,37 @@
         await host.until_in_force(2, JOIN_SECONDS)
 
     run_paused(main())
+
+
+def test_a_new_host_never_has_an_older_configuration_in_force(tmp_path):
+    # Control hosts keep the whole book for those that start together, and send
+    # what has changed since with it. A host that took one after the other would
+    # answer its first callers by routes that were replaced long before.
+    async def main():
+        core = await formed(tmp_path)
+        await asyncio.sleep(1.0)
+        for turn in range(len(core.addresses)):
+            first = Watch(index=0, wait=0.0)
+            await core.client().call_any(turn, first, timeout=1.0)
+        await core.change(large_change())
+        # Long enough for every control host to have heard that it is committed.
+        await asyncio.sleep(1.0)
+        late = [Host(core) for _ in range(3)]
+        await asyncio.gather(*(host.until_in_force(2, 1.0) for host in late))
+        assert [host.versions for host in late] == [[2], [2], [2]]
+
+    run_paused(main())
+
+
+def test_a_link_that_is_nearly_full_still_passes_the_book(tmp_path):
+    # Bodies of requests leave 20 KB a second of the link: the 50 KB of the
+    # change take 2.5 s at best, and whatever is sent in vain comes on top.
+    async def main():
+        core = await formed(tmp_path)
+        host = Host(core)
+        await host.until_in_force(1, 1.0)
+        core.network.narrow(HOST, NARROW / 12)
+        await core.change(large_change())
+        await host.until_in_force(2, 10.0)
+
+    run_paused(main())
--- a/guavastream/leases/client.py
+++ b/guavastream/leases/client.py
@@ -6,7 +6,7 @@
 
 from guavastream.exception import CallTimeout, NotLeader, NotReady, PeerFailure
 from guavastream.leases.messages import Submit
-from guavastream.messages import encode_message
+from guavastream.messages import Packed, encode_message, read_whole
 
 __all__ = ["ControlClient"]
 
@@ -75,9 +75,7 @@
                 raise NotReady("No leading control host answered.")
             asked = self._leader
             try:
-                return await self._transport.call(
-                    asked, request, timeout=min(attempt, remaining)
-                )
+                return await self._ask(asked, request, min(attempt, remaining))
             except NotLeader as error:
                 self._leave(asked, error.leader)
             except CallTimeout:
@@ -101,9 +99,23 @@
         return msgspec.msgpack.decode(answer.result, type=result or object)
 
     async def call_any(self, preferred, request, *, timeout):
-        """Call one control host, leading or not; `preferred` picks it."""
+        """Call one control host, leading or not; `preferred` picks it.
+
+        `timeout` is for the beginning of the answer; a large one may take
+        longer, part by part.
+        """
         address = self._addresses[preferred % len(self._addresses)]
-        return await self._transport.call(address, request, timeout=timeout)
+        return await self._ask(address, request, timeout)
+
+    async def _ask(self, address, request, timeout):
+        answer = await self._transport.call(address, request, timeout=timeout)
+        if not isinstance(answer, Packed):
+            return answer
+
+        async def read_on(request, timeout):
+            return await self._transport.call(address, request, timeout=timeout)
+
+        return await read_whole(answer, read_on)
 
     def _leave(self, asked, hint=""):
         """Ask another one than `asked` from now on.
--- a/guavastream/leases/membership.py
+++ b/guavastream/leases/membership.py
@@ -149,10 +149,7 @@
 
     def _take(self, answer):
         before = self._tables.table.revision
-        if answer.table:
-            self._tables.load(answer.table)
-        else:
-            self._tables.extend(answer.commands)
+        self._tables.take(answer.table, answer.commands)
         table = self._tables.table
         if table.revision != before:
             self._record(
--- a/guavastream/leases/messages.py
+++ b/guavastream/leases/messages.py
@@ -66,7 +66,7 @@
 
 @message
 class Watched:
-    """Commands after the asker's index, or a whole table if too many.
+    """Commands after the asker's index, and before them a whole table if too many.
 
     `commands` holds pairs of index and encoded command, `hosts` the peer
     addresses of the control hosts, if they may change.
--- a/guavastream/messages/__init__.py
+++ b/guavastream/messages/__init__.py
@@ -1,4 +1,6 @@
 """Typed messages between the system's processes and how they travel."""
 
 from guavastream.messages.codec import *
+from guavastream.messages.packing import *
+from guavastream.messages.parts import *
 from guavastream.messages.transport import *
--- a/guavastream/state/holder.py
+++ b/guavastream/state/holder.py
@@ -49,13 +49,19 @@
         for event in events:
             event.set()
 
-    def load(self, data):
-        """Take a whole encoded table."""
-        self.replace(self._codec.decode(data))
+    def take(self, data, commands):
+        """Take news in one step: no reader sees what is in between.
 
-    def extend(self, commands):
-        """Apply pairs of index and encoded command; known ones are skipped."""
-        table = self._table
+        Parameters
+        ----------
+        data : bytes
+            A whole encoded table, or none if the commands are enough.
+        commands : iterable of tuple
+            Pairs of index and encoded command; known ones are skipped.
+        """
+        table = self._codec.decode(data) if data else self._table
+        if table.index < self._table.index:
+            table = self._table
         for index, data in commands:
             if index > table.index:
                 table, _ = table.apply(index, decode_command(data))
--- a/guavastream/state/wire.py
+++ b/guavastream/state/wire.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from guavastream.declare import Declaration
-from guavastream.messages import decode_message, encode_message
+from guavastream.messages import decode_message, encode_message, pack, unpack
 from guavastream.state.commands import ChangeAnswer
 from guavastream.state.table import Change, Member, Pin, ShardMap, Table
 
@@ -23,12 +23,12 @@
 
 def encode_command(command):
     """Return a command as bytes for the log."""
-    return msgspec.msgpack.encode(encode_message(command))
+    return pack(msgspec.msgpack.encode(encode_message(command)))
 
 
 def decode_command(data):
     """Return the command that `encode_command` wrote."""
-    tag, body = msgspec.msgpack.decode(data)
+    tag, body = msgspec.msgpack.decode(unpack(data))
     return decode_message(tag, body)
 
 
