A whole configuration is kept and sent as what it changes

Operators may send all of 1,200 routes for the sake of one. Behind a narrow link each such change cost what the large one did. The leader now commits the difference to the version that the change builds on; a change in between makes it a conflict as before.

--- a/guavastream/control/fleet.py
+++ b/guavastream/control/fleet.py
@@ -17,6 +17,7 @@
     ReturnKeys,
     RoutesRead,
     encode_command,
+    shorten_change,
 )
 from guavastream.kernel import part_logger
 from guavastream.leases import Submit, Submitted
@@ -123,6 +124,7 @@
             raise PeerFailure(f"{type(command).__name__} is not for submission.")
         if len(self._raft.voters) // 2 < self._losses:
             raise NotReady("Too few voters to bear the losses that are allowed.")
+        command = shorten_change(command, self._machine.table.config)
         result = await self._raft.propose(encode_command(command))
         encoded = msgspec.msgpack.encode(result)
         return Submitted(index=self._machine.table.index, result=encoded)
--- a/guavastream/fleet/__init__.py
+++ b/guavastream/fleet/__init__.py
@@ -5,3 +5,4 @@
 from guavastream.fleet.commands import *
 from guavastream.fleet.messages import *
 from guavastream.fleet.rows import *
+from guavastream.fleet.shorten import *
