A server that starts again under its id is another life

Cause: heartbeats were ordered by their number alone. After a crash a server numbers them from one again; under the same id the leader took them for late ones and passed over them until they had caught up, and its keys were refused for as long. Keys of the life before and departures of it would have counted for the new one.

Change: the adapter makes the instance's id of the server's name and of when its life began; the book keeps both beside it. A later life takes the place of earlier ones, earlier ones are not taken any more. A heartbeat for a service that is not configured takes nobody's place. The emulator's servers tell their start, and crashed ones of the soak come back under their id.

--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -240,6 +240,8 @@
         if beat.id in book.gone:
             return False
         known = book.instances.get(beat.id)
+        if known is None and not self._is_configured(beat.service):
+            return False
         said = (beat.service, beat.door, beat.address, beat.slots)
         if known is None or said != (
             known.service,
@@ -257,6 +259,15 @@
         await self._take_released(beat)
         return True
 
+    def _is_configured(self, service):
+        """Whether a service may have servers.
+
+        A heartbeat that names another one is of a writer that is not ours. It
+        would push the server out whose address it gives.
+        """
+        config = self._book.config
+        return not config.version or service in config.services
+
     async def _take_released(self, beat):
         runs = self._book.runs_of(beat.service)
         rows = tuple(
@@ -626,4 +637,6 @@
         address=beat.address,
         zone=beat.zone,
         slots=beat.slots,
+        name=beat.name,
+        born=beat.born,
     )
--- a/guavastream/fleet/apply.py
+++ b/guavastream/fleet/apply.py
@@ -26,12 +26,14 @@
 def _join(book, index, command):
     if command.id in book.gone:
         return {}, False
-    # One address has one listener: whoever was there before has ended.
-    before = [
-        i.id
-        for i in book.instances.values()
-        if i.address == command.address and i.id != command.id
-    ]
+    name = command.name or command.id
+    others = [i for i in book.instances.values() if i.id != command.id]
+    if any(i.called == name and i.born > command.born for i in others):
+        # A message that was held up tells of a life that is over.
+        return {}, False
+    # One address has one listener, and a server that starts again under its
+    # name holds nothing of before: whoever was there has ended.
+    before = [i.id for i in others if i.address == command.address or i.called == name]
     changes = _without(book, before, forever=True)
     known = book.instances.get(command.id)
     changes["instances"][command.id] = Instance(
@@ -44,6 +46,8 @@
         slots=command.slots,
         leaving=known.leaving if known else False,
         released_seq=known.released_seq if known else 0,
+        name=command.name,
+        born=command.born,
     )
     return changes, True
 
--- a/guavastream/fleet/book.py
+++ b/guavastream/fleet/book.py
@@ -15,7 +15,9 @@
 class Instance:
     """One life of a backend server, and the process beside it.
 
-    `released_seq` numbers its last message by which it gave up keys.
+    `name` is what the server calls itself, in its next life too; `born` orders
+    the lives of one name, 0 if that is not known. `released_seq` numbers its last
+    message by which it gave up keys.
     """
 
     id: str
@@ -27,6 +29,13 @@
     slots: int
     leaving: bool = False
     released_seq: int = 0
+    name: str = ""
+    born: int = 0
+
+    @property
+    def called(self):
+        """What the server calls itself."""
+        return self.name or self.id
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/guavastream/fleet/commands.py
+++ b/guavastream/fleet/commands.py
@@ -18,8 +18,9 @@
 class JoinInstance:
     """A backend server announced itself.
 
-    `id` is drawn anew at each start of the server, `door` is where requests
-    for it are taken, `address` where it listens itself.
+    `id` names this life of the server; `name`, if it is not the same, what the
+    server calls itself, and `born` orders the lives of one name. `door` is where
+    requests for it are taken, `address` where it listens itself.
     """
 
     id: str
@@ -29,6 +30,8 @@
     address: str
     zone: str
     slots: int
+    name: str = ""
+    born: int = 0
 
 
 @message
--- a/guavastream/fleet/messages.py
+++ b/guavastream/fleet/messages.py
@@ -11,6 +11,9 @@
 class Beat:
     """A backend server's heartbeat, as the process beside it passes it on.
 
+    `id` names one life of the server, from its start to its end. `name` is what
+    it calls itself, which may be the same in its next life; `born` orders the
+    lives of one name, 0 if that is not known.
     `holds` are rows of (first, last, fence) that it holds or still works on,
     `released` rows of (first, last, handover) that it gave up since its last
     acknowledged heartbeat. The answer may take up to `wait` seconds, so that
@@ -30,6 +33,8 @@
     holds: tuple[tuple[int, int, int], ...] = ()
     released: tuple[tuple[int, int, str], ...] = ()
     wait: float = 0.0
+    name: str = ""
+    born: int = 0
 
 
 @message
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -119,6 +119,7 @@
         )
         self._ending = None
         self._beaten_at = {}
+        self._newest_beats = {}
         self._ingress = Ingress(
             loop=self._loop,
             dialect=dialect,
@@ -215,6 +216,9 @@
             If no leader answered in time.
         """
         arrived = self._beaten_at[beat.id] = self._loop.time()
+        newest = self._newest_beats.get(beat.name)
+        if newest is None or newest.born <= beat.born:
+            self._newest_beats[beat.name] = beat
         if beat.id not in self._books.table.instances and not await self._is_here(beat):
             self.counters.count("beats_of_others")
             log.warning("A heartbeat of %s, which is not at its address.", beat.id)
@@ -250,17 +254,38 @@
             self._last_seq[beat.id] = beat.seq
             self._guard.note_held(beat.id, rows, until)
 
-    async def depart(self, id):
+    async def depart(self, name, *, born=0):
         """Pass on that the local server ends.
 
+        Parameters
+        ----------
+        name : str
+            What it calls itself.
+        born : int
+            Which of its lives says so; 0 is the newest that is known.
+
         Raises
         ------
         NotReady, PeerFailure
             If no leader answered in time.
         """
+        id = self._life_of(name, born)
         self._guard.note_left(id)
         await self._control.call(Depart(id=id), timeout=BEAT_SECONDS)
 
+    def _life_of(self, name, born):
+        """Return the id of a life of the local server."""
+        known = {
+            i.born: i.id
+            for i in self._books.table.instances.values()
+            if i.called == name
+        }
+        # The book may not show yet what the last heartbeat told.
+        beat = self._newest_beats.get(name)
+        if beat is not None:
+            known[beat.born] = beat.id
+        return known.get(born or max(known, default=0), name)
+
     def _note_refused(self, instance):
         if self._ending is None or self._ending.done():
             self._ending = asyncio.ensure_future(self._confirm_end(instance))
@@ -301,7 +326,7 @@
         except TimeoutError:
             return True
         said = answer.headers.get(name)
-        return not said or said == beat.id.encode()
+        return not said or said == (beat.name or beat.id).encode()
 
     async def _report(self):
         while True:
--- a/guavastream/platform/api.py
+++ b/guavastream/platform/api.py
@@ -5,6 +5,7 @@
 from guavastream.platform.wire import (
     decode_beat,
     decode_change,
+    decode_left,
     encode_beaten,
     encode_config,
 )
@@ -65,7 +66,8 @@
             return
         try:
             if request.method == b"DELETE":
-                await self._host.depart(id)
+                body = await _body(request, MOST_BEAT_BYTES)
+                await self._host.depart(id, born=decode_left(body))
                 await responder.send(200, JSON, b"{}")
                 return
             if request.method != b"PUT":
--- a/guavastream/platform/emulator/server.py
+++ b/guavastream/platform/emulator/server.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import random
+import time
 from dataclasses import dataclass, field
 
 from guavastream.fleet import rows_without
@@ -34,6 +35,8 @@
     until: float = 0.0
     acknowledged: str = ""
     seq: int = 0
+    # Unix time in ms at which this life began.
+    born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     # Where others reach it, if not at its own address.
     announced: str = ""
     # What it was granted by calls, if it takes any.
@@ -57,6 +60,11 @@
             made.ordered = OrderedKeys(server=server, late=late)
         return made
 
+    @property
+    def life(self):
+        """Name of this life of the server."""
+        return f"{self.id} of {self.born}"
+
     def fence_of(self, key):
         """Return the fence under which a key is held now, or None."""
         if self.ordered is not None:
@@ -114,6 +122,7 @@
             "State": state,
             "ColdRemaining": "0ms",
             "Seq": self.seq,
+            "born": self.born,
         }
         if self.ordered is None:
             body |= {"Holds": self.rows, "Released": told}
--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -172,9 +172,12 @@
             self._seeds, Serves="sidecar", Service=place.service, **listen
         )
 
-    def start_server(self, place):
-        """Begin a new life of the server at a place."""
-        place.lives += 1
+    def start_server(self, place, *, again=False):
+        """Begin a new life of the server at a place.
+
+        With `again` it has the id that it had; else nobody knows it.
+        """
+        place.lives += not again
         server = BackendServer.make(
             id=f"{place.machine.name}-{place.lives}",
             control=place.machine.address("control"),
@@ -329,4 +332,4 @@
             await asyncio.sleep(LEAVE_SECONDS)
         await self.crash_server(place)
         await asyncio.sleep(fault.seconds)
-        self.start_server(place)
+        self.start_server(place, again=fault.kind == "crash")
--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -104,21 +104,23 @@
 
     def _watch(self, server):
         loop = asyncio.get_running_loop()
-        server.on_left = lambda: self.ledger.acknowledged_leave(server.id, loop.time())
+        server.on_left = lambda: self.ledger.acknowledged_leave(
+            server.life, loop.time()
+        )
 
         def on_run(entry, key):
-            self.ledger.ran(*entry[:4], server=server.id, at=loop.time())
+            self.ledger.ran(*entry[:4], server=server.life, at=loop.time())
             if key is None:
                 return
             others = [
-                place.server.id
+                place.server.life
                 for place in self._world.places
                 if place.server not in (None, server)
                 and place.service == server.service
                 and place.server.holds(key)
             ]
             fence = server.fence_of(key)
-            self.ledger.owned(key, fence, server=server.id, others=others)
+            self.ledger.owned(key, fence, server=server.life, others=others)
 
         server.server.on_run = on_run
 
--- a/guavastream/platform/tests/test_system.py
+++ b/guavastream/platform/tests/test_system.py
@@ -104,6 +104,31 @@
     play(tmp_path, scenario, granting=granting)
 
 
+@pytest.mark.parametrize("granting", ["heartbeat", "request"])
+def test_a_server_starts_again_under_its_id(tmp_path, granting):
+    # A server ends and is back before anybody missed it, with its id and at
+    # another port. It holds nothing: its keys are served again once it, or the
+    # other one, is granted them anew, under higher fences.
+    async def scenario(world):
+        place = world.places[0]
+        before = place.server
+        keys = [key for key in range(0, 65536, 997) if before.holds(key)]
+        fence = max(before.fence_of(key) for key in keys)
+        await world.crash_server(place)
+        world.start_server(place, again=True)
+        assert place.server.id == before.id and place.server.born > before.born
+
+        async def served_again():
+            told = [await ask(world, world.places[1], key) for key in keys[::9]]
+            return all(status == 200 for status, _ in told) and place.server.has_keys
+
+        await until(served_again)
+        held = [key for key in keys if place.server.holds(key)]
+        assert all(place.server.fence_of(key) > fence for key in held)
+
+    play(tmp_path, scenario, granting=granting)
+
+
 def test_a_missing_setting_ends_the_process_with_every_finding(tmp_path):
     async def main():
         path = tmp_path / "bad.conf"
--- a/guavastream/platform/wire.py
+++ b/guavastream/platform/wire.py
@@ -24,8 +24,8 @@
     ServiceRules,
 )
 
-__all__ = ["DIALECT", "decode_beat", "decode_change", "encode_beaten"]
-__all__ += ["encode_config"]
+__all__ = ["DIALECT", "decode_beat", "decode_change", "decode_left"]
+__all__ += ["encode_beaten", "encode_config"]
 
 DIALECT = Dialect(
     request_id=b"Request-Id",
@@ -43,6 +43,8 @@
 STATES = ("ready", DRAINING)
 # Kinds of requests are the words of `Repeat`.
 MOST_ID = 200
+# Between what a server calls itself and the start of one of its lives.
+LIFE_MARK = "~"
 
 
 class _Split(msgspec.Struct, rename="pascal"):
@@ -114,6 +116,12 @@
     # Rows given up since the last acknowledged heartbeat, with what the next
     # holder needs.
     released: list[tuple[int, int, str]] = []
+    # When this life of the server began, Unix time in ms.
+    born: int = msgspec.field(default=0, name="born")
+
+
+class _Left(msgspec.Struct):
+    born: int = 0
 
 
 class _Beaten(msgspec.Struct, rename="pascal", omit_defaults=True):
@@ -154,6 +162,8 @@
         note("Id", "Is empty or too long.")
     if raw.seq < 0:
         note("Seq", "Is negative.")
+    if raw.born < 0:
+        note("born", "Is negative.")
     for name, rows in (("Holds", raw.holds), ("Released", raw.released)):
         if any(not 0 <= row[0] <= row[1] < KEYS for row in rows):
             note(name, "A row is out of range.")
@@ -164,7 +174,9 @@
     if findings:
         raise FindingsError(findings)
     return Beat(
-        id=id,
+        id=f"{id}{LIFE_MARK}{raw.born}" if raw.born else id,
+        name=id,
+        born=raw.born,
         service=raw.service,
         host=host,
         door=door,
@@ -179,6 +191,17 @@
     )
 
 
+def decode_left(data):
+    """Return the start of the life that says that it ends, 0 if it is not said.
+
+    Raises
+    ------
+    FindingsError
+        If the body cannot be read.
+    """
+    return _decode(_Left, data, "departure").born if data else 0
+
+
 def encode_beaten(answer):
     """Return the body of an acknowledgement."""
     if answer.rows is None:
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -389,7 +389,7 @@
         left = max(1, int((attempt.deadline - self._clock()) * 1000))
         headers = list(attempt.headers)
         headers.append((names.deadline_ms, b"%d" % left))
-        headers.append((names.expected, instance.id.encode()))
+        headers.append((names.expected, instance.called.encode()))
         exchange.send(
             attempt.method, attempt.target, headers, attempt.body, attempt.stream
         )
