--- a/guavastream/control/fleet.py
+++ b/guavastream/control/fleet.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from guavastream.control.messages import VOTER_MESSAGES
+from guavastream.control.watching import WATCH_MESSAGES, WatchDesk
 from guavastream.exception import GuavastreamError, NotLeader, NotReady, PeerFailure
 from guavastream.fleet import (
     Beat,
@@ -21,8 +22,7 @@
 )
 from guavastream.kernel import part_logger
 from guavastream.leases import Submit, Submitted
-from guavastream.leases.messages import Watch, Watched
-from guavastream.messages import PartShelf, ReadPart, decode_message
+from guavastream.messages import decode_message
 
 __all__ = ["FleetService", "VoterKeeper"]
 
@@ -64,7 +64,9 @@
         self._granter = granter
         self._voters = voters
         self._losses = losses
-        self._shelf = PartShelf(clock=asyncio.get_running_loop().time)
+        self._watches = WatchDesk(
+            raft=raft, machine=machine, clock=asyncio.get_running_loop().time
+        )
 
     async def handle(self, request):
         """Answer one message.
@@ -76,10 +78,8 @@
         """
         if isinstance(request, VOTER_MESSAGES):
             return await self._raft.handle(request)
-        if isinstance(request, Watch):
-            return self._shelf.cut(await self._watch(request))
-        if isinstance(request, ReadPart):
-            return self._shelf.read(request)
+        if isinstance(request, WATCH_MESSAGES):
+            return await self._watches.answer(request, hosts=self._fresh_hosts)
         self._require_lead()
         self._granter.ensure_term()
         if isinstance(request, Beat):
@@ -96,7 +96,7 @@
             self._granter.note_load(request)
             return request
         if isinstance(request, ReadRoutes):
-            return self._shelf.cut(RoutesRead(config=self._machine.table.config))
+            return self._watches.cut(RoutesRead(config=self._machine.table.config))
         if isinstance(request, Submit):
             return await self._submit(request)
         if isinstance(request, JoinVoters):
@@ -108,15 +108,11 @@
         if not self._raft.is_leader:
             raise NotLeader(leader=self._raft.leader_address)
 
-    async def _watch(self, request):
-        machine = self._machine
-        if machine.table.index <= request.index:
-            await self._raft.wait_applied(machine.table.index, request.wait)
+    def _fresh_hosts(self):
+        """Return the control hosts, if what is known here is new enough."""
         if self._raft.leader_age > FRESH_SECONDS:
             raise NotReady("No leader is heard here.")
-        hosts = tuple(self._raft.voters.values())
-        table, commands = machine.news(request.index)
-        return Watched(table=table, commands=commands, hosts=hosts)
+        return tuple(self._raft.voters.values())
 
     async def _submit(self, request):
         command = decode_message(request.tag, request.body)
--- a/guavastream/control/service.py
+++ b/guavastream/control/service.py
@@ -3,10 +3,10 @@
 import msgspec
 
 from guavastream.control.messages import VOTER_MESSAGES, Hello
+from guavastream.control.watching import WATCH_MESSAGES, WatchDesk
 from guavastream.exception import NotLeader, PeerFailure
 from guavastream.leases import LeaseTiming, Renew, Renewed, Submit, Submitted
-from guavastream.leases.messages import Watch, Watched
-from guavastream.messages import PartShelf, ReadPart, decode_message, message
+from guavastream.messages import decode_message, message
 from guavastream.state import (
     ApplyDeclaration,
     FinishMoves,
@@ -101,7 +101,7 @@
         self._clock = clock
         self._timing = timing or LeaseTiming()
         self._hosts = {}
-        self._shelf = PartShelf(clock=clock)
+        self._watches = WatchDesk(raft=raft, machine=machine, clock=clock)
 
     async def handle(self, request):
         """Answer one message.
@@ -113,10 +113,8 @@
         """
         if isinstance(request, VOTER_MESSAGES):
             return await self._raft.handle(request)
-        if isinstance(request, Watch):
-            return self._shelf.cut(await self._watch(request))
-        if isinstance(request, ReadPart):
-            return self._shelf.read(request)
+        if isinstance(request, WATCH_MESSAGES):
+            return await self._watches.answer(request)
         self._require_lead()
         if isinstance(request, Renew):
             return self._renew(request)
@@ -134,13 +132,6 @@
         leader = self._raft.leader_address
         raise NotLeader(leader=leader)
 
-    async def _watch(self, request):
-        machine = self._machine
-        if machine.table.index <= request.index:
-            await self._raft.wait_applied(machine.table.index, request.wait)
-        table, commands = machine.news(request.index)
-        return Watched(table=table, commands=commands)
-
     def _renew(self, request):
         self._planner.ensure_term()
         self._hosts[request.host] = (self._clock(), request)
