--- a/guavastream/hosts/book_follower.py
+++ b/guavastream/hosts/book_follower.py
@@ -10,8 +10,8 @@
 __all__ = ["BookFollower"]
 
 # A watch returns at once when there is news; this is how long it waits else,
-# and how much longer the beginning of its answer may take. That is a part of
-# some 30 KB; on a link that stands full it may take longer than any fixed time,
+# and how much longer the beginning of its answer may take. That is 8 KB at the
+# most; on a link that stands full even they may take longer than any fixed time,
 # so the patience is doubled with each round of all control hosts.
 WATCH_SECONDS = 0.6
 WATCH_PATIENCE = 0.4
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -216,9 +216,6 @@
             If no leader answered in time.
         """
         arrived = self._beaten_at[beat.id] = self._loop.time()
-        newest = self._newest_beats.get(beat.name)
-        if newest is None or newest.born <= beat.born:
-            self._newest_beats[beat.name] = beat
         if beat.id not in self._books.table.instances and not await self._is_here(beat):
             self.counters.count("beats_of_others")
             log.warning("A heartbeat of %s, which is not at its address.", beat.id)
@@ -238,6 +235,9 @@
             self._answered_at = float("-inf")
             raise
         self._answered_at = self._loop.time()
+        if answer.gone:
+            return answer
+        self._newest_beats[beat.name] = beat
         if answer.new:
             self._keeper.note_new(beat.id)
         if answer.rows is not None:
--- a/guavastream/platform/tests/test_system.py
+++ b/guavastream/platform/tests/test_system.py
@@ -108,7 +108,8 @@
 def test_a_server_starts_again_under_its_id(tmp_path, granting):
     # A server ends and is back before anybody missed it, with its id and at
     # another port. It holds nothing: its keys are served again once it, or the
-    # other one, is granted them anew, under higher fences.
+    # other one, is granted them anew, under higher fences. When it leaves, it is
+    # the new life that gets nothing more.
     async def scenario(world):
         place = world.places[0]
         before = place.server
@@ -126,6 +127,14 @@
         held = [key for key in keys if place.server.holds(key)]
         assert all(place.server.fence_of(key) > fence for key in held)
 
+        # Its departure is that of the new life: the other one takes all over.
+        assert await place.server.leave()
+
+        async def taken_over():
+            return all(world.places[1].server.holds(key) for key in keys)
+
+        await until(taken_over)
+
     play(tmp_path, scenario, granting=granting)
 
 
