--- a/Makefile
+++ b/Makefile
@@ -14,14 +14,14 @@
 	$(BIN)/guavastream demo
 
 test: $(VENV)/ready
-	$(BIN)/ruff format --check guavastream
-	$(BIN)/ruff check guavastream
+	$(BIN)/ruff format --check guavastream tools conftest.py
+	$(BIN)/ruff check guavastream tools conftest.py
 	$(BIN)/lint-imports --no-cache
 	$(BIN)/python -m pytest
 
 format: $(VENV)/ready
-	$(BIN)/ruff format guavastream
-	$(BIN)/ruff check --fix guavastream
+	$(BIN)/ruff format guavastream tools conftest.py
+	$(BIN)/ruff check --fix guavastream tools conftest.py
 
 capacity: $(VENV)/ready
 	$(BIN)/guavastream capacity --write docs/CAPACITY.md
--- a/guavastream/fleet/apply.py
+++ b/guavastream/fleet/apply.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from guavastream.fleet.book import Instance, cut_runs
+from guavastream.fleet.book import Instance, cut_runs, handles
 from guavastream.fleet.commands import (
     ChangedRoutes,
     ChangeRoutes,
@@ -14,7 +14,7 @@
 )
 from guavastream.routes import RouteConfig, check_config
 
-__all__ = ["HANDLERS"]
+__all__ = []
 
 # Names of instances that never come back; a late message is seconds late, so
 # those of the last few hundred replacements are enough.
@@ -23,6 +23,7 @@
 KEPT_ACCEPTED = 1024
 
 
+@handles(JoinInstance)
 def _join(book, index, command):
     if command.id in book.gone:
         return {}, False
@@ -52,6 +53,7 @@
     return changes, True
 
 
+@handles(LeaveInstance)
 def _leave(book, index, command):
     instance = book.instances.get(command.id)
     if instance is None:
@@ -60,6 +62,7 @@
     return {"instances": book.instances | {leaving.id: leaving}}, None
 
 
+@handles(RemoveInstances)
 def _remove(book, index, command):
     return _without(book, command.ids, forever=command.forever), None
 
@@ -82,6 +85,7 @@
     return replace(run, owner="", handover=handover)
 
 
+@handles(GrantKeys)
 def _grant(book, index, command):
     old = book.runs_of(command.service)
     # A decision made from an older book must not take a key from an owner
@@ -100,6 +104,7 @@
     return {"runs": book.runs | {command.service: runs}}, tuple(rows)
 
 
+@handles(ReleaseKeys)
 def _release(book, index, command):
     old = book.runs_of(command.service)
     instances = book.instances
@@ -124,6 +129,7 @@
     return {"runs": book.runs | {command.service: runs}, "instances": instances}, None
 
 
+@handles(ChangeRoutes)
 def _change(book, index, command):
     current = book.config
     if command.digest in book.accepted:
@@ -162,13 +168,3 @@
     services |= {service.name: service for service in command.services}
     config = RouteConfig(version=command.version, routes=routes, services=services)
     return replace(config, limits=limits) if limits else config
-
-
-HANDLERS = {
-    JoinInstance: _join,
-    LeaveInstance: _leave,
-    RemoveInstances: _remove,
-    GrantKeys: _grant,
-    ReleaseKeys: _release,
-    ChangeRoutes: _change,
-}
--- a/guavastream/fleet/book.py
+++ b/guavastream/fleet/book.py
@@ -5,11 +5,27 @@
 
 from guavastream.routes import RouteConfig
 
-__all__ = ["KEYS", "Book", "Instance", "Run", "cut_runs", "find_run"]
+__all__ = ["KEYS", "Book", "Instance", "Run", "cut_runs", "find_run", "handles"]
 
 # Keys of a service are the numbers below this.
 KEYS = 65536
 
+_handlers = {}
+
+
+def handles(command_type):
+    """Register a function as what commands of a type do to a book.
+
+    It takes the book, the index and the command, and returns the fields of the
+    book that change and the command's result.
+    """
+
+    def register(handler):
+        _handlers[command_type] = handler
+        return handler
+
+    return register
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Instance:
@@ -89,9 +105,7 @@
 
     def apply(self, index, command):
         """Return the book after `command` and the command's result."""
-        from guavastream.fleet.apply import HANDLERS
-
-        handler = HANDLERS.get(type(command))
+        handler = _handlers.get(type(command))
         if handler is None:
             return replace(self, index=index), None
         changes, result = handler(self, index, command)
