What hosts beside servers need no more: control, shards and pictures

A process beside a server took the control package, the table of shards, its declarations and the picture of the time line into memory, through imports of one constant or class each. The holder of replicated state and its codec are a package now (replica), so are members of the older table (membership); holds and the hybrid clock stand where both sides reach them.

--- a/guavastream/bench/capacity.py
+++ b/guavastream/bench/capacity.py
@@ -17,6 +17,7 @@
 from guavastream.bench.scenario import keyed_only, running
 from guavastream.control import Entry, Snapshot, Storage
 from guavastream.declare import parse_declaration
+from guavastream.kernel import HybridClock
 from guavastream.leases import Renew, Renewed
 from guavastream.leases.messages import Submit, Watch, Watched
 from guavastream.messages import encode_message
@@ -32,7 +33,6 @@
     encode_command,
     encode_table,
 )
-from guavastream.timeline import HybridClock
 
 __all__ = ["CAPACITY_PARTS", "MeasuredTable", "measure_capacity", "write_page"]
 
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from heapq import nlargest
 
-from guavastream.control.holds import Holds, HoldTiming, Move
+from guavastream.control.holds import Holds, Move
 from guavastream.control.loads import KeyLoads, Loads
 from guavastream.exception import NotLeader
 from guavastream.fleet import (
@@ -20,6 +20,7 @@
     rows_without,
 )
 from guavastream.kernel import Policy, Signal, TimeLimit, part_logger
+from guavastream.leases import HoldTiming
 from guavastream.placement import RunView, plan_runs
 from guavastream.routes import Granting
 
--- a/guavastream/control/tests/test_fleet.py
+++ b/guavastream/control/tests/test_fleet.py
@@ -7,7 +7,6 @@
 from guavastream.control import Raft, RaftTiming, Storage, TableMachine
 from guavastream.control.fleet import FleetService, VoterKeeper
 from guavastream.control.grants import Granter
-from guavastream.control.holds import HoldTiming
 from guavastream.exception import GuavastreamError
 from guavastream.fleet import (
     Beat,
@@ -17,7 +16,7 @@
     Depart,
     ReadRoutes,
 )
-from guavastream.leases import ControlClient, Watch
+from guavastream.leases import ControlClient, HoldTiming, Watch
 from guavastream.routes import Part, Repeat, Route, ServiceRules
 from guavastream.standins import FakeNetwork, run_paused
 
--- a/guavastream/control/tests/test_grants.py
+++ b/guavastream/control/tests/test_grants.py
@@ -6,7 +6,6 @@
 
 from guavastream.control import TableMachine
 from guavastream.control.grants import Granter
-from guavastream.control.holds import HoldTiming
 from guavastream.control.tests.test_fleet import FIRST
 from guavastream.fleet import (
     KEYS,
@@ -16,6 +15,7 @@
     JoinInstance,
     encode_command,
 )
+from guavastream.leases import HoldTiming
 from guavastream.standins import run_paused
 
 HOLDS = HoldTiming(hold=2.8, settle=1.0)
--- a/guavastream/daemon/node.py
+++ b/guavastream/daemon/node.py
@@ -5,9 +5,10 @@
 
 from guavastream.exception import DamagedLog, Finding, FindingsError
 from guavastream.kernel import ROLES, make_metrics, part_logger
-from guavastream.leases import ControlClient, LeaseTiming, Membership
+from guavastream.leases import ControlClient, LeaseTiming
+from guavastream.membership import Membership
 from guavastream.messages.zmq_transport import ZmqTransport
-from guavastream.state import TableHolder
+from guavastream.state import ShardTableHolder
 from guavastream.timeline import Recorder
 from guavastream.web import HttpSender
 
@@ -44,7 +45,7 @@
         self.control = ControlClient(
             transport=self.transport, addresses=settings.control_addresses
         )
-        self.tables = TableHolder()
+        self.tables = ShardTableHolder()
         self.sender = HttpSender()
         self.membership = Membership(
             host=settings.host,
--- a/guavastream/door/tests/conftest.py
+++ b/guavastream/door/tests/conftest.py
@@ -3,7 +3,7 @@
 import pytest
 
 from guavastream.door.tests.rig import Host, make_table
-from guavastream.state import TableHolder
+from guavastream.state import ShardTableHolder
 
 
 @pytest.fixture
@@ -12,7 +12,7 @@
     started = []
 
     def make(service="pages", count=1, **options):
-        tables = TableHolder()
+        tables = ShardTableHolder()
         hosts = [
             Host(number=n, service=service, tables=tables, **options)
             for n in range(1, count + 1)
--- a/guavastream/door/tests/rig.py
+++ b/guavastream/door/tests/rig.py
@@ -8,7 +8,8 @@
 from guavastream.door import Door, Forwarder
 from guavastream.guard import Admission, Guard, Outcomes
 from guavastream.kernel import make_metrics
-from guavastream.leases import Announced, Lease
+from guavastream.leases import Lease
+from guavastream.membership import Announced
 from guavastream.routing import Chooser
 from guavastream.standins import (
     Behaviour,
--- a/guavastream/door/tests/test_attempts.py
+++ b/guavastream/door/tests/test_attempts.py
@@ -10,7 +10,7 @@
 from guavastream.kernel import make_metrics
 from guavastream.routing import Chooser, Classified, Knowledge, Ran, Refused
 from guavastream.standins import make_member
-from guavastream.state import ShardMap, Table, TableHolder
+from guavastream.state import ShardMap, ShardTableHolder, Table
 from guavastream.web import AttemptFailed
 
 SERVICE = Service(name="s")
@@ -54,7 +54,7 @@
 
 
 def make_forwarder(guards):
-    tables = TableHolder()
+    tables = ShardTableHolder()
     members = {n: make_member(n) for n in range(1, MEMBERS + 1)}
     shards = ShardMap(owners=array("I", [1]), epochs=array("Q", [1]))
     tables.replace(
--- a/guavastream/door/tests/test_path.py
+++ b/guavastream/door/tests/test_path.py
@@ -12,7 +12,7 @@
 
 from guavastream.door.tests.rig import make_table
 from guavastream.standins import Behaviour
-from guavastream.state import TableHolder
+from guavastream.state import ShardTableHolder
 
 
 def call(host, method, path, body=None, headers=None, *, settle=True):
@@ -276,7 +276,7 @@
     """
     hosts = make_path(count=2)
     tables = hosts[0].tables
-    stale = TableHolder()
+    stale = ShardTableHolder()
     stale.replace(tables.table)
     hosts[0].forwarder._tables = stale
     tables.replace(make_table(hosts, index=2, owner=2))
--- a/guavastream/fleet/codec.py
+++ b/guavastream/fleet/codec.py
@@ -4,7 +4,7 @@
 
 from guavastream.fleet.book import Book
 from guavastream.messages import pack, unpack
-from guavastream.state import TableCodec, decode_command, encode_command
+from guavastream.replica import TableCodec, decode_command, encode_command
 
 __all__ = ["BookCodec"]
 
--- a/guavastream/guard/server.py
+++ b/guavastream/guard/server.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from guavastream.kernel import parse_address, part_logger
-from guavastream.leases import Announced
+from guavastream.membership import Announced
 from guavastream.web import AttemptFailed
 
 __all__ = ["Announcement", "Grant", "ServerLink"]
--- a/guavastream/guard/tests/test_admission.py
+++ b/guavastream/guard/tests/test_admission.py
@@ -10,7 +10,7 @@
 from guavastream.leases import Lease
 from guavastream.routing import Classified, Refused, Target
 from guavastream.standins import make_member
-from guavastream.state import Pin, ShardMap, Table, TableHolder, shard_of
+from guavastream.state import Pin, ShardMap, ShardTableHolder, Table, shard_of
 
 ME = 4
 SERVICE = Service(
@@ -41,7 +41,7 @@
         self.now = 100.0
         self.lease = Lease(clock=self.clock)
         self.lease.extend(100.5)
-        self.tables = TableHolder()
+        self.tables = ShardTableHolder()
         self.tables.replace(make_table(**table))
         self.admission = Admission(
             lease=self.lease,
--- a/guavastream/guard/tests/test_server.py
+++ b/guavastream/guard/tests/test_server.py
@@ -9,9 +9,10 @@
 
 from guavastream.declare import Declaration, Service
 from guavastream.guard import ServerLink
-from guavastream.leases import Announced, Lease
+from guavastream.leases import Lease
+from guavastream.membership import Announced
 from guavastream.standins import Behaviour, StandinServer, StandinSettings
-from guavastream.state import ShardMap, Table, TableHolder
+from guavastream.state import ShardMap, ShardTableHolder, Table
 from guavastream.web import HttpSender, HttpServer
 
 TICK = 0.01
@@ -50,7 +51,7 @@
         )
         self.server = StandinServer(settings=settings)
         self.server.serve()
-        self.tables = TableHolder()
+        self.tables = ShardTableHolder()
         shards = ShardMap(owners=array("I", [4, 9]), epochs=array("Q", [7, 8]))
         self.tables.replace(
             Table(
--- a/guavastream/hosts/control_host.py
+++ b/guavastream/hosts/control_host.py
@@ -11,10 +11,9 @@
 from guavastream.control.voter import RaftTiming
 from guavastream.fleet import BookCodec, ChangedRoutes, ReadRoutes
 from guavastream.hosts.tasks import Tasks
-from guavastream.kernel import Counters, part_logger, steady_time
+from guavastream.kernel import Counters, HybridClock, part_logger, steady_time
 from guavastream.leases import ControlClient
 from guavastream.messages.zmq_transport import ZmqServer, ZmqTransport
-from guavastream.timeline import HybridClock
 
 __all__ = ["ControlHost"]
 
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -11,13 +11,12 @@
 from guavastream.hosts.key_keeper import KeyKeeper, KeySender
 from guavastream.hosts.tasks import Tasks
 from guavastream.http1 import Client, CutOff, Limits, NotSent, Server
-from guavastream.kernel import Counters, parse_address, part_logger
+from guavastream.kernel import Counters, HybridClock, parse_address, part_logger
 from guavastream.leases import ControlClient
 from guavastream.messages.zmq_transport import ZmqTransport
 from guavastream.relay import Guard, HopDoor, Ingress, Picker
+from guavastream.replica import TableHolder
 from guavastream.routes import RouteIndex
-from guavastream.state import TableHolder
-from guavastream.timeline import HybridClock
 
 __all__ = ["ServerHost"]
 
--- a/guavastream/hosts/settings.py
+++ b/guavastream/hosts/settings.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from guavastream.control.holds import HoldTiming
 from guavastream.kernel import Policy
+from guavastream.leases import HoldTiming
 from guavastream.routes import Granting
 
 __all__ = ["FleetSettings"]
--- a/guavastream/hosts/tests/orders.py
+++ b/guavastream/hosts/tests/orders.py
@@ -4,17 +4,17 @@
 import random
 from dataclasses import dataclass, field
 
-from guavastream.control.holds import HoldTiming
 from guavastream.control.tests.test_fleet import FIRST, Core
 from guavastream.exception import GuavastreamError
 from guavastream.fleet import Beat, BookCodec, Depart, LoadReport
 from guavastream.hosts.key_keeper import KeyKeeper
 from guavastream.http1 import CutOff, NotSent
+from guavastream.leases import HoldTiming
 from guavastream.leases.messages import Watch
 from guavastream.relay import KeyOutcome, KeyResult
+from guavastream.replica import TableHolder
 from guavastream.routes import Granting, ServiceRules
 from guavastream.standins import FakeNetwork, run_paused
-from guavastream.state import TableHolder
 
 # One key in so many is watched; a prime, so that rows of any size have some.
 STEP = 997
--- a/guavastream/hosts/tests/test_book_follower.py
+++ b/guavastream/hosts/tests/test_book_follower.py
@@ -22,9 +22,9 @@
 from guavastream.fleet import BookCodec, ChangeRoutes
 from guavastream.hosts.book_follower import BookFollower
 from guavastream.leases import Watch
+from guavastream.replica import TableHolder
 from guavastream.routes import Part, Repeat, Route
 from guavastream.standins import FakeNetwork, run_paused
-from guavastream.state import TableHolder
 
 HOST = "10.2.0.1:1"
 # What is left of a link of 4 Mbit/s, of which bodies of requests take half.
--- a/guavastream/leases/tests/test_membership.py
+++ b/guavastream/membership/tests/test_membership.py
@@ -3,10 +3,8 @@
 import asyncio
 
 from guavastream.leases import (
-    Announced,
     ControlClient,
     LeaseTiming,
-    Membership,
     Renew,
     Renewed,
     Submit,
@@ -14,12 +12,13 @@
     Watch,
     Watched,
 )
+from guavastream.membership import Announced, Membership
 from guavastream.messages import decode_message
 from guavastream.standins import FakeNetwork, run_paused
 from guavastream.state import (
     Noop,
     RegisterMember,
-    TableHolder,
+    ShardTableHolder,
     encode_command,
 )
 
@@ -71,7 +70,7 @@
         self.control = FakeControl()
         for address in CONTROL:
             self.network.serve(address, self.control.handle)
-        self.tables = TableHolder()
+        self.tables = ShardTableHolder()
         self.events = []
         self.membership = Membership(
             host="h1",
--- a/guavastream/messages/tests/test_zmq.py
+++ b/guavastream/messages/tests/test_zmq.py
@@ -7,10 +7,10 @@
 import zmq.asyncio
 
 from guavastream.exception import CallTimeout, NotLeader, PeerFailure
+from guavastream.kernel import HybridClock
 from guavastream.messages import encode_message, message
 from guavastream.messages.zmq_transport import ZmqServer, ZmqTransport
 from guavastream.standins import FaultProxy
-from guavastream.timeline import HybridClock
 
 
 @message
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -8,6 +8,7 @@
 from guavastream.fleet import Book, BookCodec, GrantKeys, JoinInstance
 from guavastream.http1 import Client, Limits, Server
 from guavastream.relay import Dialect, Guard, HopDoor, Ingress, Picker
+from guavastream.replica import TableHolder
 from guavastream.routes import (
     Part,
     Repeat,
@@ -17,7 +18,6 @@
     ServiceRules,
 )
 from guavastream.standins import DialectServer, run_paused
-from guavastream.state import TableHolder
 
 __all__ = ["DIALECT", "Host", "Mesh", "play", "route"]
 
--- a/guavastream/state/holder.py
+++ b/guavastream/replica/holder.py
@@ -4,7 +4,7 @@
 import threading
 
 from guavastream.kernel import Signal, TimeLimit
-from guavastream.state.wire import ShardTableCodec, decode_command
+from guavastream.replica.codec import decode_command
 
 __all__ = ["TableHolder"]
 
@@ -16,17 +16,12 @@
 
     Parameters
     ----------
-    codec : TableCodec, optional
+    codec : TableCodec
         The kind of table.
-
-    Examples
-    --------
-    >>> TableHolder().table.index
-    0
     """
 
-    def __init__(self, *, codec=None):
-        self._codec = codec or ShardTableCodec()
+    def __init__(self, *, codec):
+        self._codec = codec
         self._table = self._codec.empty()
         self._changed = threading.Condition()
         self._events = []
--- a/guavastream/state/__init__.py
+++ b/guavastream/state/__init__.py
@@ -2,6 +2,5 @@
 
 from guavastream.state import apply  # noqa: F401  (registers what commands do)
 from guavastream.state.commands import *
-from guavastream.state.holder import *
 from guavastream.state.table import *
 from guavastream.state.wire import *
--- a/guavastream/state/wire.py
+++ b/guavastream/state/wire.py
@@ -1,19 +1,19 @@
 """Tables and commands as bytes, for the log and for watchers."""
 
-import abc
 from array import array
 from dataclasses import dataclass
 
 import msgspec
 
 from guavastream.declare import Declaration
-from guavastream.messages import decode_message, encode_message, pack, unpack
+from guavastream.messages import pack, unpack
+from guavastream.replica import TableCodec, TableHolder, decode_command, encode_command
 from guavastream.state.commands import ChangeAnswer
 from guavastream.state.table import Change, Member, Pin, ShardMap, Table
 
 __all__ = [
     "ShardTableCodec",
-    "TableCodec",
+    "ShardTableHolder",
     "decode_command",
     "decode_table",
     "encode_command",
@@ -21,17 +21,6 @@
 ]
 
 
-def encode_command(command):
-    """Return a command as bytes for the log."""
-    return pack(msgspec.msgpack.encode(encode_message(command)))
-
-
-def decode_command(data):
-    """Return the command that `encode_command` wrote."""
-    tag, body = msgspec.msgpack.decode(unpack(data))
-    return decode_message(tag, body)
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Wire:
     """A table as it is encoded: arrays as bytes, in the host's byte order."""
@@ -106,34 +95,27 @@
     )
 
 
-class TableCodec(abc.ABC):
-    """The kind of state that a control log keeps.
-
-    A state has an `index` and `apply(index, command)`, which returns the next
-    state and the command's result.
-    """
+class ShardTableCodec(TableCodec):
+    """Keeps the table of members and hashed shards."""
 
-    @abc.abstractmethod
     def empty(self):
-        """Return the state before the first command."""
+        return Table()
 
-    @abc.abstractmethod
     def encode(self, table):
-        """Return a whole state as bytes."""
+        return pack(encode_table(table))
 
-    @abc.abstractmethod
     def decode(self, data):
-        """Return the state that `encode` wrote."""
+        return decode_table(unpack(data))
 
 
-class ShardTableCodec(TableCodec):
-    """Keeps the table of members and hashed shards."""
+class ShardTableHolder(TableHolder):
+    """Holds the table of members and hashed shards.
 
-    def empty(self):
-        return Table()
-
-    def encode(self, table):
-        return encode_table(table)
+    Examples
+    --------
+    >>> ShardTableHolder().table.index
+    0
+    """
 
-    def decode(self, data):
-        return decode_table(data)
+    def __init__(self):
+        super().__init__(codec=ShardTableCodec())
--- a/guavastream/timeline/events.py
+++ b/guavastream/timeline/events.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from guavastream.timeline.clock import LOGICAL_BITS, HybridClock
+from guavastream.kernel import HybridClock
+from guavastream.kernel.hybrid import LOGICAL_BITS
 
 __all__ = [
     "Event",
