A host that is cut off from control hosts has another host pass its calls on

Change: after 1.1 s without an answer from any control host, calls go by way of another host, which passes them on to control hosts only and directly. Nothing of what keeps one owner a key depends on it. Tests on a paused clock: keys are kept for ten seconds of such a cut, and lost without other hosts; the direct way is taken again; no storm while all control hosts are down.

--- a/guavastream/control/holds.py
+++ b/guavastream/control/holds.py
@@ -38,6 +38,7 @@
 
     Examples
     --------
+    >>> from guavastream.leases import HoldTiming
     >>> now = 0.0
     >>> holds = Holds(clock=lambda: now, timing=HoldTiming(hold=3.0))
     >>> holds.start(["a"], since=0.0)
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -13,7 +13,9 @@
 from guavastream.http1 import Client, CutOff, Limits, NotSent, Server
 from guavastream.kernel import Counters, HybridClock, parse_address, part_logger
 from guavastream.leases import ControlClient
-from guavastream.messages.zmq_transport import ZmqTransport
+from guavastream.leases.messages import Watch
+from guavastream.messages import RelayDesk, RelayingTransport
+from guavastream.messages.zmq_transport import ZmqServer, ZmqTransport
 from guavastream.relay import Guard, HopDoor, Ingress, Picker
 from guavastream.replica import TableHolder
 from guavastream.routes import RouteIndex
@@ -74,11 +76,19 @@
         self._settings = settings
         self._dialect = dialect
         self._loop = asyncio.get_running_loop()
-        self._transport = ZmqTransport(
-            hybrid=HybridClock(),
+        hybrid = HybridClock()
+        self._direct = ZmqTransport(
+            hybrid=hybrid,
             on_reconnect=lambda address: self.counters.count("peer_reconnects"),
             on_late=self._note_late,
         )
+        self._transport = RelayingTransport(
+            direct=self._direct,
+            relays=self._other_hosts,
+            probes=(Watch,),
+            clock=self._loop.time,
+            on_change=self._note_cut_off,
+        )
         self._control = ControlClient(
             transport=self._transport, addresses=settings.seeds
         )
@@ -145,6 +155,17 @@
             limits=Limits(head_bytes=1 << 20, body_bytes=1 << 30, idle_seconds=60.0),
             holds_bodies=True,
         )
+        desk = RelayDesk(
+            transport=self._transport,
+            targets=lambda: self._control.addresses,
+            count=self.counters.count,
+        )
+        self._relay = ZmqServer(
+            address=settings.peer,
+            handler=desk.handle,
+            hybrid=hybrid,
+            on_malformed=lambda: self.counters.count("malformed_messages"),
+        )
         self._prober = Client()
         self._last_seq = {}
         self._answered_at = float("-inf")
@@ -168,6 +189,7 @@
         OSError
             If an address cannot be bound.
         """
+        self._relay.start()
         await self._inbound.start()
         await self._outbound.start()
         self._tasks.spawn(self._follower.run())
@@ -181,12 +203,31 @@
         """Wait until a part has failed, and raise its error."""
         await self._tasks.wait_failed()
 
-    # The book
+    # The way to the control hosts
+
+    def _other_hosts(self):
+        """Return the peer addresses of other hosts: ports are the same everywhere."""
+        _, port = parse_address(self._settings.peer)
+        here = parse_address(self._settings.inbound)[0]
+        others = {
+            parse_address(instance.door)[0]
+            for instance in self._books.table.instances.values()
+        }
+        return [f"{ip}:{port}" for ip in sorted(others - {here})]
+
+    def _note_cut_off(self, cut_off):
+        if cut_off:
+            self.counters.count("cut_off")
+            log.warning("No control host answers: other hosts pass calls on.")
+        else:
+            log.info("A control host answers again.")
 
     def _note_late(self, size):
         self.counters.count("late_answers")
         self.counters.count("late_answer_bytes", size)
 
+    # The book
+
     def _note_book(self, before, book):
         if book.instances is not before.instances:
             self._picker.keep_only(book.instances)
@@ -393,4 +434,5 @@
         await self._keeper.stop()
         await self._outbound.stop()
         await self._inbound.stop()
-        self._transport.close()
+        self._relay.close()
+        self._direct.close()
--- a/guavastream/messages/__init__.py
+++ b/guavastream/messages/__init__.py
@@ -3,4 +3,5 @@
 from guavastream.messages.codec import *
 from guavastream.messages.packing import *
 from guavastream.messages.parts import *
+from guavastream.messages.relaying import *
 from guavastream.messages.transport import *
