--- a/guavastream/control/tests/test_catching_up.py
+++ b/guavastream/control/tests/test_catching_up.py
@@ -3,10 +3,10 @@
 import asyncio
 import random
 
-from guavastream.control.tests.test_fleet import FIRST, ROUTE, Core
+from guavastream.control.tests.test_fleet import ROUTE, start_core
 from guavastream.fleet import ChangeRoutes
 from guavastream.routes import ServiceRules
-from guavastream.standins import FakeNetwork, run_paused
+from guavastream.standins import run_paused
 
 # A link of 170 Mbit/s, and changes of 400 KB.
 RATE = 21_000_000.0
@@ -36,10 +36,7 @@
     # the first, and never learned that the host had it: when two others were
     # lost, which is allowed, no change was accepted any more.
     async def main():
-        core = Core(tmp_path, FakeNetwork(seed=1))
-        core.start_all()
-        await core.until_full()
-        await core.change(FIRST)
+        core = await start_core(tmp_path)
         others = [a for a in core.addresses if a != core.leader()]
         away = others.pop()
         core.kill(away)
--- a/guavastream/control/tests/test_fleet.py
+++ b/guavastream/control/tests/test_fleet.py
@@ -122,6 +122,15 @@
         return answer.config.version
 
 
+async def start_core(folder):
+    """Return a `Core` that has formed its group and has a configuration."""
+    core = Core(folder, FakeNetwork(seed=1))
+    core.start_all()
+    await core.until_full()
+    await core.change(FIRST)
+    return core
+
+
 @dataclass
 class Server:
     """A backend server as the fleet sees it: heartbeats, holds, releases."""
--- a/guavastream/hosts/tests/test_book_follower.py
+++ b/guavastream/hosts/tests/test_book_follower.py
@@ -18,13 +18,13 @@
 import random
 import string
 
-from guavastream.control.tests.test_fleet import FIRST, Core
+from guavastream.control.tests.test_fleet import start_core
 from guavastream.fleet import BookCodec, ChangeRoutes
 from guavastream.hosts.book_follower import BookFollower
 from guavastream.leases import Watch
 from guavastream.replica import TableHolder
 from guavastream.routes import Part, Repeat, Route
-from guavastream.standins import FakeNetwork, run_paused
+from guavastream.standins import run_paused
 
 HOST = "10.2.0.1:1"
 # What is left of a link of 4 Mbit/s, of which bodies of requests take half.
@@ -98,18 +98,10 @@
                 await asyncio.sleep(0.01)
 
 
-async def formed(tmp_path):
-    core = Core(tmp_path, FakeNetwork(seed=1))
-    core.start_all()
-    await core.until_full()
-    await core.change(FIRST)
-    return core
-
-
 def test_a_large_change_is_in_force_in_time_behind_a_narrow_link(tmp_path):
     # The answer takes 1.6 s as it stands; it was waited for 1.0 s.
     async def main():
-        core = await formed(tmp_path)
+        core = await start_core(tmp_path)
         host = Host(core)
         await host.until_in_force(1, 1.0)
         core.network.narrow(HOST, NARROW)
@@ -122,7 +114,7 @@
 def test_a_new_host_gets_a_large_book_behind_a_narrow_link(tmp_path):
     # The whole book takes 1.6 s as it stands; it was waited for 0.7 s.
     async def main():
-        core = await formed(tmp_path)
+        core = await start_core(tmp_path)
         await core.change(large_change())
         core.network.narrow(HOST, NARROW)
         host = Host(core)
@@ -136,7 +128,7 @@
     # what has changed since with it. A host that took one after the other would
     # answer its first callers by routes that were replaced long before.
     async def main():
-        core = await formed(tmp_path)
+        core = await start_core(tmp_path)
         await asyncio.sleep(1.0)
         for turn in range(len(core.addresses)):
             first = Watch(index=0, wait=0.0)
@@ -155,7 +147,7 @@
     # Bodies of requests leave 20 KB a second of the link: the 50 KB of the
     # change take 2.5 s at best, and whatever is sent in vain comes on top.
     async def main():
-        core = await formed(tmp_path)
+        core = await start_core(tmp_path)
         host = Host(core)
         await host.until_in_force(1, 1.0)
         core.network.narrow(HOST, NARROW / 12)
--- a/guavastream/hosts/tests/test_cut_off.py
+++ b/guavastream/hosts/tests/test_cut_off.py
@@ -5,14 +5,14 @@
 
 import pytest
 
-from guavastream.control.tests.test_fleet import FIRST, HEARTBEAT, HOLDS, Core
+from guavastream.control.tests.test_fleet import HEARTBEAT, HOLDS, start_core
 from guavastream.exception import GuavastreamError, PeerFailure
 from guavastream.fleet import Beat, BookCodec
 from guavastream.hosts.book_follower import BookFollower
 from guavastream.leases import ControlClient, Watch
 from guavastream.messages import RelayDesk, Relayed, RelayingTransport, encode_message
 from guavastream.replica import TableHolder
-from guavastream.standins import FakeNetwork, run_paused
+from guavastream.standins import run_paused
 
 CUT, OTHER, THIRD = "10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1"
 HOSTS = (CUT, OTHER, THIRD)
@@ -87,10 +87,7 @@
 
 
 async def start(tmp_path, *, relays=HOSTS):
-    core = Core(tmp_path, FakeNetwork(seed=1))
-    core.start_all()
-    await core.until_full()
-    await core.change(FIRST)
+    core = await start_core(tmp_path)
     hosts = [Host(core, address, relays=relays) for address in HOSTS]
     await asyncio.sleep(5.0)
     return core, hosts
--- a/guavastream/platform/tests/test_lives.py
+++ b/guavastream/platform/tests/test_lives.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from guavastream.control.tests.test_fleet import FIRST, Core
+from guavastream.control.tests.test_fleet import start_core
 from guavastream.exception import FindingsError
 from guavastream.platform.wire import decode_beat
-from guavastream.standins import FakeNetwork, run_paused
+from guavastream.standins import run_paused
 
 HEARTBEAT = 0.87
 # Time for two heartbeats and what is held back of their answers.
@@ -49,14 +49,6 @@
     raise AssertionError("no keys are granted")
 
 
-async def formed(tmp_path):
-    core = Core(tmp_path, FakeNetwork(seed=1))
-    core.start_all()
-    await core.until_full()
-    await core.change(FIRST)
-    return core
-
-
 def owners(core):
     book = core.rafts[core.leader()]._machine.table
     return {run.owner for run in book.runs_of("s")}
@@ -69,7 +61,7 @@
     # for late ones of before and passed over them until their numbers had
     # caught up: callers of its keys were refused for as long as it had lived.
     async def main():
-        core = await formed(tmp_path)
+        core = await start_core(tmp_path)
         before = await until_granted(core, born=1000, seconds=5.0)
         held = [row[:3] for row in before]
         for seq in range(10, 60):
@@ -86,7 +78,7 @@
     # A heartbeat of the life before was held up by a cut and comes after the
     # new life has keys. It must neither be granted any, nor take them away.
     async def main():
-        core = await formed(tmp_path)
+        core = await start_core(tmp_path)
         held = [row[:3] for row in await until_granted(core, born=1000, seconds=5.0)]
         rows = await until_granted(core, born=2000)
         late = beat(born=1000, seq=99, holds=held, State="draining")
@@ -112,7 +104,7 @@
     # Another writer's heartbeat names the address of a sound server. Taken for
     # one of ours, it took that server's place, which lost all its keys.
     async def main():
-        core = await formed(tmp_path)
+        core = await start_core(tmp_path)
         rows = await until_granted(core, born=1000, seconds=5.0)
         stray = beat(id="x", born=1, seq=1, Service="elsewhere")
         assert (await send(core, stray)).gone
