The leader looks for the runs of a row by bisection everywhere

Its releases, returned keys and moves went through all runs of a service for each row, a move at each tick of 50 ms, beside runs_within, which does just that and was written for the book. Five loops call it now; find_run shares its key. What is decided stays the same: make test 585 passed.

--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -18,6 +18,7 @@
     RenewKeys,
     encode_command,
     rows_without,
+    runs_within,
 )
 from guavastream.kernel import Policy, Signal, TimeLimit, part_logger
 from guavastream.leases import HoldTiming
@@ -218,10 +219,8 @@
             row
             for row in request.rows
             if any(
-                run.owner == request.id
-                and run.fence == row[2]
-                and run.overlaps(row[0], row[1])
-                for run in runs
+                run.owner == request.id and run.fence == row[2]
+                for run in runs_within(runs, row[0], row[1])
             )
         ]
         if not rows:
@@ -274,7 +273,7 @@
         rows = tuple(
             row
             for row in beat.released
-            if any(r.owner == beat.id and r.overlaps(row[0], row[1]) for r in runs)
+            if any(run.owner == beat.id for run in runs_within(runs, row[0], row[1]))
         )
         if not rows:
             return
@@ -462,8 +461,7 @@
     def _is_pending(self, move):
         runs = self._book.runs_of(move.service)
         return any(
-            run.owner == move.source and run.overlaps(move.first, move.last)
-            for run in runs
+            run.owner == move.source for run in runs_within(runs, move.first, move.last)
         )
 
     async def _plan(self, name):
@@ -528,8 +526,8 @@
         """Give rows that were released for a move to their targets."""
         rows = []
         for move in moves:
-            for run in runs:
-                if not run.owner and run.overlaps(move.first, move.last):
+            for run in runs_within(runs, move.first, move.last):
+                if not run.owner:
                     if move.target in capacity:
                         first = max(run.first, move.first)
                         last = min(run.last, move.last)
@@ -552,8 +550,8 @@
         return done
 
     def _begin_move(self, name, first, last, target):
-        for run in self._book.runs_of(name):
-            if not run.owner or not run.overlaps(first, last) or run.owner == target:
+        for run in runs_within(self._book.runs_of(name), first, last):
+            if not run.owner or run.owner == target:
                 continue
             move = Move(
                 service=name,
--- a/guavastream/fleet/book.py
+++ b/guavastream/fleet/book.py
@@ -138,7 +138,7 @@
     >>> find_run((Run(first=0, last=9), Run(first=10, last=65535)), 10).first
     10
     """
-    return runs[bisect_right(runs, key, key=lambda run: run.first) - 1]
+    return runs[bisect_right(runs, key, key=_first) - 1]
 
 
 def runs_within(runs, first, last):
