--- a/guavastream/operate/door.py
+++ b/guavastream/operate/door.py
@@ -4,12 +4,14 @@
 import time
 import uuid
 from dataclasses import dataclass
+from urllib.parse import parse_qs
 
 import msgspec
 
 from guavastream.control import AskControl, ChangeVoters
 from guavastream.declare import parse_declaration
 from guavastream.exception import FindingsError, GuavastreamError
+from guavastream.http1 import CutOff
 from guavastream.state import (
     ApplyDeclaration,
     ChangeAnswer,
@@ -23,6 +25,17 @@
 CALL_SECONDS = 5.0
 VOTERS_SECONDS = 35.0
 POLL_SECONDS = 0.05
+# Bytes of a declaration; thousands of services fit.
+MAX_BODY_BYTES = 4 << 20
+JSON = (b"Content-Type", b"application/json")
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Reply:
+    """An answer: `item` becomes JSON."""
+
+    status: int
+    item: object
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -68,117 +81,121 @@
 
 
 class OperatorDoor:
-    """Handles the exchanges of the command line.
+    """Handles the requests of the command line.
 
     Parameters
     ----------
-    host : str
-        Own host, for `status`.
     control : ControlClient
         Reaches the leader.
     tables : TableHolder
         Newest table.
     recorder : Recorder
         Events of this process.
-    loop : asyncio.AbstractEventLoop
-        Runs the calls.
+    clock : callable
+        Monotonic time in seconds.
     token : str
         What operators must present; empty for none.
     """
 
-    def __init__(self, *, host, control, tables, recorder, loop, token):
-        self._host = host
+    def __init__(self, *, control, tables, recorder, clock, token):
         self._control = control
         self._tables = tables
         self._recorder = recorder
-        self._loop = loop
+        self._clock = clock
         self._token = token
-
-    def handle(self, exchange):
-        """Answer one exchange, in a worker thread."""
-        if not self._is_allowed(exchange):
-            exchange.close_after()
-            exchange.respond(401, {"code": "unauthorized", "text": "Wrong token."})
-            return
-        handlers = {
-            ("GET", "status"): self._status,
-            ("GET", "table"): self._table,
-            ("GET", "history"): self._history,
-            ("GET", "owners"): self._owners,
-            ("GET", "events"): self._events,
-            ("POST", "changes"): self._change,
-            ("POST", "voters"): self._change_voters,
+        self._handlers = {
+            (b"GET", b"status"): self._status,
+            (b"GET", b"table"): self._table,
+            (b"GET", b"history"): self._history,
+            (b"GET", b"owners"): self._owners,
+            (b"GET", b"events"): self._events,
+            (b"POST", b"changes"): self._change,
+            (b"POST", b"voters"): self._change_voters,
         }
-        handler = handlers.get((exchange.method, exchange.path.strip("/")))
+
+    async def handle(self, request, responder):
+        """Answer one request."""
+        if self._is_allowed(request):
+            try:
+                reply = await self._reply(request)
+            except CutOff:
+                # The request ended early, or is larger than any declaration.
+                responder.abort()
+                return
+        else:
+            # Whoever guesses tokens pays a connection for each.
+            request.keep_alive = False
+            reply = _Reply(
+                status=401, item={"code": "unauthorized", "text": "Wrong token."}
+            )
+        body = msgspec.json.encode(reply.item) + b"\n"
+        await responder.send(reply.status, [JSON], body)
+
+    async def _reply(self, request):
+        handler = self._handlers.get((request.method, request.path.strip(b"/")))
         if handler is None:
-            exchange.respond(404, {"code": "unknown_path"})
-            return
+            return _Reply(status=404, item={"code": "unknown_path"})
         try:
-            handler(exchange)
+            return await handler(request)
         except FindingsError as error:
             found = [msgspec.to_builtins(f) for f in error.findings]
-            exchange.respond(422, {"code": error.code, "findings": found})
+            return _Reply(status=422, item={"code": error.code, "findings": found})
         except (ValueError, msgspec.MsgspecError) as error:
-            exchange.respond(400, {"code": "bad_request", "text": str(error)})
+            item = {"code": "bad_request", "text": str(error)}
+            return _Reply(status=400, item=item)
         except GuavastreamError as error:
-            exchange.respond(503, {"code": error.code, "text": str(error)})
+            return _Reply(status=503, item={"code": error.code, "text": str(error)})
 
-    def _is_allowed(self, exchange):
+    def _is_allowed(self, request):
         if not self._token:
             return True
         import hmac
 
-        given = exchange.header("Authorization").removeprefix("Bearer ")
-        return hmac.compare_digest(given.encode(), self._token.encode())
-
-    def _run(self, coroutine):
-        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result()
+        given = request.headers.get(b"authorization").removeprefix(b"Bearer ")
+        return hmac.compare_digest(given, self._token.encode())
 
-    def _ask(self):
-        return self._run(self._control.call(AskControl(), timeout=CALL_SECONDS))
+    async def _ask(self):
+        return await self._control.call(AskControl(), timeout=CALL_SECONDS)
 
-    def _status(self, exchange):
-        info = self._ask()
+    async def _status(self, request):
+        info = await self._ask()
         table = self._tables.table
         services = {
             service.name: _service_status(table, service)
             for service in table.declaration.services
         }
-        exchange.respond(
-            200,
-            Status(
-                leader=info.leader,
-                term=info.term,
-                revision=table.revision,
-                preset=table.preset,
-                drained=table.drained,
-                voters=tuple(sorted(info.voters.values())),
-                services=services,
-                hosts=info.hosts,
-                insecure=not self._token,
-            ),
+        status = Status(
+            leader=info.leader,
+            term=info.term,
+            revision=table.revision,
+            preset=table.preset,
+            drained=table.drained,
+            voters=tuple(sorted(info.voters.values())),
+            services=services,
+            hosts=info.hosts,
+            insecure=not self._token,
         )
+        return _Reply(status=200, item=status)
 
-    def _table(self, exchange):
+    async def _table(self, request):
         table = self._tables.table
         item = {
             "revision": table.revision,
             "preset": table.preset,
             "declaration": msgspec.to_builtins(table.declaration),
         }
-        exchange.respond(200, item)
+        return _Reply(status=200, item=item)
 
-    def _history(self, exchange):
-        exchange.respond(200, list(self._tables.table.history))
+    async def _history(self, request):
+        return _Reply(status=200, item=list(self._tables.table.history))
 
-    def _owners(self, exchange):
+    async def _owners(self, request):
         table = self._tables.table
-        name, key = exchange.query("service"), exchange.query("key")
+        name, key = _query(request, "service"), _query(request, "key")
         shards = table.shards.get(name)
         if shards is None:
             text = "Not a service divided by key."
-            exchange.respond(404, {"code": "unknown_service", "text": text})
-            return
+            return _Reply(status=404, item={"code": "unknown_service", "text": text})
         chosen = range(len(shards.owners))
         if key:
             chosen = [shard_of(key, len(shards.owners))]
@@ -192,28 +209,29 @@
         ]
         pin = table.pins.get(name, {}).get(key) if key else None
         pinned = getattr(table.members.get(pin.member), "host", "") if pin else ""
-        exchange.respond(200, {"service": name, "pinned": pinned, "shards": rows})
+        item = {"service": name, "pinned": pinned, "shards": rows}
+        return _Reply(status=200, item=item)
 
-    def _events(self, exchange):
-        exchange.respond(200, self._recorder.recent())
+    async def _events(self, request):
+        return _Reply(status=200, item=self._recorder.recent())
 
-    def _change(self, exchange):
-        asked = exchange.json(ChangeRequest)
+    async def _change(self, request):
+        asked = await _read_json(request, ChangeRequest)
         command = self._make_command(asked)
-        started = time.monotonic()
-        answer = self._run(
-            self._control.submit(command, timeout=CALL_SECONDS, result=ChangeAnswer)
+        started = self._clock()
+        answer = await self._control.submit(
+            command, timeout=CALL_SECONDS, result=ChangeAnswer
         )
         behind = ()
         if answer.code == "ok" and asked.wait > 0:
-            behind = self._wait_in_force(answer.revision, asked.wait)
+            behind = await self._wait_in_force(answer.revision, asked.wait)
         result = ChangeResult(
             answer=answer,
             change=command.change,
             behind=behind,
-            seconds=time.monotonic() - started,
+            seconds=self._clock() - started,
         )
-        exchange.respond(200 if answer.code == "ok" else 409, result)
+        return _Reply(status=200 if answer.code == "ok" else 409, item=result)
 
     def _make_command(self, asked):
         common = {
@@ -232,20 +250,42 @@
             return SetDrained(target=asked.value, drained=drained, **common)
         raise ValueError(f"{asked.what!r} is not a change")
 
-    def _wait_in_force(self, revision, seconds):
+    async def _wait_in_force(self, revision, seconds):
         """Return the live hosts that do not report `revision` in time."""
-        deadline = time.monotonic() + seconds
+        deadline = self._clock() + seconds
         while True:
-            hosts = self._ask().hosts
+            hosts = (await self._ask()).hosts
             behind = tuple(h.host for h in hosts if h.revision < revision)
-            if not behind or time.monotonic() >= deadline:
+            if not behind or self._clock() >= deadline:
                 return behind
-            time.sleep(POLL_SECONDS)
+            await asyncio.sleep(POLL_SECONDS)
 
-    def _change_voters(self, exchange):
-        asked = exchange.json(ChangeVoters)
-        call = self._control.call(asked, timeout=VOTERS_SECONDS, attempt=VOTERS_SECONDS)
-        exchange.respond(200, self._run(call))
+    async def _change_voters(self, request):
+        asked = await _read_json(request, ChangeVoters)
+        answer = await self._control.call(
+            asked, timeout=VOTERS_SECONDS, attempt=VOTERS_SECONDS
+        )
+        return _Reply(status=200, item=answer)
+
+
+def _query(request, name):
+    """Return the first value of a query parameter, or an empty string."""
+    text = request.target.partition(b"?")[2].decode("latin-1")
+    return parse_qs(text).get(name, [""])[0]
+
+
+async def _read_json(request, cls):
+    """Return the body of a request as a type.
+
+    Raises
+    ------
+    ValueError, msgspec.MsgspecError
+        If it does not fit.
+    """
+    body, whole = await request.body.read_up_to(MAX_BODY_BYTES)
+    if not whole:
+        raise ValueError(f"the body is over {MAX_BODY_BYTES} bytes")
+    return msgspec.json.decode(body, type=cls)
 
 
 def _service_status(table, service):
--- a/guavastream/operate/role.py
+++ b/guavastream/operate/role.py
@@ -2,15 +2,12 @@
 
 import asyncio
 
-from guavastream.kernel import ROLES, Role
-from guavastream.operate.door import OperatorDoor
-from guavastream.web import HttpServer
+from guavastream.http1 import Limits, Server
+from guavastream.kernel import ROLES, Role, parse_address
+from guavastream.operate.door import MAX_BODY_BYTES, OperatorDoor
 
 __all__ = ["OperatorRole"]
 
-THREADS = 8
-MAX_BODY_BYTES = 4 << 20
-
 
 @ROLES.register("operator")
 class OperatorRole(Role):
@@ -28,20 +25,18 @@
             with open(settings.operator_token_file, encoding="utf-8") as file:
                 token = file.read().strip()
         door = OperatorDoor(
-            host=settings.host,
             control=node.control,
             tables=node.tables,
             recorder=node.recorder,
-            loop=asyncio.get_running_loop(),
+            clock=asyncio.get_running_loop().time,
             token=token,
         )
-        self._server = HttpServer(
-            address=settings.operator,
+        self._server = Server(
+            address=parse_address(settings.operator),
             handler=door.handle,
-            threads=THREADS,
-            max_body=MAX_BODY_BYTES,
+            limits=Limits(body_bytes=MAX_BODY_BYTES),
         )
-        self._server.start()
+        await self._server.start()
 
     async def stop(self):
-        await asyncio.to_thread(self._server.stop)
+        await self._server.stop()
