Entries of other writers are taken only if everything can work with them

Cause, found by fuzzing and reading: a heartbeat with an address that is none, a number that no message carries, or a text of any length passed the edge and ended tasks at every host that had it; an empty range of ports ended the reader of settings with an IndexError.

--- a/guavastream/fleet/apply.py
+++ b/guavastream/fleet/apply.py
@@ -27,15 +27,19 @@
 def _join(book, index, command):
     if command.id in book.gone:
         return {}, False
-    name = command.name or command.id
-    others = [i for i in book.instances.values() if i.id != command.id]
-    if any(i.called == name and i.born > command.born for i in others):
-        # A message that was held up tells of a life that is over.
-        return {}, False
+    name, address = command.name or command.id, command.address
     # One address has one listener, and a server that starts again under its
     # name holds nothing of before: whoever was there has ended.
-    before = [i.id for i in others if i.address == command.address or i.called == name]
-    changes = _without(book, before, forever=True)
+    before = [
+        i
+        for i in book.instances.values()
+        if i.address == address or (i.name or i.id) == name
+    ]
+    others = [i for i in before if i.id != command.id]
+    if any((i.name or i.id) == name and i.born > command.born for i in others):
+        # A message that was held up tells of a life that is over.
+        return {}, False
+    changes = _without(book, [i.id for i in others], forever=True)
     known = book.instances.get(command.id)
     changes["instances"][command.id] = Instance(
         id=command.id,
@@ -68,6 +72,11 @@
 
 
 def _without(book, ids, *, forever):
+    """Return what changes when instances go, a dict; `instances` is a new one."""
+    if not ids:
+        # A server that is new takes nobody's place. All hosts make this change
+        # for all others when they start together: 196 times 196 times.
+        return {"instances": dict(book.instances)}
     ids = frozenset(ids)
     runs = dict(book.runs)
     for service, old in book.runs.items():
--- a/guavastream/kernel/policy.py
+++ b/guavastream/kernel/policy.py
@@ -29,6 +29,8 @@
         Servers are judged by the times of one kind of request.
     silence : bool
         A server that answers nothing is expected to go on so.
+    sampled : bool
+        Of many servers a few are weighed for a request.
     burden : bool
         Servers that fail requests get fewer of them for a while.
     refusal : bool
@@ -61,6 +63,7 @@
     near: bool = True
     kinds: bool = True
     silence: bool = True
+    sampled: bool = True
     burden: bool = True
     refusal: bool = True
     promises: bool = True
--- a/guavastream/platform/settings.py
+++ b/guavastream/platform/settings.py
@@ -63,8 +63,8 @@
     reader = _Reader(raw)
     beside = SIDECAR in reader.words("Serves")
     reader.require(REQUIRED + (REQUIRED_BESIDE if beside else REQUIRED_CONTROL))
-    ports = reader.words("InternalPorts")
-    peer_port = reader.take("InternalPorts", lambda text: int(ports[0]), 0)
+    ports = reader.take("InternalPorts", _ports, (0, 0))
+    peer_port, last_port = ports
     ip = raw.get("Ip", "")
     settings = {
         "host": raw.get("NodeName", ""),
@@ -87,13 +87,22 @@
         "granting": GRANTING.get(raw.get("Grants", "heartbeat"), Granting.UNKNOWN),
         "grace": reader.take("Bounds.Grace", parse_time, 6.0),
         "policy": reader.policy(policy),
-        "metrics": f"{ip}:{int(ports[-1])}" if peer_port else "",
+        "metrics": f"{ip}:{last_port}" if peer_port else "",
     }
     if reader.findings:
         raise FindingsError(reader.findings)
     return FleetSettings(**settings)
 
 
+def _ports(text):
+    """Return the first and the last of the ports between processes."""
+    first, _, last = text.partition(",")
+    ports = int(first), int(last or first)
+    if not 0 < ports[0] <= ports[1] < 1 << 16:
+        raise ValueError("not a range of ports")
+    return ports
+
+
 class _Reader:
     def __init__(self, raw):
         self._raw = raw
--- a/guavastream/platform/wire.py
+++ b/guavastream/platform/wire.py
@@ -1,13 +1,14 @@
 """Bodies of the platform's calls, decoded into the product's types."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 import xxhash
 
 from guavastream.exception import Finding, FindingsError
 from guavastream.fleet import KEYS, Beat, ChangeRoutes
-from guavastream.platform.keys import GRANTING
+from guavastream.kernel import parse_address
+from guavastream.platform.keys import GRANTING, MOST_HANDOVER
 from guavastream.platform.units import (
     format_time,
     format_version,
@@ -43,13 +44,26 @@
 STATES = ("ready", DRAINING)
 # Kinds of requests are the words of `Repeat`.
 MOST_ID = 200
+# Bounds of what is taken from other writers: whatever passes is kept in the book
+# and sent to all hosts. Numbers are those that messages can carry; a heartbeat
+# has some 90 rows, and more while it releases many.
+MOST_NUMBER = 2**63 - 1
+MOST_WEIGHT = 1e9
+MOST_TEXT = 255
+MOST_ROWS = 2048
+# A server that is cold for longer is not one that starts.
+MOST_COLD_SECONDS = 3600.0
 # Between what a server calls itself and the start of one of its lives.
 LIFE_MARK = "~"
 
 
+_Count = Annotated[int, msgspec.Meta(ge=-MOST_NUMBER, le=MOST_NUMBER)]
+_Weight = Annotated[float, msgspec.Meta(ge=-MOST_WEIGHT, le=MOST_WEIGHT)]
+
+
 class _Split(msgspec.Struct, rename="pascal"):
     service: str
-    weight: float
+    weight: _Weight
 
 
 class _Route(msgspec.Struct, rename="pascal"):
@@ -57,25 +71,25 @@
     path_prefix: str
     kind: Repeat
     timeout: str
-    max_attempts: int
+    max_attempts: _Count
     # The time within which an answer earns its full credit.
     target_latency: str = ""
-    priority: int = 0
+    priority: _Count = 0
     service: str = ""
     weighted_services: tuple[_Split, ...] = ()
 
 
 class _Service(msgspec.Struct, rename="pascal"):
     health_path: str = "/health"
-    max_connections: int = 120
+    max_connections: _Count = 120
     sharding: bool = False
     warmup: str = "0ms"
     grants: str = ""
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 64 << 20
+    max_header_bytes: _Count = 16384
+    max_body_bytes: _Count = 64 << 20
     header_timeout: str = "3000ms"
     idle_timeout: str = "15000ms"
 
@@ -121,7 +135,7 @@
 
 
 class _Left(msgspec.Struct):
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MOST_NUMBER)] = 0
 
 
 class _Beaten(msgspec.Struct, rename="pascal", omit_defaults=True):
@@ -149,28 +163,10 @@
         If it cannot be read.
     """
     raw = _decode(_Beat, data, "heartbeat")
-    findings = []
-
-    def note(name, text):
-        findings.append(Finding(place=name, code="bad_value", text=text))
-
-    if raw.state not in STATES:
-        note("State", f"{raw.state!r} is not known.")
-    if not 0 < raw.slots < 1 << 20:
-        note("Slots", "Is out of range.")
-    if not 0 < len(id) <= MOST_ID:
-        note("Id", "Is empty or too long.")
-    if raw.seq < 0:
-        note("Seq", "Is negative.")
-    if raw.born < 0:
-        note("born", "Is negative.")
-    for name, rows in (("Holds", raw.holds), ("Released", raw.released)):
-        if any(not 0 <= row[0] <= row[1] < KEYS for row in rows):
-            note(name, "A row is out of range.")
-    try:
-        cold = parse_time(raw.cold_remaining)
-    except ValueError as error:
-        note("ColdRemaining", str(error))
+    findings = [
+        Finding(place=name, code="bad_value", text=text)
+        for name, text in _beat_errors(id, raw)
+    ]
     if findings:
         raise FindingsError(findings)
     return Beat(
@@ -184,13 +180,55 @@
         zone=raw.zone,
         slots=raw.slots,
         leaving=raw.state == DRAINING,
-        cold=cold,
+        cold=parse_time(raw.cold_remaining),
         seq=raw.seq,
         holds=tuple(raw.holds),
         released=tuple(raw.released),
     )
 
 
+def _beat_errors(id, raw):
+    """Yield the name of each bad value of a heartbeat, and what is wrong with it."""
+    if not 0 < len(id) <= MOST_ID:
+        yield "Id", "Is empty or too long."
+    if raw.state not in STATES:
+        yield "State", f"{raw.state[:MOST_TEXT]!r} is not known."
+    if not 0 < raw.slots < 1 << 20:
+        yield "Slots", "Is out of range."
+    for name, number in (("Seq", raw.seq), ("born", raw.born)):
+        if not 0 <= number <= MOST_NUMBER:
+            yield name, "Is out of range."
+    for name, text in (("Service", raw.service), ("Zone", raw.zone)):
+        if len(text) > MOST_TEXT:
+            yield name, "Is too long."
+    if not _is_address(raw.address):
+        yield "Address", "Is no IP number and port."
+    try:
+        if parse_time(raw.cold_remaining) > MOST_COLD_SECONDS:
+            yield "ColdRemaining", "Is out of range."
+    except ValueError as error:
+        yield "ColdRemaining", str(error)
+    for name, rows in (("Holds", raw.holds), ("Released", raw.released)):
+        if len(rows) > MOST_ROWS:
+            yield name, "Are too many rows."
+        if any(not 0 <= row[0] <= row[1] < KEYS for row in rows):
+            yield name, "A row is out of range."
+    if any(not 0 <= row[2] <= MOST_NUMBER for row in raw.holds):
+        yield "Holds", "A fence is out of range."
+    if any(len(row[2]) > MOST_HANDOVER for row in raw.released):
+        yield "Released", "A handover is too long."
+
+
+def _is_address(text):
+    """Whether a text is what others can connect to."""
+    if len(text) > MOST_TEXT:
+        return False
+    try:
+        return parse_address(text)[1] > 0
+    except ValueError:
+        return False
+
+
 def decode_left(data):
     """Return the start of the life that says that it ends, 0 if it is not said.
 
--- a/guavastream/relay/pick.py
+++ b/guavastream/relay/pick.py
@@ -169,7 +169,7 @@
         -----
         O(1) in the number of servers, unless nearly all were tried or are out.
         """
-        if len(choices.all) <= ALL_WEIGHED:
+        if len(choices.all) <= ALL_WEIGHED or not self._policy.sampled:
             return [server for server in choices.all if server.id not in avoid]
         drawn = {}
         for servers in (choices.near, choices.all):
