--- a/guavastream/control/storage.py
+++ b/guavastream/control/storage.py
@@ -266,7 +266,7 @@
         with open(path + ".new", "wb", buffering=0) as file:
             self._write(file, data)
             self._sync(file)
-        os.replace(path + ".new", path)
+        self._rename(path + ".new", path)
         self._sync_folder()
 
     def _write(self, file, data):
@@ -274,6 +274,9 @@
         while view:
             view = view[file.write(view) :]
 
+    def _rename(self, old, new):
+        os.replace(old, new)
+
     def _sync(self, file):
         os.fsync(file.fileno())
 
--- a/guavastream/control/tests/test_fleet.py
+++ b/guavastream/control/tests/test_fleet.py
@@ -62,7 +62,8 @@
         transport = self.network.transport(address)
         machine = TableMachine(codec=BookCodec())
         raft = Raft(
-            storage=Storage(folder=str(self.folder / (disk or address))),
+            storage=self.storage(str(self.folder / (disk or address))),
+            offload=self.offload,
             transport=transport,
             address=address,
             peers=self.seeds,
@@ -84,6 +85,12 @@
             for part in (raft.run(), granter.run(), keeper.run())
         ]
 
+    def storage(self, folder):
+        return Storage(folder=folder)
+
+    async def offload(self, function, *args):
+        return function(*args)
+
     def start_all(self):
         for address in self.addresses:
             self.start(address)
--- a/guavastream/kernel/stdout.py
+++ b/guavastream/kernel/stdout.py
@@ -11,6 +11,9 @@
 # Lines a second that one process writes at most; under load the first ones of
 # each second tell as much as all.
 LINES_PER_SECOND = 60
+# Lines beyond these that are kept for warnings: entries of other writers come by
+# the thousand, and a line for each cost more than to refuse them.
+WARNINGS_PER_SECOND = 60
 
 
 class BoundedHandler(logging.Handler):
@@ -38,7 +41,10 @@
         second = int(self._clock())
         if second != self._second:
             self._second, self._lines = second, 0
-        if self._lines < LINES_PER_SECOND or level >= logging.WARNING:
+        most = LINES_PER_SECOND
+        if level >= logging.WARNING:
+            most += WARNINGS_PER_SECOND
+        if self._lines < most:
             return True
         self._dropped += 1
         return False
--- a/guavastream/kernel/tests/test_stdout.py
+++ b/guavastream/kernel/tests/test_stdout.py
@@ -7,7 +7,7 @@
 import pytest
 
 from guavastream.kernel import BoundedHandler, part_logger
-from guavastream.kernel.stdout import LINES_PER_SECOND
+from guavastream.kernel.stdout import LINES_PER_SECOND, WARNINGS_PER_SECOND
 
 
 @pytest.fixture
@@ -48,6 +48,17 @@
     assert read() == ["part: again"]
 
 
+def test_warnings_are_bounded_too(lines):
+    # Another writer sends thousands of entries that cannot be read.
+    log, now, read = lines
+    for number in range(1000):
+        log.warning("entry %d", number)
+    assert len(read()) == LINES_PER_SECOND + WARNINGS_PER_SECOND
+    now[0] += 1.0
+    log.warning("again")
+    assert read() == ["part: again"]
+
+
 def test_a_dropped_line_is_not_made(lines):
     # In a storm of refusals most lines are dropped; each cost as much as the
     # refusal that it tells of.
--- a/guavastream/platform/api.py
+++ b/guavastream/platform/api.py
@@ -27,11 +27,18 @@
 async def _refuse(responder, error, counters):
     """Answer bad input with every finding, and go on."""
     counters.count("bad_calls")
+    for place in {_reason(finding) for finding in error.findings}:
+        counters.count(f"bad_calls.{place}")
     log.warning("A call was refused: %s.", error)
     text = str(error).encode("utf-8", "replace")
     await responder.send(400, [(b"Content-Type", b"text/plain")], text + b"\n")
 
 
+def _reason(finding):
+    """Return which field is bad, without the names that its sender chose."""
+    return finding.place.partition(".")[0]
+
+
 async def _body(request, limit):
     body, whole = await request.body.read_up_to(limit)
     return body if whole else None
