--- a/guavastream/platform/emulator/machine.py
+++ b/guavastream/platform/emulator/machine.py
@@ -48,11 +48,11 @@
 
 
 def free_ports(ip, count):
-    """Return ports of an IP number that were free just now."""
+    """Return ports of an IP number that were free just now, the lowest first."""
     sockets = [socket.socket() for _ in range(count)]
     for item in sockets:
         item.bind((ip, 0))
-    ports = [item.getsockname()[1] for item in sockets]
+    ports = sorted(item.getsockname()[1] for item in sockets)
     for item in sockets:
         item.close()
     return ports
