A host asks a few servers of a large service, always the same

Cause: for each request without a key a host weighed all servers of the service (297 us among 101, 8 % of a host's processor time at 201 hosts), knew each of them by what came with its own answers, twice a minute, and opened a connection for nearly every request, as each went to another server. Ruled out: drawing four nearby and four others anew for each request (as cheap to choose, but a connection for each; measured on the start only).

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -21,7 +21,7 @@
 from guavastream.leases.messages import Watch
 from guavastream.messages import RelayDesk, RelayingTransport
 from guavastream.messages.zmq_transport import ZmqServer, ZmqTransport
-from guavastream.relay import Guard, HopDoor, Ingress, Picker
+from guavastream.relay import Guard, HopDoor, Ingress, Picker, ServerLists
 from guavastream.replica import TableHolder
 from guavastream.routes import RouteIndex
 
@@ -142,7 +142,11 @@
             guard=self._guard,
             picker=self._picker,
             service=settings.service,
-            zone=settings.zone,
+            lists=ServerLists(
+                host=settings.host,
+                zone=settings.zone,
+                sampled=settings.policy.sampled,
+            ),
             ratio=settings.retry_ratio,
             count=self.counters.count,
             observe=self.counters.observe,
--- a/guavastream/relay/__init__.py
+++ b/guavastream/relay/__init__.py
@@ -9,3 +9,4 @@
 from guavastream.relay.job import *
 from guavastream.relay.outcome import *
 from guavastream.relay.pick import *
+from guavastream.relay.servers import *
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -14,7 +14,6 @@
 from guavastream.relay.job import BadRequest, JobReader
 from guavastream.relay.outcome import VERDICTS, Lost, NotRun
 from guavastream.relay.pick import LARGE_BYTES
-from guavastream.relay.servers import ServerLists
 
 __all__ = ["Ingress"]
 
@@ -63,8 +62,10 @@
         The way to the local server.
     picker : Picker
         Chooses among servers.
-    service, zone : str
-        Service of this host, told to servers as the caller's, and its zone.
+    service : str
+        Service of this host, told to servers as the caller's.
+    lists : ServerLists
+        The servers of each service.
     ratio : float
         Second tries that all hosts may make for each request.
     count : callable
@@ -85,7 +86,7 @@
         guard,
         picker,
         service,
-        zone,
+        lists,
         ratio,
         count,
         observe,
@@ -98,7 +99,7 @@
         self._books = books
         self._guard = guard
         self._picker = picker
-        self._servers = ServerLists(zone=zone)
+        self._lists = lists
         self._ratio = ratio
         self._count = count
         self._observe = observe
@@ -239,7 +240,7 @@
         )
 
     def _has_other(self, book, job, tried):
-        choices = self._servers.of(book, job.service)
+        choices = self._lists.of(book.instances, job.service)
         return any(server.id not in tried for server in choices.all)
 
     async def _wait_for_book(self, index, until):
@@ -257,7 +258,7 @@
                 raise NotRun("silent", retry_after=USUAL_RETRY)
             return owner
         here = self._guard.here
-        choices = self._servers.of(book, job.service)
+        choices = self._lists.of(book.instances, job.service)
         job.drawn[:] = self._picker.draw(choices, tried, here=here)
         server = self._picker.choose(
             job.drawn,
--- a/guavastream/relay/pick.py
+++ b/guavastream/relay/pick.py
@@ -45,13 +45,9 @@
 LONGEST_OUT_SECONDS = 3.0
 # Of a service's servers at most this share is passed over.
 MOST_OUT = 0.5
-# A service with more servers than this is not looked at whole for each request:
-# a choice among 101 servers took 297 us of a processor, one among 12 took 57, and
-# it grew with the deployment. So many are drawn nearby, and as many of all. The
-# best of a few is nearly as good as the best of all, and does not send all hosts
-# that know the same to the same server [1].
-ALL_WEIGHED = 12
-DRAWN = 4
+# Servers that are drawn from all of a large service when those that this host
+# usually asks have all been tried or are out of reach.
+DRAWN = 6
 # Servers that a line of the log tells of. All 31 of a service made lines of
 # 3 KB: an incident's logs then held the last third of a second.
 LOGGED_SERVERS = 4
@@ -137,12 +133,6 @@
         Own availability zone.
     policy : Policy, optional
         Mechanisms that are in force.
-
-    References
-    ----------
-    .. [1] M. Mitzenmacher, "The Power of Two Choices in Randomized Load
-       Balancing", IEEE Transactions on Parallel and Distributed Systems 12, 2001;
-       on stale reports: "How Useful Is Old Information?", the same 11, 2000.
     """
 
     def __init__(self, *, clock, rng, zone="", policy=None):
@@ -167,26 +157,28 @@
 
         Notes
         -----
-        O(1) in the number of servers, unless nearly all were tried or are out.
+        Those that this host usually asks, and if these have all been tried or are
+        out of reach, some others: a zone may be gone. Then all that are left.
         """
-        if len(choices.all) <= ALL_WEIGHED or not self._policy.sampled:
+        if len(choices.few) == len(choices.all):
             return [server for server in choices.all if server.id not in avoid]
-        drawn = {}
-        for servers in (choices.near, choices.all):
-            count = min(DRAWN, len(servers))
-            for server in self._rng.sample(servers, count):
-                drawn[server.id] = server
-        if here in choices.by_id:
-            drawn[here] = choices.by_id[here]
+        found = self._reachable(choices.few, avoid)
+        local = choices.by_id.get(here)
+        if local is not None and here not in avoid and local not in found:
+            found.append(local)
+        if not found:
+            drawn = self._rng.sample(choices.all, DRAWN)
+            found = self._reachable(drawn, avoid)
+        return found or [s for s in choices.all if s.id not in avoid]
+
+    def _reachable(self, servers, avoid):
+        """Return the servers that were not tried and are not out of reach."""
         now = self._clock()
-        found = [
+        return [
             server
-            for server in drawn.values()
+            for server in servers
             if server.id not in avoid and self._of(server).out_until <= now
         ]
-        if found:
-            return found
-        return self._without_out([s for s in choices.all if s.id not in avoid])
 
     def _of(self, server):
         seen = self._seen.get(server.id)
