--- a/guavastream/hosts/book_follower.py
+++ b/guavastream/hosts/book_follower.py
@@ -63,7 +63,7 @@
         self._on_change = on_change
         self._count = count
         self._loop = asyncio.get_running_loop()
-        self._answered_at = self._loop.time()
+        self._answered_at = self._started_at = self._loop.time()
 
     async def run(self):
         """Follow until cancelled."""
@@ -117,6 +117,13 @@
         self._books.take(answer.table, answer.commands)
         if self._books.table is before:
             return False
+        if not before.index:
+            took_ms = round((self._loop.time() - self._started_at) * 1e3)
+            log.info(
+                "The first book is at %d.",
+                self._books.table.index,
+                extra={"took_ms": took_ms, "bytes": len(answer.table)},
+            )
         self._count("book_answers")
         self._count("book_changes", len(answer.commands))
         self._on_change(before, self._books.table)
