--- a/guavastream/control/tests/test_fleet.py
+++ b/guavastream/control/tests/test_fleet.py
@@ -49,9 +49,9 @@
 class Core:
     """Control hosts in one loop, on real files and a fake network."""
 
-    def __init__(self, folder, network, *, seeds=3, count=5, timing=TIMING):
+    def __init__(self, folder, network, *, seeds=3, count=5, timing=TIMING, losses=2):
         self.timing = timing
-        self.losses = count // 2
+        self.losses = losses
         self.folder = folder
         self.network = network
         self.addresses = [f"10.0.0.{n}:1" for n in range(1, count + 1)]
--- a/guavastream/hosts/tests/test_in_force.py
+++ b/guavastream/hosts/tests/test_in_force.py
@@ -101,7 +101,7 @@
 async def play(folder, *, count, minority, silent):
     """Return the longest time until a change was in force at any host, seconds."""
     random.seed(1)
-    core = await start_core(folder, seeds=3, count=count, timing=TIMING)
+    core = await start_core(folder, count=count, timing=TIMING, losses=len(minority))
     hosts = [Host(core, number, first=number) for number in range(count)]
     minority = [core.addresses[number] for number in minority]
     majority = [a for a in core.addresses if a not in minority]
