A leader that is lost says so to heartbeats that wait at it

What servers saw: an answer half a second late whenever a leader stepped down, since a heartbeat that is held back for news found out only at the end of its time. Cause: only news woke it. The same class as watches that wait at a lost leader; it holds because the tick that finds the lead gone wakes all that wait, within 50 ms.

--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -288,6 +288,7 @@
         event = self._events.setdefault(beat.id, Signal(loop=self._loop))
         self._parked[beat.id] = arrived + beat.wait
         while self._is_newest(beat) and not self._has_news(beat):
+            self._require_lead()
             left = arrived + beat.wait - self._clock()
             if left <= 0:
                 return
@@ -403,6 +404,9 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             if not self._raft.is_leader:
+                # Whoever waits here for news finds the next leader sooner.
+                self._notify(self._parked)
+                self._parked = {}
                 continue
             self.ensure_term()
             try:
