Kinds share a server that lacks room for all: none is served much better than a more urgent one

Cause: pages need two calls each of the servers of orders; a call is let in as long as it can run, and orders only if they will be in time, so that the calls took nearly all of the room. Change: relay/shares.py counts, by kind, whose callers are served in the end, and lowers the part of a kind that may come in while one at least as urgent fares worse. A call counts as urgent as the request that it is for; all calls of one request share one draw. Where some find free slots nothing is refused for it. Ruled out: calls in the rank of their page before others (orders would starve pages), counting each attempt (callers come back three times: shares that mean nothing). Weighed: refusing pages at their own server where their calls would not fit; the three in ten that make no calls would be refused for nothing.

--- a/guavastream/kernel/policy.py
+++ b/guavastream/kernel/policy.py
@@ -41,6 +41,8 @@
         Requests that are late already wait behind all others.
     standing : bool
         A queue that is never empty is kept shorter.
+    shares : bool
+        No kind is let in much more often than a more urgent one.
     second_tries : bool
         What a server refused or lost is tried once more where that is safe.
     owner_waits : bool
@@ -69,6 +71,7 @@
     promises: bool = True
     late_last: bool = True
     standing: bool = True
+    shares: bool = True
     second_tries: bool = True
     owner_waits: bool = True
     balance: bool = True
--- a/guavastream/relay/__init__.py
+++ b/guavastream/relay/__init__.py
@@ -10,3 +10,4 @@
 from guavastream.relay.outcome import *
 from guavastream.relay.pick import *
 from guavastream.relay.servers import *
+from guavastream.relay.shares import *
--- a/guavastream/relay/admission.py
+++ b/guavastream/relay/admission.py
@@ -12,6 +12,7 @@
 
 from guavastream.kernel import Policy, TimeLimit
 from guavastream.relay.outcome import NotRun
+from guavastream.relay.shares import Shares
 
 __all__ = ["Gate"]
 
@@ -129,6 +130,7 @@
         self._mean = 0.0
         self._waits = {}
         self._empty_at = self._heard_at = float("-inf")
+        self._shares = Shares(clock=self._clock)
         self.slots = slots
 
     @property
@@ -164,7 +166,18 @@
             return 0.0
         return self._clock() - self._heard_at
 
-    async def enter(self, *, rank, kind, wanted_by, deadline, call=False):
+    async def enter(
+        self,
+        *,
+        rank,
+        kind,
+        wanted_by,
+        deadline,
+        call=False,
+        id=b"",
+        urgency=None,
+        again=False,
+    ):
         """Wait for a slot; return what `leave` needs.
 
         Parameters
@@ -178,6 +191,12 @@
         call : bool
             Whether a server waits for the answer. Refusing it wastes the work
             that was done for it, so that it is let in as long as it can run.
+        id : bytes, optional
+            Names the request; for a call, the request that it is for.
+        urgency : int, optional
+            Rank of the request that callers sent, `rank` by default.
+        again : bool
+            Whether its caller has come back after a refusal.
 
         Raises
         ------
@@ -185,7 +204,15 @@
             If there will be no slot in time.
         """
         usual = self.usual(kind)
-        if self._running < self.slots and not self._queue:
+        room = self._running < self.slots and not self._queue
+        admitted = self._shares.admits(
+            kind,
+            id,
+            urgency=rank if urgency is None else urgency,
+            again=again,
+            room=room,
+        )
+        if room:
             if not self._running:
                 self._heard_at = self._clock()
             self._running += 1
@@ -194,6 +221,8 @@
             if not self._queue:
                 self._empty_at = now
             waiter = self._waiter(rank, usual, wanted_by, deadline, call, now)
+            if not admitted and self._policy.shares:
+                self._refuse_for_others(waiter, kind, now)
             raw = self._check(waiter, kind, now, call)
             insort(self._queue, waiter, key=_order)
             try:
@@ -201,8 +230,15 @@
             finally:
                 self._note_wait(kind, raw, self._clock() - now)
         self._running_seconds += usual
+        self._shares.note_admitted(kind, id)
         return usual
 
+    def _refuse_for_others(self, waiter, kind, now):
+        """Refuse a request whose kind has more than its share already."""
+        reasons = {"share": round(self._shares.level(kind), 2)}
+        retry_after = waiter.retry_after(now, LONGEST_RETRY)
+        raise NotRun("overloaded", retry_after=retry_after, reasons=reasons)
+
     def _waiter(self, rank, usual, wanted_by, deadline, call, now):
         latest = deadline - max(LAST_SECONDS, usual * LEAST_LEFT)
         rest = wanted_by - now - usual
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -38,8 +38,10 @@
     `headers` are ready to be sent but for the ones that the guard sets,
     `body` is whole unless `stream` brings the rest of it. `kind` names
     requests that take about the same time; of those that wait the lowest
-    `rank` goes first. `call` tells that another server waits for the answer,
-    `again` that the caller has come back.
+    `rank` goes first. `urgency` is the rank of the request that callers sent,
+    `rank` itself unless this is a call for it. `call` tells that another server
+    waits for the answer,
+    `again` that the caller has come back, or that of the request it is for.
     """
 
     id: bytes
@@ -53,6 +55,7 @@
     key: int | None
     safe: bool
     rank: int
+    urgency: int
     call: bool
     again: bool
     kind: str
@@ -143,16 +146,16 @@
         self._held = None
         self._left_at = {}
         self._keys = {}
-        self._at_server = set()
+        self._at_server = {}
 
     @property
     def here(self):
         """Id of the instance that was last served here, or ""."""
         return self._here
 
-    def runs(self, id):
-        """Whether the local server runs the request of an id."""
-        return id in self._at_server
+    def running_attempt(self, id):
+        """Return the attempt of a request that the local server runs, or None."""
+        return self._at_server.get(id)
 
     @property
     def running(self):
@@ -263,13 +266,16 @@
                 wanted_by=attempt.wanted_by,
                 deadline=attempt.deadline,
                 call=attempt.call,
+                id=attempt.id.partition(self._dialect.call_mark)[0],
+                urgency=attempt.urgency,
+                again=attempt.again,
             )
         except NotRun as refused:
             self._log_refusal(attempt, refused)
             raise
         began = self._clock()
         exchange = None
-        self._at_server.add(attempt.id)
+        self._at_server[attempt.id] = attempt
         try:
             self._check_leaving(instance)
             # While it waited, the key may have gone to another server.
@@ -278,7 +284,7 @@
             exchange, answer = await self._send(instance, attempt)
             yield answer
         finally:
-            self._at_server.discard(attempt.id)
+            self._at_server.pop(attempt.id, None)
             seconds = None
             if exchange is not None:
                 exchange.close()
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -42,6 +42,7 @@
     call: bool
     again: bool
     key: int | None
+    urgency: int | None = None
 
     @classmethod
     def of(cls, job, server, *, now):
@@ -58,6 +59,7 @@
             call=job.call,
             again=job.again,
             key=job.key if job.keyed else None,
+            urgency=job.urgency,
         )
 
     def header(self):
@@ -199,6 +201,7 @@
             call=hop.call,
             again=hop.again,
             rank=hop.rank,
+            urgency=hop.rank if hop.urgency is None else hop.urgency,
             kind=hop.route,
             wanted_by=now + hop.wanted_ms / 1000,
             deadline=now + hop.left_ms / 1000,
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -117,7 +117,7 @@
             dialect=dialect,
             routes=routes,
             service=service,
-            runs=guard.runs,
+            running_attempt=guard.running_attempt,
             policy=self._policy,
         )
 
@@ -306,6 +306,7 @@
             key=job.key if job.keyed else None,
             safe=job.safe,
             rank=job.rank,
+            urgency=job.urgency,
             call=job.call,
             again=job.again,
             kind=job.route.name,
--- a/guavastream/relay/job.py
+++ b/guavastream/relay/job.py
@@ -55,7 +55,9 @@
     body: bytes
     stream: object
     rank: int
+    urgency: int
     call: bool
+    again: bool
     started: float
     first: float
     gives_up: float | None
@@ -70,11 +72,6 @@
         """Whether it may run more than once."""
         return self.route.idempotent
 
-    @property
-    def again(self):
-        """Whether its caller has come back after a refusal or a failure."""
-        return self.first < self.started
-
     @property
     def replayable(self):
         """Whether its body can be sent again."""
@@ -102,19 +99,19 @@
         Gives the `RouteIndex` in force, or None before there is one.
     service : str
         Service of this host, told to servers as the caller's.
-    runs : callable
-        Whether the local server runs the request of an id.
+    running_attempt : callable
+        Attempt of a request that the local server runs, by its id, or None.
     policy : Policy, optional
         Mechanisms that are in force.
     """
 
-    def __init__(self, *, loop, dialect, routes, service, runs, policy=None):
+    def __init__(self, *, loop, dialect, routes, service, running_attempt, policy=None):
         self._policy = policy or Policy()
         self._loop = loop
         self._dialect = dialect
         self._routes = routes
         self._service = service.encode()
-        self._runs = runs
+        self._running_attempt = running_attempt
         self._returns = Returns()
         self._rng = random.Random()
         names = dialect
@@ -154,7 +151,8 @@
             gives_up = started + left / 1000
         deadline = started + timeout - LAST_HOP_SECONDS
         id = headers.get(names.request_id.lower())
-        call = self._is_call(id)
+        parent = self._parent_of(id)
+        call = parent is not None
         if gives_up is not None and not call and self._policy.returns:
             what = (route.name, request.target)
             first = self._returns.take(what, gives_up=gives_up, now=started)
@@ -184,7 +182,9 @@
             body=body,
             stream=stream,
             rank=route.priority,
+            urgency=parent.urgency if call else route.priority,
             call=call,
+            again=parent.again if call else first < started,
             started=started,
             first=first,
             gives_up=gives_up,
@@ -192,8 +192,8 @@
             deadline=deadline,
         )
 
-    def _is_call(self, id):
-        """Whether the local server sent a request for one that it runs.
+    def _parent_of(self, id):
+        """Return the attempt that a call is for, or None if it is no call.
 
         Notes
         -----
@@ -201,7 +201,7 @@
         of a call tells. Nobody else knows the ids that the server runs.
         """
         parent, mark, _ = id.partition(self._dialect.call_mark)
-        return bool(mark) and self._runs(parent)
+        return self._running_attempt(parent) if mark else None
 
     def note_unserved(self, job):
         """Note that a job's caller may come back for it."""
--- a/guavastream/relay/tests/test_hop.py
+++ b/guavastream/relay/tests/test_hop.py
@@ -31,6 +31,7 @@
             call=False,
             again=False,
             key=None,
+            urgency=1,
         )
         headers = Headers([hop.header()])
         return SimpleNamespace(
--- a/guavastream/relay/tests/test_job.py
+++ b/guavastream/relay/tests/test_job.py
@@ -11,6 +11,8 @@
 from guavastream.standins import run_paused
 
 RUNNING = b"q1"
+# What the local server runs: its caller is patient, and has come back.
+PARENT = SimpleNamespace(urgency=7, again=True)
 
 
 def read(reader, *, id=b"q2", left=1000, started=0.0):
@@ -36,7 +38,7 @@
         dialect=DIALECT,
         routes=lambda: index,
         service="s",
-        runs=lambda id: id == RUNNING,
+        running_attempt=lambda id: PARENT if id == RUNNING else None,
     )
 
 
@@ -44,7 +46,9 @@
     # Callers and the local server send from one address. Taken for calls,
     # all callers were given 0.75 s to wait where their target was 0.5 s, and
     # most of a busy service's answers came late.
-    assert read(reader, id=RUNNING + b".c1").call
+    call = read(reader, id=RUNNING + b".c1")
+    # Whoever decides between calls and callers goes by what callers asked for.
+    assert call.call and call.urgency == PARENT.urgency and call.again
     for id in (b"q2", b"q2.c1", RUNNING, b"", b".c1"):
         job = read(reader, id=id)
         assert not job.call and job.wanted_by == 0.5
