Hosts keep connections to each other for a minute

Among a hundred servers each is asked a few times a minute by a host; a connection that was idle for 6 s was not used again, though the other host keeps it for 60. Now it is, and 400 idle ones are kept at most.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -21,7 +21,14 @@
 from guavastream.leases.messages import Watch
 from guavastream.messages import RelayDesk, RelayingTransport
 from guavastream.messages.zmq_transport import ZmqServer, ZmqTransport
-from guavastream.relay import Guard, HopDoor, Ingress, Picker, ServerLists
+from guavastream.relay import (
+    HOP_IDLE_SECONDS,
+    Guard,
+    HopDoor,
+    Ingress,
+    Picker,
+    ServerLists,
+)
 from guavastream.replica import TableHolder
 from guavastream.routes import RouteIndex
 
@@ -163,7 +170,9 @@
         self._inbound = Server(
             address=parse_address(settings.inbound),
             handler=self._hops.handle,
-            limits=Limits(head_bytes=1 << 20, body_bytes=1 << 30, idle_seconds=60.0),
+            limits=Limits(
+                head_bytes=1 << 20, body_bytes=1 << 30, idle_seconds=HOP_IDLE_SECONDS
+            ),
             holds_bodies=True,
         )
         desk = RelayDesk(
--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -25,6 +25,8 @@
 # used: a request that crosses the peer's close may or may not have run.
 IDLE_SHARE = 0.75
 DEFAULT_IDLE_SECONDS = 8.0
+# Idle connections that are kept; each costs some KB and a descriptor.
+MOST_IDLE = 400
 NO_BODY = (204, 304)
 CONTINUE = 100
 
@@ -60,7 +62,7 @@
 class _Connection(FlowProtocol):
     """A connection to a peer; also the callbacks of its parser."""
 
-    def __init__(self, *, address):
+    def __init__(self, *, address, idle_seconds):
         super().__init__()
         self.address = address
         self._parser = httptools.HttpResponseParser(self)
@@ -75,7 +77,7 @@
         self.in_use = False
         self.clean = True
         self.idle_since = 0.0
-        self.idle_seconds = DEFAULT_IDLE_SECONDS
+        self.idle_seconds = idle_seconds
 
     @property
     def usable(self):
@@ -352,6 +354,8 @@
     ----------
     connect_seconds : float
         Longest wait for a new connection.
+    idle_seconds : float
+        Time for which peers keep idle connections if they do not say so.
 
     Examples
     --------
@@ -359,16 +363,18 @@
     0
     """
 
-    def __init__(self, *, connect_seconds=0.5):
+    def __init__(self, *, connect_seconds=0.5, idle_seconds=DEFAULT_IDLE_SECONDS):
         self._connect_seconds = connect_seconds
+        self._idle_seconds = idle_seconds
         self._loop = None
         self._idle = {}
+        self._count = 0
         self.opened = 0
 
     @property
     def idle_count(self):
         """Number of idle connections."""
-        return sum(map(len, self._idle.values()))
+        return self._count
 
     def count_open(self, address):
         """Return the number of idle connections that are still open."""
@@ -406,6 +412,7 @@
         waiting = self._idle.get(address)
         while waiting:
             connection = waiting.pop()
+            self._count -= 1
             allowed = connection.idle_seconds * IDLE_SHARE
             if idle_seconds is not None:
                 allowed = min(allowed, idle_seconds)
@@ -420,7 +427,11 @@
         try:
             with TimeLimit.within(self._connect_seconds, loop=loop):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(address=address), host, int(port)
+                    lambda: _Connection(
+                        address=address, idle_seconds=self._idle_seconds
+                    ),
+                    host,
+                    int(port),
                 )
         except (OSError, TimeoutError) as error:
             refused = isinstance(error, ConnectionRefusedError)
@@ -433,11 +444,26 @@
         if not connection.usable:
             connection.abort()
             return
-        self._idle.setdefault(connection.address, []).append(connection)
+        # The address that was used last stands last.
+        waiting = self._idle.pop(connection.address, [])
+        waiting.append(connection)
+        self._idle[connection.address] = waiting
+        self._count += 1
+        if self._count > MOST_IDLE:
+            address = next(iter(self._idle))
+            self._drop_oldest(address)
+
+    def _drop_oldest(self, address):
+        waiting = self._idle[address]
+        waiting.pop(0).abort()
+        self._count -= 1
+        if not waiting:
+            del self._idle[address]
 
     def forget(self, address):
         """End the idle connections to an address."""
         for connection in self._idle.pop(address, ()):
+            self._count -= 1
             connection.abort()
 
     def close(self):
--- a/guavastream/http1/tests/test_http1.py
+++ b/guavastream/http1/tests/test_http1.py
@@ -6,10 +6,12 @@
 import pytest
 
 from guavastream.http1 import Client, CutOff, Limits, NotSent, Server
+from guavastream.http1.client import MOST_IDLE
 from guavastream.standins import run_paused
 
 ADDRESS = ("10.0.0.1", 80)
 PEER = "10.0.0.1:80"
+PATIENT = Limits(idle_seconds=60.0)
 
 
 def play(scenario):
@@ -44,6 +46,10 @@
         return answer.status, body
 
 
+async def answer_at_once(request, responder):
+    await responder.send(200)
+
+
 def test_an_answer_without_a_length_ends_with_its_connection():
     async def scenario():
         await serve_raw(b"HTTP/1.1 200 OK\r\n\r\nall of it")
@@ -255,3 +261,35 @@
         assert (await ask(client))[0] == answer.status
 
     play(scenario)
+
+
+def test_connections_of_hosts_that_ask_each_other_rarely_are_kept():
+    # A host asked each of a hundred servers three times a minute and opened a
+    # connection for nearly every request, though the peer kept the old one open.
+    async def scenario():
+        server = Server(address=ADDRESS, handler=answer_at_once, limits=PATIENT)
+        await server.start()
+        client = Client(idle_seconds=60.0)
+        await ask(client)
+        await asyncio.sleep(30.0)
+        await ask(client)
+        assert client.opened == 1 and client.idle_count == 1
+        await server.stop()
+
+    play(scenario)
+
+
+def test_idle_connections_of_a_client_are_bounded_and_the_oldest_goes_first():
+    async def scenario():
+        server = Server(address=ADDRESS, handler=answer_at_once)
+        await server.start()
+        client = Client()
+        held = [await client.open(PEER) for _ in range(MOST_IDLE + 5)]
+        for exchange in held:
+            exchange.send(b"GET", b"/", [(b"Host", b"x")])
+            await (await exchange.answer()).body.read_up_to(1)
+            await exchange.__aexit__()
+        assert client.idle_count == MOST_IDLE
+        await server.stop()
+
+    play(scenario)
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -11,11 +11,15 @@
 from guavastream.relay.outcome import VERDICTS, Lost, NotRun
 from guavastream.relay.pick import format_report, parse_report
 
-__all__ = ["HopDoor", "HopJob", "read_failure", "read_report"]
+__all__ = ["HOP_IDLE_SECONDS", "HopDoor", "HopJob", "read_failure", "read_report"]
 
 # The other host answers this much sooner than the one that asks gives up, so
 # that its word on whether the request ran is still heard.
 HOP_SECONDS = 0.02
+# Time for which a host keeps idle connections of other hosts. Among hundreds of
+# servers each is asked by a host only a few times a minute; a connection made anew
+# costs as much as the request on it.
+HOP_IDLE_SECONDS = 60.0
 JOB = OWN + b"job"
 LENGTH = frozenset({b"content-length"})
 # Large bodies that come in at a time: two fill a link as well as twenty, and
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -10,7 +10,12 @@
 from guavastream.relay.budget import RetryShare
 from guavastream.relay.dialect import OWN
 from guavastream.relay.guard import Attempt
-from guavastream.relay.hop import HopJob, read_failure, read_report
+from guavastream.relay.hop import (
+    HOP_IDLE_SECONDS,
+    HopJob,
+    read_failure,
+    read_report,
+)
 from guavastream.relay.job import BadRequest, JobReader
 from guavastream.relay.outcome import VERDICTS, Lost, NotRun
 from guavastream.relay.pick import LARGE_BYTES
@@ -103,7 +108,7 @@
         self._ratio = ratio
         self._count = count
         self._observe = observe
-        self._client = Client(connect_seconds=0.3)
+        self._client = Client(connect_seconds=0.3, idle_seconds=HOP_IDLE_SECONDS)
         self._rng = random.Random()
         self._shares = {}
         self._failing = {}
