--- a/guavastream/commands/processes.py
+++ b/guavastream/commands/processes.py
@@ -6,9 +6,9 @@
 from guavastream.kernel import (
     add_flags,
     configure_logs,
-    leave_out_tls,
     load_settings,
 )
+from guavastream.slim import leave_out_tls
 
 __all__ = []
 
--- a/guavastream/kernel/__init__.py
+++ b/guavastream/kernel/__init__.py
@@ -12,6 +12,5 @@
 from guavastream.kernel.registry import *
 from guavastream.kernel.roles import *
 from guavastream.kernel.settings import *
-from guavastream.kernel.slim import *
 from guavastream.kernel.stdout import *
 from guavastream.kernel.waiting import *
--- a/guavastream/kernel/slim.py
+++ b/guavastream/slim.py
@@ -8,6 +8,9 @@
 def leave_out_tls():
     """Make `import ssl` fail, before anything has imported it.
 
+    It must be called before `asyncio` is imported by anything, this package's own
+    modules among them; so this module imports none of them.
+
     Notes
     -----
     asyncio, http.client, urllib3 and cheroot import it if they can, and do
