One way to watch a table: nodes hedge their watches as hosts do

Logic that stood twice: membership asked one control host after the other in a loop of its own. HedgedWatch moves to leases, beside the client that it uses.

--- a/guavastream/hosts/book_follower.py
+++ b/guavastream/hosts/book_follower.py
@@ -4,9 +4,8 @@
 import random
 
 from guavastream.exception import GuavastreamError
-from guavastream.hosts.hedged_watch import HedgedWatch
 from guavastream.kernel import part_logger
-from guavastream.leases.messages import Watch
+from guavastream.leases import HedgedWatch, Watch
 
 __all__ = ["BookFollower"]
 
@@ -111,12 +110,7 @@
         request = Watch(index=self._books.table.index, wait=wait)
         doublings = min(failures, MOST_DOUBLINGS)
         patience = min(WATCH_PATIENCE * 2**doublings, LONGEST_PATIENCE)
-        address, begun = await self._watch.find(request, patience=patience)
-        try:
-            return await self._control.finish(address, begun)
-        except GuavastreamError:
-            self._watch.note_failure()
-            raise
+        return await self._watch.ask(request, patience=patience)
 
     def _note_failure(self, error, failures):
         self._count("watch_failures")
--- a/guavastream/hosts/hedged_watch.py
+++ b/guavastream/leases/hedged_watch.py
@@ -1,4 +1,4 @@
-"""Asks control hosts for news of the book, and another one before the first is late."""
+"""Asks control hosts for news of a table, another one before the first is late."""
 
 import asyncio
 import random
@@ -23,7 +23,7 @@
 
 
 class HedgedWatch:
-    """Finds a control host that answers a watch.
+    """Has a watch answered by whichever control host can.
 
     A change is to be in force within seconds wherever the host that is asked first
     stands: cut off from its leader, frozen, or behind a full link. Waiting for one
@@ -50,12 +50,12 @@
         self._asked = set()
 
     @property
-    def lateness(self):
-        """How late answers usually are beyond the wait that was asked for, seconds."""
-        return self._lateness
+    def first(self):
+        """Peer address of the control host that is asked first."""
+        return self._first
 
-    async def find(self, request, *, patience):
-        """Return the first answer that has begun, and the address that gave it.
+    async def ask(self, request, *, patience):
+        """Return the whole of the first answer that has begun.
 
         Parameters
         ----------
@@ -68,8 +68,23 @@
         Raises
         ------
         GuavastreamError
-            If no control host answered with what it knows.
+            If no control host answered with what it knows, or the rest of the
+            answer did not come.
+
+        Notes
+        -----
+        Only beginnings are hedged: two copies of a long answer would fill the
+        narrow link that makes it late.
         """
+        address, begun = await self._find(request, patience)
+        try:
+            return await self._control.finish(address, begun)
+        except GuavastreamError:
+            self._first = random.choice(self._control.addresses)
+            raise
+
+    async def _find(self, request, patience):
+        """Return the address that gave the first answer, and its beginning."""
         order = self._order()
         step = STEP_SECONDS if request.index else FIRST_STEP_SECONDS
         slack = max(step, self._slack())
@@ -90,10 +105,6 @@
         self._first = random.choice(order)
         raise self._failure(round_)
 
-    def note_failure(self):
-        """Ask another control host first: the answer of the last one stayed out."""
-        self._first = random.choice(self._control.addresses)
-
     def _order(self):
         addresses = self._control.addresses
         first = self._first if self._first in addresses else addresses[0]
--- a/guavastream/membership/membership.py
+++ b/guavastream/membership/membership.py
@@ -8,6 +8,7 @@
 
 from guavastream.exception import GuavastreamError, NotReady
 from guavastream.kernel import part_logger
+from guavastream.leases.hedged_watch import HedgedWatch
 from guavastream.leases.lease import Lease, LeaseTiming
 from guavastream.leases.messages import Renew, Watch
 from guavastream.state import RegisterMember, RemoveMembers, SetLeaving
@@ -15,6 +16,7 @@
 __all__ = ["Announced", "Membership"]
 
 WATCH_SECONDS = 1.0
+WATCH_PATIENCE = 0.5
 RENEW_SECONDS = 0.5
 SUBMIT_SECONDS = 2.0
 RETRY_SECONDS = 0.05
@@ -75,7 +77,8 @@
         self._timing = timing or LeaseTiming()
         self._record = record
         self._incarnation = uuid.uuid4().hex
-        self._preferred = xxhash.xxh3_64_intdigest(host.encode())
+        number = xxhash.xxh3_64_intdigest(host.encode()) % len(control.addresses)
+        self._news = HedgedWatch(control=control, first=control.addresses[number])
         self._lease = Lease(clock=clock)
         self._announced = None
         self._joined = None
@@ -89,6 +92,11 @@
         """The lease for all that this member owns."""
         return self._lease
 
+    @property
+    def watched(self):
+        """Peer address of the control host that is asked for news first."""
+        return self._news.first
+
     @property
     def member(self):
         """Member id, or 0 before joining and after the lease was lost."""
@@ -134,17 +142,16 @@
             await self._control.submit(command, timeout=SUBMIT_SECONDS)
 
     async def _watch(self):
-        failures = 0
+        wait = WATCH_SECONDS
         while True:
-            request = Watch(index=self._tables.table.index, wait=WATCH_SECONDS)
+            request = Watch(index=self._tables.table.index, wait=wait)
             try:
-                answer = await self._control.call_any(
-                    self._preferred + failures, request, timeout=WATCH_SECONDS + 0.5
-                )
+                answer = await self._news.ask(request, patience=WATCH_PATIENCE)
             except GuavastreamError:
-                failures += 1
+                wait = 0.0
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            wait = WATCH_SECONDS
             self._take(answer)
 
     def _take(self, answer):
--- a/guavastream/membership/tests/test_membership.py
+++ b/guavastream/membership/tests/test_membership.py
@@ -106,7 +106,7 @@
     """
 
     async def scenario(bench):
-        bench.network.cut(NODE, CONTROL[bench.membership._preferred % 2])
+        bench.network.cut(NODE, bench.membership.watched)
         for _ in range(100):
             bench.control.commands.append(encode_command(Noop()))
             await asyncio.sleep(0.02)
