--- a/guavastream/relay/shares.py
+++ b/guavastream/relay/shares.py
@@ -78,6 +78,21 @@
     request have the same draw and count as one: a page that gets one of its calls
     gets the others, and few are made for nothing. Callers who come back are
     counted once: what matters to them is whether they are served in the end.
+
+    Examples
+    --------
+    Pages are let in always, orders never, and no slot is free:
+
+    >>> now = 0.0
+    >>> shares = Shares(clock=lambda: now)
+    >>> for number in range(40):
+    ...     now += 0.05
+    ...     id = b"%d" % number
+    ...     _ = shares.admits("order", id, urgency=1, again=False, room=False)
+    ...     if shares.admits("page", id, urgency=2, again=False, room=False):
+    ...         shares.note_admitted("page", id)
+    >>> shares.level("order"), shares.level("page") < 0.4
+    (1.0, True)
     """
 
     def __init__(self, *, clock):
