A request that three servers have no room for is refused at once

Cause, from hosts' lines in a rush: 1,153 failed tries in one second of hosts that gave up 40 requests; each went on to the next of ten servers while its caller waited.

--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -36,6 +36,9 @@
 # where a key or a server has to be found first.
 SHORTEST_RETRY = 0.05
 USUAL_RETRY = 0.3
+# Servers that may refuse a request for lack of room before its caller is told. Those
+# that were expected to be the fastest have been asked by then.
+MOST_REFUSALS = 3
 # A request with less time than this could not even reach a server; sent on, it
 # would end as one that may have run.
 LEAST_SECONDS = 0.02
@@ -182,7 +185,7 @@
             share = self._shares[job.service] = RetryShare(ratio=self._ratio)
         share.earn()
         tried = set()
-        arrivals = 0
+        arrivals = refusals = 0
         patience = OWNER_PATIENCE * self._policy.owner_wait
         patience = self._clock() + (job.deadline - self._clock()) * patience
         while True:
@@ -221,6 +224,9 @@
                 continue
             if job.keyed or not verdict.elsewhere:
                 raise failure
+            refusals += code == "overloaded"
+            if refusals >= MOST_REFUSALS:
+                raise failure
             if not self._has_other(book, job, tried):
                 raise failure
 
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -8,6 +8,8 @@
 from guavastream.http1 import CutOff
 from guavastream.relay.dialect import OWN
 from guavastream.relay.guard import LEAVING_SECONDS
+from guavastream.relay.ingress import MOST_REFUSALS
+from guavastream.relay.outcome import NotRun
 from guavastream.relay.tests.rig import DIALECT, SECONDS, play
 
 
@@ -459,3 +461,26 @@
         assert answers[-1][0] == 503 and len(mesh.ran()) == slots
 
     play(scenario)
+
+
+def test_a_request_that_a_few_servers_have_no_room_for_is_refused_at_once():
+    # In a rush all servers of a service were full. A request was sent to one after
+    # the other, ten of them in all, before its caller was told: each of these hops
+    # cost as much as a served one, just when nobody had time for them, and the
+    # caller lost a second in which to come back.
+    async def scenario(mesh):
+        tries = []
+
+        async def refuse(**unused):
+            tries.append(1)
+            await asyncio.sleep(SECONDS)
+            raise NotRun("overloaded", retry_after=0.1)
+
+        for host in mesh.hosts:
+            host.guard._gate.enter = refuse
+        status, headers, _, seconds = await mesh.ask(b"/pay/x", method=b"POST")
+        assert status == 503 and float(headers.get(b"retry-after")) > 0
+        assert len(tries) == MOST_REFUSALS and not mesh.ran()
+        assert seconds < (MOST_REFUSALS + 1) * SECONDS
+
+    play(scenario, hosts=8)
