--- a/guavastream/hosts/tests/test_in_force.py
+++ b/guavastream/hosts/tests/test_in_force.py
@@ -19,13 +19,13 @@
 
 import pytest
 
-from guavastream.control.tests.test_fleet import start_core
+from guavastream.control.tests.test_fleet import FIRST, Core, start_core
 from guavastream.fleet import BookCodec, ChangeRoutes
 from guavastream.hosts.book_follower import BookFollower
 from guavastream.hosts.control_host import TIMING
 from guavastream.leases import ControlClient, Watch
 from guavastream.replica import TableHolder
-from guavastream.standins import run_paused
+from guavastream.standins import FakeNetwork, run_paused
 
 # Time after its acknowledgement within which a change is to be in force: the
 # 2 s that operators are promised, less what a request needs on its way, and a
@@ -198,3 +198,49 @@
         return await handler(request)
 
     return handle
+
+
+class StallingCore(Core):
+    """Control hosts of which one has a disk that hangs."""
+
+    stalled = None
+
+    async def offload(self, function, *args):
+        while getattr(function, "__self__", None) is self.stalled is not None:
+            await asyncio.sleep(0.01)
+        return function(*args)
+
+    def stall(self, address):
+        self.stalled = self.rafts[address]._storage
+
+
+def test_a_change_is_in_force_in_time_beside_a_control_host_with_a_hanging_disk(
+    tmp_path,
+):
+    # The disk of one control host hangs. The others acknowledge a change; that one
+    # hears the leader, but can store nothing, and so knows nothing new. Hosts that
+    # asked it were told that there is no news, as fresh as any, until its disk went
+    # on: their callers were served by the routes of before for as long.
+    async def main():
+        random.seed(1)
+        core = StallingCore(tmp_path, FakeNetwork(seed=1), timing=TIMING)
+        core.start_all()
+        await core.until_full()
+        await core.change(FIRST)
+        hosts = [Host(core, number, first=number) for number in range(5)]
+        for host in hosts:
+            await core.until(lambda host=host: host.books.table.config.version == 1)
+        away = next(a for a in core.addresses if a != core.leader())
+        core.stall(away)
+        await asyncio.sleep(0.5)
+        operator = Operator(core)
+        await operator.change_on(core.addresses, 2.0)
+        longest = max(
+            host.in_force.get(version, float("inf")) - at
+            for host in hosts
+            for version, at in operator.acknowledged.items()
+            if at < asyncio.get_running_loop().time() - IN_FORCE_SECONDS
+        )
+        assert longest <= IN_FORCE_SECONDS
+
+    run_paused(main())
