A control host is fresh only if it knows all that its leader has committed

What callers saw: routes of before for as long as the disk of one control host hung, at hosts that asked it. Cause: a voter counted as fresh while it heard the leader; heartbeats are heard also by one that can store nothing, and by one that was away and is still behind. Now the time counts at which all that the leader had committed was applied; a new leader counts from when its first entry is committed. Why it holds: an acknowledged change is committed, and so is in the commit index of each later message of the leader; who has not applied that says so, and hosts ask elsewhere at once.

--- a/guavastream/control/fleet.py
+++ b/guavastream/control/fleet.py
@@ -26,8 +26,8 @@
 
 __all__ = ["FleetService", "VoterKeeper"]
 
-# A control host that has not heard a leader for this long does not pass on
-# what it knows as new: whoever watches it asks another one.
+# A control host that has not known all that its leader has committed for this
+# long does not pass on what it knows as new: whoever watches it asks another one.
 FRESH_SECONDS = 0.5
 # A watch looks this much later, so that the time is surely over then.
 GRAIN_SECONDS = 0.002
@@ -112,13 +112,13 @@
 
     def _fresh_hosts(self):
         """Return the control hosts, if what is known here is new enough."""
-        if self._raft.leader_age > FRESH_SECONDS:
-            raise NotReady("No leader is heard here.")
+        if self._raft.knowledge_age > FRESH_SECONDS:
+            raise NotReady("No leader is heard here, or not all it has committed.")
         return tuple(self._raft.voters.values())
 
     def _fresh_for(self):
         """Return when to look again, seconds, if no leader is heard by then."""
-        return max(0.0, FRESH_SECONDS - self._raft.leader_age) + GRAIN_SECONDS
+        return max(0.0, FRESH_SECONDS - self._raft.knowledge_age) + GRAIN_SECONDS
 
     async def _submit(self, request):
         command = decode_message(request.tag, request.body)
--- a/guavastream/control/follower.py
+++ b/guavastream/control/follower.py
@@ -126,6 +126,7 @@
         if request.term < self.term:
             return Appended(term=self.term, success=False, match=0)
         self._hear(request)
+        came_at = self._heard
         async with self._write_lock:
             if request.term < self.term:
                 return Appended(term=self.term, success=False, match=0)
@@ -138,6 +139,8 @@
             hint = min(self._storage.last_index, request.previous - 1)
             return Appended(term=self.term, success=False, match=max(0, hint))
         self._set_commit(min(request.commit, match))
+        if self._applied >= request.commit:
+            self._current_at = max(self._current_at, came_at)
         return Appended(term=self.term, success=True, match=match)
 
     def _hear(self, request):
--- a/guavastream/control/voter.py
+++ b/guavastream/control/voter.py
@@ -124,6 +124,7 @@
         # A restarted voter may have promised a leader its silence just
         # before; it counts as having heard from one at its start.
         self._heard = self._now()
+        self._current_at = float("-inf")
         self._leading = False
         self._leader = ""
         self._leader_address = ""
@@ -162,6 +163,22 @@
             return 0.0 if self.has_lease() else float("inf")
         return self._now() - self._heard if self._leader else float("inf")
 
+    @property
+    def knowledge_age(self):
+        """Seconds since all that its leader had committed was applied here.
+
+        Notes
+        -----
+        Hearing the leader is not enough: a voter whose disk hangs, or that was
+        away, hears it all the time and knows nothing of what is committed.
+        """
+        if self._leading:
+            # A new leader learns what its predecessor has committed when its own
+            # first entry is.
+            ready = self._applied >= self._ready_index
+            return self.leader_age if ready else float("inf")
+        return max(self.leader_age, self._now() - self._current_at)
+
     @property
     def unheard(self):
         """Seconds since each other voter answered this leader, by voter.
