News that cannot be read ends no process

What would have been seen: a control host of a later version, or one that went back to an old disk, sends a book or a command that hosts cannot read; the process beside each server ended when it read it, and again after each start. Found by tests of bad input for watches. Now nothing of such an answer is taken, one line says from whom and why, a counter counts, and other control hosts are asked first; so too one that says before the wait is over that there is no news, which would be asked without end. The book never goes back.

--- a/guavastream/hosts/book_follower.py
+++ b/guavastream/hosts/book_follower.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from guavastream.exception import GuavastreamError
+from guavastream.exception import BadMessage, GuavastreamError
 from guavastream.kernel import part_logger
 from guavastream.leases import HedgedWatch, Watch
 
@@ -75,6 +75,7 @@
         self._observe = observe
         self._loop = asyncio.get_running_loop()
         self._started_at = self._loop.time()
+        self._unreadable = ""
         first = random.randrange(len(seeds) or 1)
         self._watch = HedgedWatch(
             control=control, first=control.addresses[first % len(control.addresses)]
@@ -86,6 +87,15 @@
         while True:
             try:
                 answer = await self._ask(failures)
+                has_news = self._take(answer)
+            except BadMessage as error:
+                # What one control host sends may be read at another; ending here
+                # would end the requests of this host for nothing.
+                failures += 1
+                self._note_unreadable(error)
+                self._watch.avoid()
+                await asyncio.sleep(self._rest(failures))
+                continue
             except GuavastreamError as error:
                 failures += 1
                 self._note_failure(error, failures)
@@ -95,7 +105,7 @@
                 log.info("Control hosts are in reach again.")
             failures = 0
             self._control.learn(answer.hosts)
-            if self._take(answer):
+            if has_news:
                 await self._pause()
 
     async def _ask(self, failures):
@@ -112,6 +122,14 @@
         patience = min(WATCH_PATIENCE * 2**doublings, LONGEST_PATIENCE)
         return await self._watch.ask(request, patience=patience)
 
+    def _note_unreadable(self, error):
+        """Say what was wrong with an answer, the same thing once."""
+        self._count("unreadable_answers")
+        text = str(error)
+        if text != self._unreadable:
+            self._unreadable = text
+            log.error("Control host %s: %s.", self._watch.first, text)
+
     def _note_failure(self, error, failures):
         self._count("watch_failures")
         since = max(self._books.confirmed_at, self._started_at)
@@ -140,26 +158,37 @@
 
     def _take(self, answer):
         """Take an answer; return whether it brought news."""
-        now = self._loop.time()
-        if self._books.table.index:
-            self._observe("book_confirmed", now - self._books.confirmed_at)
-        self._books.confirmed_at = now
         before = self._books.table
         self._books.take(answer.table, answer.commands)
-        if self._books.table is before:
+        has_news = self._books.table is not before
+        if not has_news and self._watch.early:
+            # One that has gone back knows less than this host, and would be
+            # asked again without end.
+            raise BadMessage("no news, though the wait was not over")
+        self._confirm(answer, before)
+        if not has_news:
             return False
-        if not before.index:
-            took_ms = round((self._loop.time() - self._started_at) * 1e3)
-            log.info(
-                "The first book is at %d.",
-                self._books.table.index,
-                extra={"took_ms": took_ms, "bytes": len(answer.table)},
-            )
         self._count("book_answers")
         self._count("book_changes", len(answer.commands))
         self._on_change(before, self._books.table)
         return True
 
+    def _confirm(self, answer, before):
+        """Note that the book is as new as a control host knows it."""
+        now = self._loop.time()
+        if before.index:
+            self._observe("book_confirmed", now - self._books.confirmed_at)
+        else:
+            log.info(
+                "The first book is at %d.",
+                self._books.table.index,
+                extra={
+                    "took_ms": round((now - self._started_at) * 1e3),
+                    "bytes": len(answer.table),
+                },
+            )
+        self._books.confirmed_at = now
+
     async def _pause(self):
         """Let changes gather, so that one answer brings them all.
 
--- a/guavastream/hosts/tests/test_book_follower.py
+++ b/guavastream/hosts/tests/test_book_follower.py
@@ -18,10 +18,13 @@
 import random
 import string
 
+import msgspec
+import pytest
+
 from guavastream.control.tests.test_fleet import start_core
-from guavastream.fleet import BookCodec, ChangeRoutes
+from guavastream.fleet import Book, BookCodec, ChangeRoutes
 from guavastream.hosts.book_follower import BookFollower
-from guavastream.leases import Watch
+from guavastream.leases import Watch, Watched
 from guavastream.replica import TableHolder
 from guavastream.routes import Part, Repeat, Route
 from guavastream.standins import run_paused
@@ -155,3 +158,57 @@
         await host.until_in_force(2, 10.0)
 
     run_paused(main())
+
+
+def encode_book(**fields):
+    """Return a book with fields that no version of it has had."""
+    return msgspec.msgpack.encode({"index": 10**6, **fields})
+
+
+def encode_later_command():
+    """Return a command that a later version knows."""
+    return msgspec.msgpack.encode((b"CommandOfALaterVersion", b"\x80"))
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        Watched(table=b"\xc1 not a book"),
+        Watched(table=b"\x78\x01 not compressed either"),
+        Watched(table=encode_book(index="of a later format")),
+        Watched(commands=((10**6, b"\x92\xa4Noop\xc1"),)),
+        Watched(commands=((10**6, encode_later_command()),)),
+        Watched(table=BookCodec().encode(Book(index=1))),
+    ],
+    ids=["bytes", "compressed", "book", "command", "later-command", "older"],
+)
+def test_a_control_host_whose_answers_cannot_be_used_harms_nobody(tmp_path, answer):
+    # A control host of a later version sends a book, or a command, that this one
+    # cannot read, or one that went back to an old disk sends an older book. The
+    # process beside each server ended by itself when it read the first, and with it
+    # all requests there; it must say so once, ask elsewhere, and never go back.
+    async def main():
+        random.seed(1)
+        core = await start_core(tmp_path)
+        odd = core.addresses[0]
+        core.network.serve(odd, answer_always(core.network.handler_of(odd), answer))
+        hosts = [Host(core) for _ in range(5)]
+        await asyncio.gather(*(host.until_in_force(1, 3.0) for host in hosts))
+        await core.change(ChangeRoutes(base=1, version=2, digest=b"2", whole=False))
+        await asyncio.gather(*(host.until_in_force(2, 2.0) for host in hosts))
+        await asyncio.sleep(2.0)
+        for host in hosts:
+            # A host without a book may take an older one first, and refuses callers
+            # until it has a configuration.
+            assert host.versions in ([1, 2], [0, 1, 2])
+
+    run_paused(main())
+
+
+def answer_always(handler, answer):
+    async def handle(request):
+        if isinstance(request, Watch):
+            return answer
+        return await handler(request)
+
+    return handle
--- a/guavastream/leases/hedged_watch.py
+++ b/guavastream/leases/hedged_watch.py
@@ -47,6 +47,8 @@
         self._loop = asyncio.get_running_loop()
         self._first = first
         self._lateness = 0.0
+        self._avoided = ""
+        self._early = False
         self._asked = set()
 
     @property
@@ -54,6 +56,17 @@
         """Peer address of the control host that is asked first."""
         return self._first
 
+    @property
+    def early(self):
+        """Whether the last answer came before half of its wait was over."""
+        return self._early
+
+    def avoid(self):
+        """Ask others before the one that answered last, whatever it answers."""
+        self._avoided = self._first
+        others = [a for a in self._control.addresses if a != self._first]
+        self._first = random.choice(others or self._control.addresses)
+
     async def ask(self, request, *, patience):
         """Return the whole of the first answer that has begun.
 
@@ -110,7 +123,8 @@
         first = self._first if self._first in addresses else addresses[0]
         others = [address for address in addresses if address != first]
         # Hosts that lose one control host together meet at all of the others.
-        return [first, *random.sample(others, len(others))]
+        others = random.sample(others, len(others))
+        return sorted([first, *others], key=self._avoided.__eq__)
 
     def _slack(self):
         usual = SLACK_FACTOR * self._lateness
@@ -141,7 +155,9 @@
             for task, (address, asked_at, wait) in round_.items():
                 if task.done() and not task.exception():
                     self._first = address
-                    self._note_lateness(self._loop.time() - asked_at - wait)
+                    late = self._loop.time() - asked_at - wait
+                    self._early = -late > wait / 2
+                    self._note_lateness(late)
                     return address, task.result()
             if hasty and all(task.done() for task in round_):
                 return None
--- a/guavastream/membership/membership.py
+++ b/guavastream/membership/membership.py
@@ -147,12 +147,13 @@
             request = Watch(index=self._tables.table.index, wait=wait)
             try:
                 answer = await self._news.ask(request, patience=WATCH_PATIENCE)
-            except GuavastreamError:
+                self._take(answer)
+            except GuavastreamError as error:
+                log.debug("No news of the table: %s.", error)
                 wait = 0.0
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             wait = WATCH_SECONDS
-            self._take(answer)
 
     def _take(self, answer):
         before = self._tables.table.revision
--- a/guavastream/replica/holder.py
+++ b/guavastream/replica/holder.py
@@ -3,11 +3,17 @@
 import asyncio
 import threading
 
+import msgspec
+
+from guavastream.exception import BadMessage
 from guavastream.kernel import Signal, TimeLimit
 from guavastream.replica.codec import decode_command
 
 __all__ = ["TableHolder"]
 
+# What bytes raise that are no table or command of this version.
+UNREADABLE = (msgspec.MsgspecError, ValueError, TypeError, LookupError)
+
 
 class TableHolder:
     """Holds one immutable table and swaps it by reference.
@@ -66,13 +72,22 @@
             A whole encoded table, or none if the commands are enough.
         commands : iterable of tuple
             Pairs of index and encoded command; known ones are skipped.
+
+        Raises
+        ------
+        BadMessage
+            If they cannot be read or applied, as those of a later version; then
+            nothing is taken.
         """
-        table = self._codec.decode(data) if data else self._table
-        if table.index < self._table.index:
-            table = self._table
-        for index, data in commands:
-            if index > table.index:
-                table, _ = table.apply(index, decode_command(data))
+        try:
+            table = self._codec.decode(data) if data else self._table
+            if table.index < self._table.index:
+                table = self._table
+            for index, data in commands:
+                if index > table.index:
+                    table, _ = table.apply(index, decode_command(data))
+        except UNREADABLE as error:
+            raise BadMessage(f"news that cannot be read: {error}") from error
         self.replace(table)
 
     async def wait(self, index, timeout):
