Bodies of uploads leave room on the link for what is short

What callers saw: calls between servers that ran out of time behind uploads, and changes that came late to hosts beside upload servers, whose links are full. Cause: a host asked for three bodies at a time whatever its link; on 2 Mbit/s three of 60 KB stand 0.7 s long, and all else that comes waits behind them. Now as many are asked for as the link passes in 0.3 s, one to three; links of 8 Mbit/s and more as before. Ruled out: a limit by count alone, which is right for one rate of link only.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -160,7 +160,12 @@
             observe=self.counters.observe,
             policy=settings.policy,
         )
-        self._hops = HopDoor(loop=self._loop, dialect=dialect, guard=self._guard)
+        self._hops = HopDoor(
+            loop=self._loop,
+            dialect=dialect,
+            guard=self._guard,
+            link_rate=settings.link_rate,
+        )
         self._outbound = Server(
             address=parse_address(settings.outbound),
             handler=self._ingress.handle,
--- a/guavastream/hosts/settings.py
+++ b/guavastream/hosts/settings.py
@@ -40,6 +40,8 @@
         How servers are granted keys where the configuration does not say.
     grace : float
         Time between a request to stop and the end, seconds.
+    link_rate : float
+        Bytes a second that the link of this host passes, 0 if not known.
     metrics : str
         IP:PORT where counters are served.
     policy : Policy
@@ -63,6 +65,7 @@
     retry_ratio: float = 0.2
     granting: Granting = Granting.HEARTBEAT
     grace: float = 6.0
+    link_rate: float = 0.0
     metrics: str = ""
     policy: Policy = Policy()
 
--- a/guavastream/platform/settings.py
+++ b/guavastream/platform/settings.py
@@ -17,6 +17,7 @@
 REQUIRED_BESIDE = ("Listen.Outbound", "Listen.Inbound", "Listen.Ready", "Service")
 REQUIRED_CONTROL = ("DataDir",)
 SIDECAR = "sidecar"
+MBIT_BYTES = 125_000
 
 
 def read_settings(environ=None):
@@ -85,6 +86,7 @@
         "longest_hold": reader.take("Bounds.MaxHold", parse_time, 10.0),
         "retry_ratio": reader.take("Bounds.RetryBudgetRatio", float, 0.2),
         "granting": GRANTING.get(raw.get("Grants", "heartbeat"), Granting.UNKNOWN),
+        "link_rate": reader.take("Limits.LinkMbps", _rate, 0.0),
         "grace": reader.take("Bounds.Grace", parse_time, 6.0),
         "policy": reader.policy(policy),
         "metrics": f"{ip}:{last_port}" if peer_port else "",
@@ -94,6 +96,14 @@
     return FleetSettings(**settings)
 
 
+def _rate(text):
+    """Return the bytes a second of a number of Mbit/s."""
+    rate = float(text) * MBIT_BYTES
+    if not 0 <= rate < float("inf"):
+        raise ValueError("not a rate")
+    return rate
+
+
 def _ports(text):
     """Return the first and the last of the ports between processes."""
     first, _, last = text.partition(",")
--- a/guavastream/platform/tests/test_settings.py
+++ b/guavastream/platform/tests/test_settings.py
@@ -49,6 +49,7 @@
     settings = parse_settings(SIDECAR)
     assert settings.outbound == "10.1.0.41:8629" and not settings.data
     assert not settings.first_start and settings.service == "s"
+    assert parse_settings(SIDECAR + "Limits.LinkMbps=2\n").link_rate == 250_000
 
 
 @pytest.mark.parametrize(
@@ -60,6 +61,8 @@
             ["Listen.Control", "Heartbeat"],
         ),
         (CORE.replace("Machines=2", "Machines=two"), ["FaultTolerance.Machines"]),
+        (SIDECAR + "Limits.LinkMbps=-1\n", ["Limits.LinkMbps"]),
+        (SIDECAR + "Limits.LinkMbps=nan\n", ["Limits.LinkMbps"]),
     ],
 )
 def test_every_bad_value_is_named(text, places):
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -22,9 +22,14 @@
 HOP_IDLE_SECONDS = 60.0
 JOB = OWN + b"job"
 LENGTH = frozenset({b"content-length"})
-# Large bodies that come in at a time: two fill a link as well as twenty, and
-# a third is on its way while one of them waits for its sender.
+# Large bodies that come in at a time at the most: two fill a link as well as
+# twenty, and a third is on its way while one of them waits for its sender.
 MOST_BODIES = 3
+# Time that a link needs for the bodies that are on their way at once. What else
+# comes waits behind them: calls between servers, and news of the book.
+ROOM_SECONDS = 0.3
+# Weight of the newest length in the usual one.
+LENGTH_WEIGHT = 0.1
 # A body whose sender froze gives up its place after this, seconds.
 INTAKE_SECONDS = 2.0
 
@@ -103,9 +108,11 @@
         Header names.
     guard : Guard
         The way to the local server.
+    link_rate : float
+        Bytes a second that the link of this host passes, 0 if not known.
     """
 
-    def __init__(self, *, loop, dialect, guard):
+    def __init__(self, *, loop, dialect, guard, link_rate=0.0):
         self._loop = loop
         self._clock = loop.time
         self._dialect = dialect
@@ -114,6 +121,8 @@
         # server is told that nothing ran.
         self.leaving = False
         self._intake = Gate(loop=loop, slots=MOST_BODIES)
+        self._link_rate = link_rate
+        self._usual_length = 0.0
 
     async def handle(self, request, responder):
         """Answer a request that another host sent for the local server."""
@@ -164,6 +173,7 @@
         return replace(attempt, body=body, stream=stream)
 
     async def _take_large(self, attempt, request, responder):
+        self._pace(request.length)
         work = self._guard.usual(attempt.kind)
         usual = await self._intake.enter(
             rank=attempt.rank,
@@ -181,6 +191,15 @@
         finally:
             self._intake.leave(usual, kind=attempt.kind, seconds=seconds)
 
+    def _pace(self, length):
+        """Set how many bodies may come in at a time on a link of this rate."""
+        if length <= 0 or not self._link_rate:
+            return
+        before = self._usual_length or length
+        self._usual_length = before + LENGTH_WEIGHT * (length - before)
+        passing = self._link_rate * ROOM_SECONDS / self._usual_length
+        self._intake.slots = max(1, min(MOST_BODIES, int(passing)))
+
     def _read(self, request, body, stream):
         headers = request.headers
         now = self._clock()
--- a/guavastream/relay/tests/test_hop.py
+++ b/guavastream/relay/tests/test_hop.py
@@ -3,13 +3,16 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
+
 from guavastream.http1.message import Headers
 from guavastream.relay import HopDoor, NotRun, Report
-from guavastream.relay.hop import MOST_BODIES, HopJob
+from guavastream.relay.hop import MOST_BODIES, ROOM_SECONDS, HopJob
 from guavastream.relay.tests.rig import DIALECT
 from guavastream.standins import run_paused
 
 SECONDS_A_BODY = 0.1
+BODY_BYTES = 60_000
 WORK = 0.2
 
 
@@ -38,7 +41,7 @@
             headers=headers,
             method=b"POST",
             target=b"/load/x",
-            length=60_000,
+            length=BODY_BYTES,
             awaits_go=True,
             body=SimpleNamespace(read_up_to=self._come),
         )
@@ -49,7 +52,7 @@
         await asyncio.sleep(SECONDS_A_BODY)
         self.now -= 1
         self.came += 1
-        return b"x" * 60_000, True
+        return b"x" * BODY_BYTES, True
 
 
 class Responder:
@@ -81,13 +84,15 @@
         raise NotRun("no_server")
 
 
-def upload(count, *, left_ms):
+def upload(count, *, left_ms, link_rate=0.0):
     """Return the link and the responders after uploads of many hosts at once."""
 
     async def main():
         link = Link()
         loop = asyncio.get_running_loop()
-        door = HopDoor(loop=loop, dialect=DIALECT, guard=IdleGuard())
+        door = HopDoor(
+            loop=loop, dialect=DIALECT, guard=IdleGuard(), link_rate=link_rate
+        )
         responders = [Responder() for _ in range(count)]
         await asyncio.gather(
             *(door.handle(link.request(left_ms), r) for r in responders)
@@ -105,6 +110,18 @@
     assert all(responder.asked for responder in responders)
 
 
+@pytest.mark.parametrize(
+    "mbit, most", [(2, 1), (4, 2), (8, MOST_BODIES), (1000, MOST_BODIES)]
+)
+def test_bodies_come_in_as_the_link_passes_them(mbit, most):
+    # Three bodies of 60 KB stand 0.7 s long on a link of 2 Mbit/s. What hosts need
+    # most came behind them: calls between servers ran out of time, and news of the
+    # book came later than the time in which a change is to be in force.
+    link, _ = upload(12, left_ms=10_000, link_rate=mbit * 125_000)
+    assert link.most == most and link.came == 12
+    assert link.most == 1 or link.most * BODY_BYTES <= ROOM_SECONDS * mbit * 125_000
+
+
 def test_what_would_be_too_late_is_refused_before_its_body_has_come():
     link, responders = upload(30, left_ms=600)
     refused = [r for r in responders if not r.asked]
