--- a/guavastream/leases/hedged_watch.py
+++ b/guavastream/leases/hedged_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
 
 from guavastream.exception import CallTimeout, GuavastreamError
 from guavastream.kernel import Signal, TimeLimit, replace
@@ -49,7 +50,6 @@
         self._lateness = 0.0
         self._avoided = ""
         self._early = False
-        self._asked = set()
 
     @property
     def first(self):
@@ -101,22 +101,21 @@
         order = self._order()
         step = STEP_SECONDS if request.index else FIRST_STEP_SECONDS
         slack = max(step, self._slack())
-        heard = Signal(loop=self._loop)
-        round_ = {}
+        asked = _Asked(loop=self._loop)
         for address in order:
             timeout = request.wait + slack + len(order) * step + patience
-            self._ask(round_, heard, address, request, timeout)
+            call = self._control.begin(address, request, timeout=timeout)
+            asked.add(call, address=address, wait=request.wait)
             until = self._loop.time() + request.wait + slack
-            found = await self._wait(round_, heard, until, hasty=request.index)
+            found = await asked.answered(until, hasty=bool(request.index))
             if found:
-                return found
+                return self._note(found)
             request, slack = replace(request, wait=0.0), step
-        until = self._loop.time() + patience
-        found = await self._wait(round_, heard, until, hasty=True)
+        found = await asked.answered(self._loop.time() + patience, hasty=True)
         if found:
-            return found
+            return self._note(found)
         self._first = random.choice(order)
-        raise self._failure(round_)
+        raise asked.failure()
 
     def _order(self):
         addresses = self._control.addresses
@@ -130,54 +129,69 @@
         usual = SLACK_FACTOR * self._lateness
         return min(max(LEAST_SLACK_SECONDS, usual), MOST_SLACK_SECONDS)
 
-    def _ask(self, round_, heard, address, request, timeout):
-        """Begin a call; what comes after the round is over counts no more."""
-        call = self._control.begin(address, request, timeout=timeout)
-        task = self._loop.create_task(call)
-        round_[task] = (address, self._loop.time(), request.wait)
-        self._asked.add(task)
+    def _note(self, found):
+        """Note who answered, and when; return the address and the answer."""
+        self._first = found.address
+        late = self._loop.time() - found.at - found.wait
+        self._early = -late > found.wait / 2
+        if late >= 0.0:
+            self._lateness += LATENESS_WEIGHT * (late - self._lateness)
+        return found.address, found.task.result()
+
 
-        def note(task):
-            self._asked.discard(task)
-            # An error that nobody waits for any more is no news either.
-            task.cancelled() or task.exception()
-            heard.set()
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Call:
+    """A call to a control host; `at` is the loop's time at which it began."""
 
-        task.add_done_callback(note)
+    task: asyncio.Task
+    address: str
+    at: float
+    wait: float
 
-    async def _wait(self, round_, heard, until, *, hasty):
-        """Return an answer that has begun, or None when another host is to be asked.
 
-        That is at the time `until`; or, for the `hasty`, once all that were asked
-        have said that they know nothing new for sure.
+class _Asked:
+    """Calls to several control hosts for the same news."""
+
+    def __init__(self, *, loop):
+        self._loop = loop
+        self._heard = Signal(loop=loop)
+        self._calls = []
+
+    def add(self, call, *, address, wait):
+        """Begin a call; what it brings after the others are left counts no more."""
+        task = self._loop.create_task(call)
+        now = self._loop.time()
+        self._calls.append(_Call(task=task, address=address, at=now, wait=wait))
+        task.add_done_callback(self._note)
+
+    def _note(self, task):
+        # Asked for, so that an error which nobody waits for is not reported.
+        task.cancelled() or task.exception()
+        self._heard.set()
+
+    async def answered(self, until, *, hasty):
+        """Return a call whose answer has begun, or None at the time `until`.
+
+        For the `hasty` also None once all have said that they cannot answer.
         """
         while True:
-            for task, (address, asked_at, wait) in round_.items():
-                if task.done() and not task.exception():
-                    self._first = address
-                    late = self._loop.time() - asked_at - wait
-                    self._early = -late > wait / 2
-                    self._note_lateness(late)
-                    return address, task.result()
-            if hasty and all(task.done() for task in round_):
+            for call in self._calls:
+                if call.task.done() and not call.task.exception():
+                    return call
+            if hasty and all(call.task.done() for call in self._calls):
                 return None
             if self._loop.time() >= until:
                 return None
-            heard.clear()
+            self._heard.clear()
             try:
                 with TimeLimit(loop=self._loop, when=until):
-                    await heard.wait()
+                    await self._heard.wait()
             except TimeoutError:
                 return None
 
-    def _note_lateness(self, late):
-        if late >= 0.0:
-            self._lateness += LATENESS_WEIGHT * (late - self._lateness)
-
-    @staticmethod
-    def _failure(round_):
-        """Return the error of a control host, rather one that says something."""
-        errors = [task.exception() for task in round_ if task.done()]
+    def failure(self):
+        """Return an error of the calls, rather one that says something."""
+        errors = [call.task.exception() for call in self._calls if call.task.done()]
         errors.sort(key=lambda error: isinstance(error, CallTimeout))
         for error in errors:
             if not isinstance(error, GuavastreamError):
