Whole hosts in one loop on a paused clock, for tests

ServerHost takes the network between processes as it takes its settings (PeerNetwork, with one over pyzmq and a fake one), so that a test runs real hosts, control hosts, callers and servers that end, on a clock that jumps. No change of behaviour.

--- a/guavastream/hosts/control_host.py
+++ b/guavastream/hosts/control_host.py
@@ -11,9 +11,9 @@
 from guavastream.control.voter import RaftTiming
 from guavastream.fleet import BookCodec, ChangedRoutes, ReadRoutes
 from guavastream.hosts.tasks import Tasks
-from guavastream.kernel import Counters, HybridClock, part_logger, steady_time
+from guavastream.kernel import Counters, part_logger, steady_time
 from guavastream.leases import ControlClient
-from guavastream.messages.zmq_transport import ZmqServer, ZmqTransport
+from guavastream.messages.zmq_transport import ZmqNetwork
 
 __all__ = ["ControlHost"]
 
@@ -42,10 +42,10 @@
     def __init__(self, *, settings):
         self.counters = Counters()
         self._settings = settings
-        hybrid = HybridClock()
-        self._transport = ZmqTransport(
-            hybrid=hybrid,
+        network = ZmqNetwork()
+        self._transport = network.transport(
             on_reconnect=lambda address: self.counters.count("peer_reconnects"),
+            on_late=lambda size: None,
         )
         self._control = ControlClient(
             transport=self._transport, addresses=settings.seeds
@@ -86,10 +86,9 @@
             voters=self._keeper,
             losses=settings.losses,
         )
-        self._server = ZmqServer(
+        self._server = network.server(
             address=settings.peer,
             handler=service.handle,
-            hybrid=hybrid,
             on_malformed=lambda: self.counters.count("malformed_messages"),
         )
         self._tasks = Tasks()
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -12,15 +12,15 @@
 from guavastream.http1 import Client, CutOff, Limits, NotSent, Server
 from guavastream.kernel import (
     Counters,
-    HybridClock,
     parse_address,
     part_logger,
     replace,
+    steady_time,
 )
 from guavastream.leases import ControlClient
 from guavastream.leases.messages import Watch
 from guavastream.messages import RelayDesk, RelayingTransport
-from guavastream.messages.zmq_transport import ZmqServer, ZmqTransport
+from guavastream.messages.zmq_transport import ZmqNetwork
 from guavastream.relay import (
     HOP_IDLE_SECONDS,
     Guard,
@@ -80,17 +80,22 @@
         Header names.
     key_dialect : KeyDialect
         How orders about keys are written.
+    network : PeerNetwork, optional
+        Carries calls between processes; over pyzmq by default.
+    clock : callable, optional
+        Steady time in seconds, suspensions included.
     """
 
-    def __init__(self, *, settings, dialect, key_dialect):
+    def __init__(
+        self, *, settings, dialect, key_dialect, network=None, clock=steady_time
+    ):
         self.counters = Counters()
         self.stopping = False
         self._settings = settings
         self._dialect = dialect
         self._loop = asyncio.get_running_loop()
-        hybrid = HybridClock()
-        self._direct = ZmqTransport(
-            hybrid=hybrid,
+        network = network or ZmqNetwork()
+        self._direct = network.transport(
             on_reconnect=lambda address: self.counters.count("peer_reconnects"),
             on_late=self._note_late,
         )
@@ -128,6 +133,7 @@
             door=settings.inbound,
             count=self.counters.count,
             on_refused=self._note_refused,
+            clock=clock,
         )
         self._guard = Guard(
             loop=self._loop,
@@ -185,10 +191,9 @@
             targets=lambda: self._control.addresses,
             count=self.counters.count,
         )
-        self._relay = ZmqServer(
+        self._relay = network.server(
             address=settings.peer,
             handler=desk.handle,
-            hybrid=hybrid,
             on_malformed=lambda: self.counters.count("malformed_messages"),
         )
         self._prober = Client()
--- a/guavastream/messages/transport.py
+++ b/guavastream/messages/transport.py
@@ -5,7 +5,7 @@
 from guavastream.exception import NotLeader, PeerFailure
 from guavastream.messages.codec import message
 
-__all__ = ["Failure", "Transport", "failure_of", "raise_failure"]
+__all__ = ["Failure", "PeerNetwork", "Transport", "failure_of", "raise_failure"]
 
 
 @message
@@ -44,6 +44,39 @@
             As the peer answered.
         """
 
+    def close(self):
+        """End what is open."""
+
+
+class PeerNetwork(abc.ABC):
+    """Makes both ends of the calls between processes; one for each process."""
+
+    @abc.abstractmethod
+    def transport(self, *, on_reconnect, on_late):
+        """Return the `Transport` on which this process calls others.
+
+        Parameters
+        ----------
+        on_reconnect : callable
+            Told the address of each connection that was replaced as silent.
+        on_late : callable
+            Told the size of each answer that came when nobody waited any more.
+        """
+
+    @abc.abstractmethod
+    def server(self, *, address, handler, on_malformed):
+        """Return what answers calls to this process, with `start` and `close`.
+
+        Parameters
+        ----------
+        address : str
+            IP:PORT to bind.
+        handler : callable
+            Coroutine function from a request message to its answer.
+        on_malformed : callable
+            Called for each message that was dropped as malformed.
+        """
+
 
 def failure_of(error):
     """Return the `Failure` that carries an error to the caller of a call."""
--- a/guavastream/messages/zmq_transport.py
+++ b/guavastream/messages/zmq_transport.py
@@ -6,15 +6,20 @@
 import zmq
 
 from guavastream.exception import BadMessage, CallTimeout
-from guavastream.kernel import TimeLimit, part_logger
+from guavastream.kernel import HybridClock, TimeLimit, part_logger
 from guavastream.messages.codec import (
     MAX_MESSAGE_BYTES,
     decode_message,
     encode_message,
 )
-from guavastream.messages.transport import Transport, failure_of, raise_failure
+from guavastream.messages.transport import (
+    PeerNetwork,
+    Transport,
+    failure_of,
+    raise_failure,
+)
 
-__all__ = ["ZmqServer", "ZmqTransport"]
+__all__ = ["ZmqNetwork", "ZmqServer", "ZmqTransport"]
 
 HEARTBEAT_MS = 400
 HEARTBEAT_TIMEOUT_MS = 1200
@@ -306,3 +311,23 @@
             task.cancel()
         if self._socket:
             self._socket.close()
+
+
+class ZmqNetwork(PeerNetwork):
+    """Calls between processes over pyzmq; create it inside a running loop."""
+
+    def __init__(self):
+        self._hybrid = HybridClock()
+
+    def transport(self, *, on_reconnect, on_late):
+        return ZmqTransport(
+            hybrid=self._hybrid, on_reconnect=on_reconnect, on_late=on_late
+        )
+
+    def server(self, *, address, handler, on_malformed):
+        return ZmqServer(
+            address=address,
+            handler=handler,
+            hybrid=self._hybrid,
+            on_malformed=on_malformed,
+        )
--- a/guavastream/standins/network.py
+++ b/guavastream/standins/network.py
@@ -5,6 +5,7 @@
 
 from guavastream.exception import CallTimeout
 from guavastream.messages import (
+    PeerNetwork,
     Transport,
     decode_message,
     encode_message,
@@ -12,7 +13,7 @@
     raise_failure,
 )
 
-__all__ = ["FakeNetwork", "run_paused"]
+__all__ = ["FakeNetwork", "FakePeers", "run_paused"]
 
 DELAY_SECONDS = 0.0005
 
@@ -160,3 +161,38 @@
 
     async def call(self, address, request, *, timeout):
         return await self._network.call(self._address, address, request, timeout)
+
+
+class FakePeers(PeerNetwork):
+    """The ends of one process's calls on a fake network.
+
+    Parameters
+    ----------
+    network : FakeNetwork
+        Delivers the calls.
+    address : str
+        Where the process is.
+    """
+
+    def __init__(self, *, network, address):
+        self._network = network
+        self._address = address
+
+    def transport(self, *, on_reconnect, on_late):
+        return self._network.transport(self._address)
+
+    def server(self, *, address, handler, on_malformed):
+        return _FakeServer(network=self._network, address=address, handler=handler)
+
+
+class _FakeServer:
+    def __init__(self, *, network, address, handler):
+        self._network = network
+        self._address = address
+        self._handler = handler
+
+    def start(self):
+        self._network.serve(self._address, self._handler)
+
+    def close(self):
+        self._network.remove(self._address)
