The end of a server is noticed while requests come in for it

Cause: a server counted as ended only if, at four looks in 0.2 s, no request was at the gate. Requests that wait for the owner of their key try it 30 times a second; a refused connection takes a millisecond, so with some hundred tries a second one was at the gate at nearly every look, and a single one ended the search.

Now only requests that have a connection to the server count, and once it is known to have ended nobody asks for a connection to that life any more. What tells a full, a slow or a leaving server from one that has ended is as before.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -132,7 +132,7 @@
             longest=settings.longest_hold,
             door=settings.inbound,
             count=self.counters.count,
-            on_refused=self._note_refused,
+            on_refused=lambda instance: self._guard.note_refused(instance),
             clock=clock,
         )
         self._guard = Guard(
@@ -142,11 +142,9 @@
             keeper=self._keeper,
             door=settings.inbound,
             count=self.counters.count,
-            on_refused=self._note_refused,
+            on_ended=self._note_ended,
             policy=settings.policy,
         )
-        self._ending = None
-        self._beaten_at = {}
         self._newest_beats = {}
         self._ingress = Ingress(
             loop=self._loop,
@@ -285,7 +283,8 @@
         NotReady, PeerFailure
             If no leader answered in time.
         """
-        arrived = self._beaten_at[beat.id] = self._loop.time()
+        arrived = self._loop.time()
+        self._guard.note_heard(beat.id)
         if beat.id not in self._books.table.instances and not await self._is_here(beat):
             self.counters.count("beats_of_others")
             log.warning("A heartbeat of %s, which is not at its address.", beat.id)
@@ -356,21 +355,14 @@
             known[beat.born] = beat.id
         return known.get(born or max(known, default=0), name)
 
-    def _note_refused(self, instance):
-        if self._ending is None or self._ending.done():
-            self._ending = asyncio.ensure_future(self._confirm_end(instance))
+    def _note_ended(self, instance):
+        self._tasks.spawn(self._tell_end(instance))
 
-    async def _confirm_end(self, instance):
-        """Tell the leader that the local server has ended, once that is sure.
+    async def _tell_end(self, instance):
+        """Tell the leader that the local server has ended.
 
         Its keys would wait for the end of its hold otherwise.
         """
-        began = self._loop.time()
-        if not await self._guard.has_ended(instance):
-            return
-        if self._beaten_at.get(instance.id, 0.0) >= began:
-            return
-        log.warning("The local server %s has ended.", instance.id)
         with contextlib.suppress(GuavastreamError):
             request = Depart(id=instance.id, ended=True)
             await self._control.call(request, timeout=BEAT_SECONDS)
--- a/guavastream/hosts/tests/rig.py
+++ b/guavastream/hosts/tests/rig.py
@@ -22,6 +22,8 @@
 HEARTBEAT = 0.87
 # A server that has ended is back after this, seconds.
 DOWN_SECONDS = 2.0
+# A new connection takes as long, also one that is refused, seconds.
+CONNECT_SECONDS = 0.001
 # A request that ends its server does so after this, seconds.
 HARM_SECONDS = 0.03
 OUTBOUND, INBOUND, SERVER, PEER = 1, 2, 3, 4
@@ -251,7 +253,7 @@
             if request.target == entry[2] and request.body == entry[3]:
                 request.begun.append(self.now())
                 if request.harmful:
-                    self._spawn(self._harm(place, server, request))
+                    self.spawn(self._harm(place, server, request))
 
     async def _harm(self, place, server, request):
         await asyncio.sleep(HARM_SECONDS)
@@ -265,11 +267,11 @@
     def send_again_and_again(self, request, *, pause):
         """Let a request come at any host each `pause` seconds."""
         self.recurring.append(request)
-        self._spawn(self._recur(request, pause))
+        self.spawn(self._recur(request, pause))
 
     async def _recur(self, request, pause):
         while True:
-            self._spawn(self.send(request))
+            self.spawn(self.send(request))
             await asyncio.sleep(pause)
 
     async def send(self, request, *, place=None):
@@ -284,14 +286,14 @@
     def load(self, rate):
         """Let callers ask for pages and orders, `rate` a second of each."""
         for name, method in (("page", b"GET"), ("order", b"POST")):
-            self._spawn(self._load(name, method, rate))
+            self.spawn(self._load(name, method, rate))
 
     async def _load(self, name, method, rate):
         number = 0
         while True:
             await asyncio.sleep(self.rng.expovariate(rate))
             number += 1
-            self._spawn(self._ask_once(name, method, number))
+            self.spawn(self._ask_once(name, method, number))
 
     async def _ask_once(self, name, method, number):
         place = self.rng.choice(self.places)
@@ -305,7 +307,8 @@
         asked = sum(n for (kind, _), n in self.answers.items() if kind == name)
         return self.answers[name, 200] / max(1, asked)
 
-    def _spawn(self, coroutine):
+    def spawn(self, coroutine):
+        """Run a coroutine until the play ends."""
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._done)
@@ -327,10 +330,21 @@
             self.core.kill(address)
 
 
+def _slow_connections(loop):
+    connect = loop.create_connection
+
+    async def create_connection(*args, **kwargs):
+        await asyncio.sleep(CONNECT_SECONDS)
+        return await connect(*args, **kwargs)
+
+    loop.create_connection = create_connection
+
+
 def play_fleet(folder, scenario, **kwargs):
     """Run a coroutine function of a started `Fleet`; return the fleet."""
 
     async def main():
+        _slow_connections(asyncio.get_running_loop())
         fleet = Fleet(folder, **kwargs)
         await fleet.start()
         await scenario(fleet)
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -10,6 +10,7 @@
 from guavastream.relay.fingerprint import fingerprint
 from guavastream.relay.outcome import Lost, NotRun
 from guavastream.relay.pick import Report
+from guavastream.relay.server_watch import ServerWatch
 
 __all__ = ["Attempt", "Guard", "Held", "ServerAnswer"]
 
@@ -22,10 +23,6 @@
 # Longest wait for a grant that the book already shows.
 GRANT_SECONDS = 0.4
 POLL_SECONDS = 0.02
-# A server has ended if nobody listens at its address that often, spread over
-# that time.
-ENDED_TRIES = 4
-ENDED_SECONDS = 0.2
 SHORTEST_POLL = 0.001
 MISDIRECTED = 421
 
@@ -115,8 +112,8 @@
         Counts an event by name.
     keeper : KeyKeeper, optional
         Knows what servers hold that are granted keys by calls.
-    on_refused : callable, optional
-        Told the instance at whose address nobody listens.
+    on_ended : callable, optional
+        Told the instance that has ended.
     policy : Policy, optional
         Mechanisms that are in force.
     """
@@ -130,7 +127,7 @@
         door,
         count,
         keeper=None,
-        on_refused=lambda instance: None,
+        on_ended=lambda instance: None,
         policy=None,
     ):
         self._loop = loop
@@ -140,8 +137,8 @@
         self._keeper = keeper
         self._door = door
         self._count = count
-        self._on_refused = on_refused
         self._client = Client()
+        self._watch = ServerWatch(loop=loop, client=self._client, on_ended=on_ended)
         self._gate = Gate(loop=loop, policy=policy)
         self._id = self._here = ""
         self._held = None
@@ -178,28 +175,13 @@
             of_kind=gate.measured(kind),
         )
 
-    async def has_ended(self, instance):
-        """Whether the local server has ended, as far as its host can tell.
+    def note_heard(self, id):
+        """Note that a life of the local server spoke for itself."""
+        self._watch.note_heard(id)
 
-        Notes
-        -----
-        A server that is only full, or about to leave, still has connections
-        of ours open; all of them end with its process. Nobody listens at its
-        address either, at any of some tries.
-        """
-        for _ in range(ENDED_TRIES):
-            if self._gate.running or self._client.count_open(instance.address):
-                return False
-            try:
-                exchange = await self._client.open(instance.address, fresh=True)
-            except NotSent as error:
-                if not error.refused:
-                    return False
-            else:
-                await exchange.__aexit__()
-                return False
-            await asyncio.sleep(ENDED_SECONDS / ENDED_TRIES)
-        return True
+    def note_refused(self, instance):
+        """Note that nobody listens at the local server's address."""
+        self._watch.note_refused(instance)
 
     def take_key_counts(self):
         """Return requests by key since the last call, and forget them."""
@@ -256,6 +238,8 @@
             # a server that has time for them.
             self._keys[attempt.key] = self._keys.get(attempt.key, 0) + 1
         self._check_leaving(instance)
+        if self._watch.is_over(instance.id):
+            raise NotRun("unreachable")
         if attempt.key is not None:
             await self._check_key(attempt)
         gate = self._gate
@@ -288,6 +272,7 @@
             self._at_server.pop(attempt.id, None)
             seconds = None
             if exchange is not None:
+                self._watch.finish(exchange)
                 exchange.close()
                 seconds = self._clock() - began
             gate.leave(usual, kind=attempt.kind, seconds=seconds)
@@ -366,10 +351,12 @@
     async def _exchange(self, instance, attempt, *, fresh):
         exchange = await self._open(instance, attempt, fresh=fresh)
         sent_at = self._clock()
+        self._watch.begin(instance.id, exchange)
         try:
             answer = await self._ask(exchange, instance, attempt)
             self._judge(answer)
         except CutOff as cut:
+            self._watch.finish(exchange)
             exchange.close()
             stale = exchange.reused and self._may_repeat(exchange, attempt)
             self._log_cut(instance, attempt, exchange, cut, sent_at, stale)
@@ -377,6 +364,7 @@
                 raise _Stale from None
             raise Lost("answer_lost") from None
         except BaseException:
+            self._watch.finish(exchange)
             exchange.close()
             raise
         return exchange, ServerAnswer(answer=answer)
@@ -411,7 +399,7 @@
         except NotSent as error:
             self._count("server_unreachable")
             if error.refused:
-                self._on_refused(instance)
+                self._watch.note_refused(instance)
             raise NotRun("unreachable") from None
 
     async def _ask(self, exchange, instance, attempt):
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -51,6 +51,7 @@
         self.outbound = f"{self.ip}:1"
         self.books = TableHolder(codec=BookCodec())
         self.counts = {}
+        self.ended = []
         self.server = DialectServer(
             id=self.id, dialect=DIALECT, address=(self.ip, 3), seconds=SECONDS
         )
@@ -60,6 +61,7 @@
             books=self.books,
             door=self.inbound,
             count=self._count,
+            on_ended=self.ended.append,
         )
         self.ingress = Ingress(
             loop=loop,
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -269,18 +269,22 @@
     async def scenario(mesh):
         host = mesh.hosts[0]
         instance = mesh.book.instances[host.id]
-        assert not await host.guard.has_ended(instance)
+
+        async def seems_ended():
+            host.guard.note_refused(instance)
+            await asyncio.sleep(0.5)
+            return host.ended == [instance]
+
+        assert not await seems_ended()
         host.server.seconds = 2.0
         mesh.timeout("pay", 5.0)
         running = asyncio.ensure_future(mesh.ask(b"/pay/x", method=b"POST"))
         await asyncio.sleep(0.1)
         host.server.stop_listening()
-        if host.server.ran:
-            assert not await host.guard.has_ended(instance)
+        assert host.server.ran and not await seems_ended()
         await running
         await host.server.stop()
-        await asyncio.sleep(0.1)
-        assert await host.guard.has_ended(instance)
+        assert await seems_ended()
 
     play(scenario, hosts=1)
 
