What ran at a server that ended is not told as not run

Cause: a connection that breaks under a request that may repeat was taken for a kept one that the server had closed while idle; the request was sent again on a new one, nobody listened, and that second try spoke for both. In the ingress the last try spoke for all in the same way.

Now the end of a server under a request is a verdict of its own (502, may have run; another try waits for the key's next owner), told by one look at the address for all connections that break together, and where any try may have run, the final answer says so.

--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -345,8 +345,13 @@
         try:
             return await self._exchange(instance, attempt, fresh=False)
         except _Stale:
-            # The server had closed the connection while it was idle.
-            return await self._exchange(instance, attempt, fresh=True)
+            # Most likely the server had closed the connection while it was idle; but
+            # it may have ended in the middle of the request.
+            try:
+                return await self._exchange(instance, attempt, fresh=True)
+            except NotRun as error:
+                same = error.code == "server_refused"
+                raise Lost("answer_lost" if same else "server_ended") from None
 
     async def _exchange(self, instance, attempt, *, fresh):
         exchange = await self._open(instance, attempt, fresh=fresh)
@@ -362,7 +367,8 @@
             self._log_cut(instance, attempt, exchange, cut, sent_at, stale)
             if stale:
                 raise _Stale from None
-            raise Lost("answer_lost") from None
+            gone = await self._watch.is_gone(instance)
+            raise Lost("server_ended" if gone else "answer_lost") from None
         except BaseException:
             self._watch.finish(exchange)
             exchange.close()
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -150,7 +150,11 @@
                 finally:
                     self._limits.discard(limit)
         except NotRun as refused:
-            await self._refuse(responder, job, refused)
+            if job is not None and job.lost:
+                # The answer speaks for all tries, not for the last one.
+                await self._fail(responder, job, job.lost[-1])
+            else:
+                await self._refuse(responder, job, refused)
         except Lost as lost:
             await self._fail(responder, job, lost.code)
         except TimeoutError:
@@ -200,6 +204,7 @@
                 failure, code = error, error.code
             except Lost as error:
                 failure, code = error, error.code
+                job.lost.append(code)
             verdict = VERDICTS[code]
             self._count(f"tries.{code}")
             # One that waits for a new owner asks many times a second.
--- a/guavastream/relay/job.py
+++ b/guavastream/relay/job.py
@@ -40,8 +40,8 @@
     asked at `first`, perhaps in an earlier request, and gives up at `gives_up`
     (None if it did not say).
     `sent` are the servers to which it went and that did not say that it has
-    not run, `failed` the statuses of those that failed it, `drawn` the servers
-    among which the last one was chosen.
+    not run, `failed` the statuses of those that failed it, `lost` the codes of tries
+    that may have run, `drawn` the servers among which the last one was chosen.
     """
 
     id: bytes
@@ -65,6 +65,7 @@
     deadline: float
     failed: list = msgspec.field(default_factory=list)
     sent: list = msgspec.field(default_factory=list)
+    lost: list = msgspec.field(default_factory=list)
     drawn: list = msgspec.field(default_factory=list)
 
     @property
--- a/guavastream/relay/outcome.py
+++ b/guavastream/relay/outcome.py
@@ -44,6 +44,9 @@
     ),
     # May have run.
     "answer_lost": Verdict(status=502, elsewhere=True, arrived=True),
+    "server_ended": Verdict(
+        status=502, awaits_owner=True, elsewhere=True, arrived=True
+    ),
     "server_failed": Verdict(status=500, elsewhere=True, arrived=True),
     "no_answer": Verdict(status=504, arrived=True),
 }
--- a/guavastream/relay/server_watch.py
+++ b/guavastream/relay/server_watch.py
@@ -43,6 +43,7 @@
         self._heard_at = {}
         self._ended = ""
         self._confirming = None
+        self._look = None
 
     def is_over(self, id):
         """Whether a life of the server is known to have ended."""
@@ -69,6 +70,26 @@
         if self._confirming is None or self._confirming.done():
             self._confirming = asyncio.ensure_future(self._confirm(instance))
 
+    async def is_gone(self, instance):
+        """Whether nobody listens at the server's address right now.
+
+        Connections that break together are followed by one look for all of them.
+        """
+        if self._look is None or self._look.done():
+            self._look = asyncio.ensure_future(self._refuses(instance))
+        gone = await asyncio.shield(self._look)
+        if gone:
+            self.note_refused(instance)
+        return gone
+
+    async def _refuses(self, instance):
+        try:
+            exchange = await self._client.open(instance.address, fresh=True)
+        except NotSent as error:
+            return error.refused
+        exchange.close()
+        return False
+
     async def _confirm(self, instance):
         began = self._loop.time()
         if not await self._has_ended(instance):
@@ -85,13 +106,7 @@
                 return False
             if self._client.count_open(instance.address):
                 return False
-            try:
-                exchange = await self._client.open(instance.address, fresh=True)
-            except NotSent as error:
-                if not error.refused:
-                    return False
-            else:
-                exchange.close()
+            if not await self._refuses(instance):
                 return False
             await asyncio.sleep(ENDED_SECONDS / ENDED_TRIES)
         return True
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -488,3 +488,37 @@
         assert seconds < (MOST_REFUSALS + 1) * SECONDS
 
     play(scenario, hosts=8)
+
+
+@pytest.mark.parametrize("path, method", [(b"/read/x", b"GET"), (b"/pay/x", b"POST")])
+def test_what_ran_at_a_server_that_ended_is_not_told_as_not_run(path, method):
+    """Guards against a 503, which says that nothing ran, for what a server began."""
+
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        # Leaves a kept connection, which might have been closed while idle.
+        assert (await mesh.ask(path, method=method))[0] == 200
+        asked = asyncio.ensure_future(mesh.ask(path, method=method))
+        await asyncio.sleep(SECONDS / 2)
+        assert len(host.server.ran) == 2
+        await host.server.stop()
+        assert (await asked)[0] == 502
+        assert (await mesh.ask(path, method=method))[0] == 503
+
+    play(scenario, hosts=1)
+
+
+def test_a_page_that_ran_and_finds_no_owner_then_is_not_told_as_not_run():
+    """Guards against a last try that speaks for an earlier one, which had run."""
+
+    async def scenario(mesh):
+        mesh.grant((0, 99, "i1"), (100, 199, "i2"))
+        owner = mesh.hosts[0]
+        asked = asyncio.ensure_future(mesh.ask(b"/read/x", headers=key(5), at=1))
+        await asyncio.sleep(SECONDS / 2)
+        assert len(owner.server.ran) == 1
+        await owner.server.stop()
+        mesh.apply(ReleaseKeys(service="s", owner="i1", rows=((0, 99, ""),)))
+        assert (await asked)[0] == 502
+
+    play(scenario, keyed=True)
