--- a/guavastream/hosts/tests/rig.py
+++ b/guavastream/hosts/tests/rig.py
@@ -12,7 +12,7 @@
 from guavastream.hosts import FleetSettings
 from guavastream.hosts.server_host import ServerHost
 from guavastream.http1 import Client, CutOff, NotSent
-from guavastream.relay import Dialect
+from guavastream.relay import Dialect, fingerprint
 from guavastream.routes import Part, Repeat, Route, ServiceRules
 from guavastream.standins import DialectServer, FakeNetwork, FakePeers, run_paused
 
@@ -53,6 +53,7 @@
     routes=(
         make_route("page", "pages", Repeat.SAFE),
         make_route("order", "orders", Repeat.UNSAFE),
+        make_route("load", "orders", Repeat.UPLOAD),
     ),
     services=(
         ServiceRules(name="pages", keyed=True),
@@ -70,6 +71,8 @@
     key: int | None = None
     body: bytes = b""
     harmful: bool = False
+    # Bytes before its chunks, one of these; None is a body of known length.
+    chunks: tuple = (None,)
     # When servers began to run it, and which lives ended under it.
     begun: list = field(default_factory=list)
     ended: list = field(default_factory=list)
@@ -97,16 +100,20 @@
         """Where callers send requests."""
         return f"{self.ip}:{OUTBOUND}"
 
+    @property
+    def peer(self):
+        """Where other processes call its process."""
+        return f"{self.ip}:{PEER}"
+
     async def start_process(self):
         """Start the process beside the server, which knows nothing yet."""
-        peer = f"{self.ip}:{PEER}"
         settings = FleetSettings(
             host=self.ip,
             zone="a",
             service=self.service,
             outbound=self.outbound,
             inbound=f"{self.ip}:{INBOUND}",
-            peer=peer,
+            peer=self.peer,
             seeds=self._fleet.core.seeds,
             heartbeat=HEARTBEAT,
         )
@@ -114,7 +121,7 @@
             settings=settings,
             dialect=DIALECT,
             key_dialect=None,
-            network=FakePeers(network=self._fleet.network, address=peer),
+            network=FakePeers(network=self._fleet.network, address=self.peer),
             clock=asyncio.get_running_loop().time,
         )
         await self.host.start()
@@ -124,14 +131,14 @@
         host, self.host = self.host, None
         await host.stop()
 
-    async def start_server(self):
+    async def start_server(self, *, port=SERVER):
         """Begin a new life of the server."""
         self.lives += 1
         self._rows = ()
         server = DialectServer(
-            id=f"{self.ip}-{self.lives}",
+            id=self.ip,
             dialect=DIALECT,
-            address=(self.ip, SERVER),
+            address=(self.ip, port),
             seconds=self.seconds,
         )
         if self.service == "pages":
@@ -143,10 +150,16 @@
 
     async def crash_server(self):
         """End the server's life as a crash does."""
+        server = self.silence_server()
+        if server is not None:
+            await server.stop()
+
+    def silence_server(self):
+        """Let the server send no heartbeats any more; return it."""
         server, self.server = self.server, None
         if server is not None:
             self._beating.cancel()
-            await server.stop()
+        return server
 
     def _holds(self, key):
         now = asyncio.get_running_loop().time()
@@ -158,7 +171,7 @@
         for seq in range(1, 10**6):
             sent = loop.time()
             beat = Beat(
-                id=server.id,
+                id=f"{server.id}~{self.lives}",
                 service=self.service,
                 host=self.ip,
                 door=f"{self.ip}:{INBOUND}",
@@ -170,6 +183,9 @@
                 seq=seq,
                 holds=tuple(row[:3] for row in self._rows),
                 released=released,
+                name=server.id,
+                born=self.lives,
+                version=self.version,
             )
             try:
                 answer = await self.host.beat(beat)
@@ -186,6 +202,16 @@
             await asyncio.sleep(pause)
 
 
+class _Pieces:
+    """Pieces of a body, one after the other."""
+
+    def __init__(self, pieces):
+        self._pieces = iter(pieces)
+
+    async def read(self):
+        return next(self._pieces)
+
+
 class Caller:
     """Sends requests under new ids."""
 
@@ -193,8 +219,13 @@
         self._client = Client()
         self._numbers = iter(range(1, 10**9))
 
-    async def ask(self, place, method, target, *, key=None, body=b"", seconds=TIMEOUT):
-        """Return the status of one request and its headers; 0 if it was cut."""
+    async def ask(
+        self, place, method, target, *, key=None, body=b"", seconds=TIMEOUT, chunks=None
+    ):
+        """Return the status of one request and its headers; 0 if it was cut.
+
+        With `chunks` the body comes in chunks, after this many bytes of it.
+        """
         fields = [
             (b"Host", b"a.example"),
             (DIALECT.request_id, b"%s-%d" % (target[1:4], next(self._numbers))),
@@ -205,7 +236,11 @@
         try:
             async with asyncio.timeout(seconds + 0.2):
                 async with await self._client.open(place.outbound) as exchange:
-                    exchange.send(method, target, fields, body)
+                    if chunks is None:
+                        exchange.send(method, target, fields, body)
+                    else:
+                        rest = _Pieces([body[chunks:], b""])
+                        exchange.send(method, target, fields, body[:chunks], rest)
                     answer = await exchange.answer()
                     await answer.body.read_up_to(1 << 20)
         except (NotSent, CutOff, TimeoutError):
@@ -241,9 +276,34 @@
             await place.start_server()
         await asyncio.sleep(6.0)
 
-    def place_of(self, server):
-        """Return the place of a server by its id."""
-        return next(p for p in self.places if p.server and p.server.id == server)
+    @property
+    def suspects(self):
+        """The suspect requests, as the leader knows them."""
+        return self.core.rafts[self.core.leader()]._machine.table.suspects
+
+    def is_refused(self, request):
+        """Whether the leader knows that a request is refused."""
+        print = fingerprint(
+            request.method, [(b"Host", b"a.example")], request.target, request.body
+        )
+        suspect = self.suspects.get(print)
+        return suspect is not None and suspect.refused
+
+    async def kill_all(self):
+        """Kill all processes, and start them again a second later."""
+        for place in self.places:
+            await place.kill_process()
+        for address in list(self.core.rafts):
+            self.core.kill(address)
+        await asyncio.sleep(1.0)
+        for address in self.core.addresses:
+            self.core.start(address, first=False)
+        for place in self.places:
+            await place.start_process()
+
+    def place_of(self, instance):
+        """Return the place of an instance of the book."""
+        return next(place for place in self.places if place.ip == instance.host)
 
     # Requests
 
@@ -259,7 +319,7 @@
         await asyncio.sleep(HARM_SECONDS)
         if place.server is not server:
             return
-        request.ended.append((self.now(), server.id))
+        request.ended.append((self.now(), f"{server.id}~{place.lives}"))
         await place.crash_server()
         await asyncio.sleep(DOWN_SECONDS)
         await place.start_server()
@@ -278,7 +338,12 @@
         """Send a recurring request once; return its status and headers."""
         place = place or self.rng.choice(self.places)
         status, headers = await self.caller.ask(
-            place, request.method, request.target, key=request.key, body=request.body
+            place,
+            request.method,
+            request.target,
+            key=request.key,
+            body=request.body,
+            chunks=self.rng.choice(request.chunks),
         )
         request.answers[status] += 1
         return status, headers
--- a/guavastream/hosts/tests/test_server_ends.py
+++ b/guavastream/hosts/tests/test_server_ends.py
@@ -29,7 +29,7 @@
     async def scenario(fleet):
         await ask_often(fleet, 1.0)
         owner = fleet.places[0].host.book.owner_of("pages", KEY)
-        await fleet.place_of(owner.id).crash_server()
+        await fleet.place_of(owner).crash_server()
         crashed_at = fleet.now()
         await ask_often(fleet, 4.0)
         after = [at for at in answered if at > crashed_at]
