Soak: requests that come again and again and end their servers

Two of them, a page with a key and an order, each twice a second at any host. Broken if one reaches servers more than 3 times later than 3 s after the third end while no fault was at work at control hosts and at its hosts.

--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -130,6 +130,7 @@
             for n, service in enumerate(names, 11)
         ]
         self._on_start = on_start
+        self._struck_at = {}
         self._seeds = [machine.address("control") for machine in self.control]
 
     # Processes
@@ -229,7 +230,7 @@
 
     # Callers and operators
 
-    async def ask(self, client, place, name, id, key, body):
+    async def ask(self, client, place, name, id, key, body, rest="x"):
         """Send a request to a host; return status and body, 0 if none came."""
         _, service, method = ROUTES[name]
         headers = [(b"Host", HOST), (b"Request-Id", id), (b"Deadline-Ms", b"2000")]
@@ -237,7 +238,7 @@
             headers.append((b"Shard-Key", b"%d" % key))
         address = place.machine.address("outbound")
         async with await client.open(address) as exchange:
-            exchange.send(method, f"/{name}/x".encode(), headers, body)
+            exchange.send(method, f"/{name}/{rest}".encode(), headers, body)
             answer = await exchange.answer()
             data, _ = await answer.body.read_up_to(1 << 24)
             return answer.status, data
@@ -254,6 +255,29 @@
 
     # Faults
 
+    def is_calm(self, places, seconds):
+        """Whether no fault struck a control host, or one of the places, for so long."""
+        machines = [*self.control, *(place.machine for place in places)]
+        since = asyncio.get_running_loop().time() - seconds
+        return not any(
+            machine.struck or self._struck_at.get(machine.name, 0.0) > since
+            for machine in machines
+        )
+
+    async def harm(self, place, server, seconds, *, silent):
+        """Let a server end under a request, and come back.
+
+        Its connections break, or are `silent` until the other end gives up.
+        """
+        if place.server is not server or server.state != "ready":
+            return
+        server.state = "ending"
+        if not silent:
+            place.proxy.cut_open()
+        await self.crash_server(place)
+        await asyncio.sleep(seconds)
+        self.start_server(place, again=True)
+
     async def strike(self, fault):
         """Let a fault happen and, where it ends by itself, end it."""
         if fault.group == "server":
@@ -305,6 +329,7 @@
             await restart()
         finally:
             machine.struck = False
+            self._struck_at[machine.name] = asyncio.get_running_loop().time()
 
     async def _strike_server(self, place, fault):
         server, proxy = place.server, place.proxy
--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -27,6 +27,16 @@
 # Share of the orders about keys that get no answer and are carried out later.
 LATE_ORDERS = 0.05
 MOST_BODY = 20000
+# Requests that end their servers: kinds of them, the pause between two of one, how
+# long a server runs one and is away, and since when a calm host must know, seconds.
+HARMFUL = ("read", "order")
+HARMFUL_KEY = 4711
+HARM_PAUSE = 0.5
+HARM_SECONDS = 0.01
+DOWN_SECONDS = 2.0
+# Share of the ends at which the server's connections do not break.
+SILENT_HARMS = 0.3
+TOUCH_SECONDS = 3.0
 
 
 class SoakFailure(GuavastreamError):
@@ -36,12 +46,16 @@
 
 
 class _Soak:
-    def __init__(self, *, seed, seconds, callers, folder, calm, granting):
+    def __init__(self, *, seed, seconds, callers, folder, calm, granting, harmful):
         self.ledger = Ledger()
         self.counts = {}
         self._rng = random.Random(seed)
         self._seconds = seconds
         self._callers = callers
+        self._harmful = HARMFUL if harmful else ()
+        # Where harmful requests came in, by their ids.
+        self._harmful_at = {}
+        self._harms = set()
         self._ids = iter(range(1, 10**9))
         self._world = World(
             folder=folder, on_start=self._watch, granting=granting, late=LATE_ORDERS
@@ -64,11 +78,14 @@
             work = [asyncio.ensure_future(self._call()) for _ in range(self._callers)]
             work += [asyncio.ensure_future(self._operate()) for _ in range(2)]
             work.append(asyncio.ensure_future(self._read()))
+            harm = [asyncio.ensure_future(self._recur(name)) for name in self._harmful]
             await self._strike_all()
+            for task in harm:
+                task.cancel()
             await self._recover()
-            for task in work:
+            for task in [*work, *harm]:
                 task.cancel()
-            for result in await asyncio.gather(*work, return_exceptions=True):
+            for result in await asyncio.gather(*work, *harm, return_exceptions=True):
                 if not isinstance(result, asyncio.CancelledError):
                     raise result
             # A request that was refused must not run later either.
@@ -110,6 +127,8 @@
 
         def on_run(entry, key):
             self.ledger.ran(*entry[:4], server=server.life, at=loop.time())
+            if entry[0] in self._harmful_at:
+                self._note_harm(entry, server)
             if key is None:
                 return
             others = [
@@ -135,23 +154,53 @@
             await self._ask(client, place, name, self._rng.randrange(65536))
             await asyncio.sleep(self._rng.expovariate(1 / CALLER_PAUSE))
 
-    async def _ask(self, client, place, name, key):
+    async def _ask(self, client, place, name, key, *, harmful=False):
         kind, _, method = ROUTES[name]
         id = b"q%d" % next(self._ids)
         size = self._rng.randrange(MOST_BODY) if method == b"POST" else 0
-        body = self._rng.randbytes(size)
-        target = f"/{name}/x".encode()
+        body, rest = self._rng.randbytes(size), "x"
+        if harmful:
+            body, rest = name.encode() * (method == b"POST"), "harm"
+            self._harmful_at[id] = place
+        target = f"/{name}/{rest}".encode()
         self.ledger.asked(id, method, target, body, repeatable=kind == "safe")
         status = 0
         try:
             async with asyncio.timeout(PATIENCE_SECONDS):
-                status, data = await self._world.ask(client, place, name, id, key, body)
+                status, data = await self._world.ask(
+                    client, place, name, id, key, body, rest
+                )
             self.ledger.answered(id, status, data, b"body of " + id)
         except (NotSent, CutOff, TimeoutError):
             pass
         self.counts[status] = self.counts.get(status, 0) + 1
         return status
 
+    async def _recur(self, name):
+        """Send one harmful request again and again, to any host."""
+        client = Client()
+        while True:
+            await asyncio.sleep(HARM_PAUSE)
+            place = self._rng.choice(self._world.places)
+            await self._ask(client, place, name, HARMFUL_KEY, harmful=True)
+
+    def _note_harm(self, entry, server):
+        places = [p for p in self._world.places if p.server is server]
+        places.append(self._harmful_at[entry[0]])
+        self.ledger.harmed(
+            entry[2],
+            asyncio.get_running_loop().time(),
+            calm=self._world.is_calm(places, TOUCH_SECONDS),
+        )
+        task = asyncio.ensure_future(self._harm(places[0], server))
+        self._harms.add(task)
+        task.add_done_callback(self._harms.discard)
+
+    async def _harm(self, place, server):
+        await asyncio.sleep(HARM_SECONDS)
+        silent = self._rng.random() < SILENT_HARMS
+        await self._world.harm(place, server, DOWN_SECONDS, silent=silent)
+
     # Operators
 
     async def _operate(self):
@@ -189,7 +238,14 @@
 
 
 def run_soak(
-    *, seed, seconds, callers=6, folder=None, calm=False, granting="heartbeat"
+    *,
+    seed,
+    seconds,
+    callers=6,
+    folder=None,
+    calm=False,
+    granting="heartbeat",
+    harmful=False,
 ):
     """Play one seed; return broken promises, counts of answers and faults.
 
@@ -208,6 +264,8 @@
     granting : str
         How servers are granted keys, "heartbeat" or "request" (by calls, some
         of which are carried out late).
+    harmful : bool
+        Whether some requests come again and again that end their servers.
 
     Raises
     ------
@@ -223,6 +281,7 @@
             folder=folder,
             calm=calm,
             granting=granting,
+            harmful=harmful,
         )
         return await soak.run(), soak.counts, len(soak.schedule)
 
@@ -251,6 +310,9 @@
         default="heartbeat",
         help="how servers are granted keys (heartbeat)",
     )
+    parser.add_argument(
+        "--harmful", action="store_true", help="with requests that end their servers"
+    )
     parser.add_argument("--folder", help="keep settings, data and logs here")
     return _soak
 
@@ -270,6 +332,7 @@
                 folder=folder,
                 calm=arguments.calm,
                 granting=arguments.granting,
+                harmful=arguments.harmful,
             )
         except SoakFailure as error:
             print(f"seed {seed}: {error}")
--- a/guavastream/soak/ledger.py
+++ b/guavastream/soak/ledger.py
@@ -10,6 +10,11 @@
 # a change is in force everywhere within the other, seconds.
 DRAIN_SECONDS = 2.0
 APPLY_SECONDS = 2.0
+# A request under which so many servers have ended is known to be harmful this long
+# after the last of them, seconds, and may reach servers so often after that.
+HARMED_SERVERS = 3
+KNOWN_SECONDS = 3.0
+HARMFUL_RUNS = 3
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -50,6 +55,7 @@
     left: dict = field(default_factory=dict)
     fences: dict = field(default_factory=dict)
     versions: list = field(default_factory=list)
+    harms: dict = field(default_factory=dict)
 
     def note(self, promise, detail):
         """Note a broken promise."""
@@ -96,6 +102,14 @@
         """Note that a server's departure was acknowledged."""
         self.left.setdefault(server, at)
 
+    def harmed(self, what, at, *, calm):
+        """Note that a server ends under a request, known by `what` when it recurs.
+
+        `calm` tells that no fault was at work where it came from and where it went,
+        so that its hosts had to know what others know.
+        """
+        self.harms.setdefault(what, []).append((at, calm))
+
     def accepted(self, version, at):
         """Note that a change was acknowledged."""
         self.versions.append((version, at))
@@ -110,7 +124,7 @@
 
     def verdict(self):
         """Return all broken promises."""
-        broken = list(self.broken)
+        broken = [*self.broken, *self._harmful()]
         for id, request in self.requests.items():
             told = f"{id!r} told {request.status} ran {request.runs} times"
             if request.runs > 1 and not request.repeatable:
@@ -121,3 +135,14 @@
                 detail = f"{told} {request.wrong}"
                 broken.append(Broken(promise="own whole answer", detail=detail))
         return broken
+
+    def _harmful(self):
+        for what, harms in self.harms.items():
+            ends = sorted(at for at, _ in harms)
+            if len(ends) < HARMED_SERVERS:
+                continue
+            known = ends[HARMED_SERVERS - 1] + KNOWN_SECONDS
+            late = sum(calm and at > known for at, calm in harms)
+            if late > HARMFUL_RUNS:
+                detail = f"{what!r} ran {late} times more, {len(ends)} servers ended"
+                yield Broken(promise="harmful requests are kept away", detail=detail)
