--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -33,7 +33,7 @@
 HARMFUL_KEY = 4711
 HARM_PAUSE = 0.5
 HARM_SECONDS = 0.01
-DOWN_SECONDS = 2.0
+DOWN_SECONDS = 1.0
 # Share of the ends at which the server's connections do not break.
 SILENT_HARMS = 0.3
 TOUCH_SECONDS = 3.0
--- a/guavastream/platform/tests/test_soak.py
+++ b/guavastream/platform/tests/test_soak.py
@@ -18,6 +18,6 @@
 def test_requests_that_end_their_servers_are_kept_away(tmp_path):
     """Guards against real processes that send one to server after server."""
     broken, counts, _ = run_soak(
-        seed=1, seconds=10, folder=tmp_path, calm=True, harmful=True
+        seed=1, seconds=12, folder=tmp_path, calm=True, harmful=True
     )
     assert broken == [] and counts[200] > 50 and counts[503] >= 10
