A command that cannot be applied is refused before it is in the log

Weighed: to skip what raises when it is applied. Then two versions of the code may keep different books for ever.

--- a/guavastream/control/leader.py
+++ b/guavastream/control/leader.py
@@ -40,9 +40,14 @@
         NotLeader
             If this voter does not lead. When it lost the lead meanwhile the
             command may still be committed later.
+        PeerFailure
+            If the command cannot be applied.
         """
         if not self._leading:
             raise NotLeader(leader=self._leader_address)
+        if kind == COMMAND:
+            # Once in the log it would end every voter, again at each start.
+            self._machine.check(data)
         future = self._loop.create_future()
         self._proposals.append((kind, data, future))
         self._wake.set()
--- a/guavastream/control/machine.py
+++ b/guavastream/control/machine.py
@@ -3,6 +3,8 @@
 from collections import deque
 
 from guavastream.control.voter import StateMachine
+from guavastream.exception import PeerFailure
+from guavastream.kernel import part_logger
 from guavastream.state import ShardTableCodec, decode_command
 
 __all__ = ["TableMachine"]
@@ -14,6 +16,8 @@
 # joins, and a dump made for each would cost the square of their number.
 BEHIND_COMMANDS = 200
 
+log = part_logger("control")
+
 
 class TableMachine(StateMachine):
     """Applies commands to a table and keeps the latest for watchers.
@@ -51,6 +55,15 @@
         """The table after the last command."""
         return self._table
 
+    def check(self, data):
+        try:
+            self._table.apply(self._table.index + 1, decode_command(data))
+        except Exception as error:
+            log.exception("A command that cannot be applied is refused.")
+            raise PeerFailure(
+                f"cannot be applied: {error!r}", code="bad_command"
+            ) from (error)
+
     def apply(self, index, data):
         if len(self._recent) == KEPT_COMMANDS:
             self._floor = self._recent[0][0]
--- a/guavastream/control/voter.py
+++ b/guavastream/control/voter.py
@@ -46,6 +46,9 @@
 class StateMachine:
     """What the log is applied to; the defaults keep nothing."""
 
+    def check(self, data):
+        """Raise an error if the command in `data` could not be applied now."""
+
     def apply(self, index, data):
         """Apply the command in `data` and return its result."""
 
