Soak: other writers send heartbeats that cannot be read or name what is not there

Eight kinds, one each 0.4 s, at any host: no JSON, nested ten thousand deep, fields missing or of another type, an unknown service or state, numbers out of range, a megabyte of text.

--- a/guavastream/platform/api.py
+++ b/guavastream/platform/api.py
@@ -28,7 +28,7 @@
     counters.count("bad_calls")
     for place in {_reason(finding) for finding in error.findings}:
         counters.count(f"bad_calls.{place}")
-    log.warning("A call was refused: %s.", error)
+    log.warning("A call was refused: %s", error)
     text = str(error).encode("utf-8", "replace")
     await responder.send(400, [(b"Content-Type", b"text/plain")], text + b"\n")
 
--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -10,7 +10,7 @@
 from guavastream.commands import command
 from guavastream.exception import GuavastreamError
 from guavastream.http1 import Client, CutOff, NotSent
-from guavastream.platform.emulator import ROUTES, World, make_route, until
+from guavastream.platform.emulator import ROUTES, World, call, make_route, until
 from guavastream.soak import Ledger, make_schedule
 
 __all__ = ["run_soak"]
@@ -19,6 +19,7 @@
 # Load and changes, seconds between two of one caller or operator.
 CALLER_PAUSE = 0.02
 CHANGE_PAUSE = 0.5
+STRAY_PAUSE = 0.4
 # A caller gives up on a request after this, seconds; its deadline is 2 s.
 PATIENCE_SECONDS = 3.0
 # Within this after the last fault all keys must be served again, seconds.
@@ -78,6 +79,7 @@
             work = [asyncio.ensure_future(self._call()) for _ in range(self._callers)]
             work += [asyncio.ensure_future(self._operate()) for _ in range(2)]
             work.append(asyncio.ensure_future(self._read()))
+            work.append(asyncio.ensure_future(self._write_strays()))
             harm = [asyncio.ensure_future(self._recur(name)) for name in self._harmful]
             await self._strike_all()
             for task in harm:
@@ -176,6 +178,29 @@
         self.counts[status] = self.counts.get(status, 0) + 1
         return status
 
+    async def _write_strays(self):
+        """Send heartbeats as other writers do; they name no server to use."""
+        rng = random.Random(len(self.schedule))
+        while True:
+            await asyncio.sleep(STRAY_PAUSE)
+            place = rng.choice(self._world.places)
+            told = {"Service": "plain", "Address": place.server.announced, "Slots": 8}
+            told |= {"State": "ready", "Seq": 10**6, "born": 1}
+            body = rng.choice(
+                (
+                    b"\xff\xfe not json",
+                    b"[" * 10_000,
+                    told | {"Service": "elsewhere"},
+                    told | {"Service": 7},
+                    told | {"State": "dancing"},
+                    told | {"Slots": -1, "Holds": [[0, 65535, 10**12]]},
+                    told | {"Zone": "z" * (1 << 20)},
+                    {name: told[name] for name in ("State", "Seq")},
+                )
+            )
+            address = place.machine.address("control")
+            await call(address, b"PUT", b"/api/instances/stray", body)
+
     async def _recur(self, name):
         """Send one harmful request again and again, to any host."""
         client = Client()
