Requests that wait for a lost owner do not all ask its host

Now one request of a host asks in 50 ms, as long as the owner could not be reached; the others go by its word or by a newer book. Weighed: a pause that grows (an owner whose host restarts is back after 1.1 s, and would be found late), and no asking at all before a newer book (a host that restarts changes no book).

--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -288,6 +288,8 @@
             if self._picker.is_silent(owner, job.route.name):
                 # It would wait out its time and end without an answer.
                 raise NotRun("silent", retry_after=USUAL_RETRY)
+            if not self._picker.may_ask(owner):
+                raise NotRun("unreachable", retry_after=USUAL_RETRY)
             return owner
         here = self._guard.here
         choices = self._lists.of(book.instances, job.service)
@@ -315,7 +317,9 @@
             job.sent.remove(server.id)
             if refused.code == "unreachable":
                 self._picker.note_unreachable(server)
-            elif refused.code in ("server_refused", "leaving"):
+            else:
+                self._picker.note_reached(server)
+            if refused.code in ("server_refused", "leaving"):
                 self._picker.note_answer(server, failed=True)
             raise
         except Lost:
--- a/guavastream/relay/pick.py
+++ b/guavastream/relay/pick.py
@@ -43,6 +43,9 @@
 # An unreachable host is passed over for this long, growing to the longest.
 FIRST_OUT_SECONDS = 0.4
 LONGEST_OUT_SECONDS = 3.0
+# An owner of keys that could not be reached is asked by one request of this process
+# in this time; the others wait for its word.
+PROBE_SECONDS = 0.05
 # Of a service's servers at most this share is passed over.
 MOST_OUT = 0.5
 # Servers that are drawn from all of a large service when those that this host
@@ -118,6 +121,7 @@
     burden_at: float = 0.0
     out_until: float = float("-inf")
     out_for: float = 0.0
+    probed_at: float = float("-inf")
 
 
 class Picker:
@@ -345,10 +349,30 @@
             seen.heard_at = now
             seen.out_for = 0.0
 
+    def may_ask(self, server):
+        """Whether a request may be sent to the only server that it can go to.
+
+        One that could not be reached is asked by one request at a time: some hundred
+        that wait for the same owner would each ask it some thirty times a second.
+        """
+        seen = self._of(server)
+        if not seen.out_for:
+            return True
+        now = self._clock()
+        if now - seen.probed_at < PROBE_SECONDS:
+            return False
+        seen.probed_at = now
+        return True
+
+    def note_reached(self, server):
+        """Note that a server's host has answered, whatever it said."""
+        self._of(server).out_for = 0.0
+
     def note_unreachable(self, server):
         """Pass over a server that could not be reached, for a growing time."""
         seen = self._of(server)
         longer = max(FIRST_OUT_SECONDS, 2 * seen.out_for)
+        seen.probed_at = self._clock()
         seen.out_for = min(LONGEST_OUT_SECONDS, longer)
         seen.out_until = self._clock() + seen.out_for
 
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -82,10 +82,15 @@
             limits=Limits(head_bytes=2000, body_bytes=4 << 20, head_seconds=1.0),
         )
         self.hops = HopDoor(loop=loop, dialect=DIALECT, guard=self.guard)
+        self.hops_asked = 0
         self.back = Server(
-            address=(self.ip, 2), handler=self.hops.handle, holds_bodies=True
+            address=(self.ip, 2), handler=self._take_hop, holds_bodies=True
         )
 
+    async def _take_hop(self, request, responder):
+        self.hops_asked += 1
+        await self.hops.handle(request, responder)
+
     def _count(self, name):
         self.counts[name] = self.counts.get(name, 0) + 1
 
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -522,3 +522,43 @@
         assert (await asked)[0] == 502
 
     play(scenario, keyed=True)
+
+
+def test_requests_that_wait_for_a_lost_owner_do_not_all_ask_its_host():
+    """Guards against hundreds of hops a second that end in a refusal known before."""
+
+    async def scenario(mesh):
+        mesh.grant((0, 99, "i1"), (100, 199, "i2"))
+        owner = mesh.hosts[0]
+        await owner.server.stop()
+        assert (await mesh.ask(b"/read/x", headers=key(5), at=1))[0] == 503
+        before = owner.hops_asked
+        asked = [
+            asyncio.ensure_future(mesh.ask(b"/read/%d" % n, headers=key(5), at=1))
+            for n in range(40)
+        ]
+        answers = await asyncio.gather(*asked)
+        # They wait for 0.3 s of the second that they have.
+        assert {status for status, *_ in answers} == {503}
+        assert owner.hops_asked - before <= 10
+
+    play(scenario, keyed=True)
+
+
+def test_a_key_is_asked_for_again_once_its_owner_s_host_is_back():
+    """Guards against an owner that is passed over for long after a short absence."""
+
+    async def scenario(mesh):
+        mesh.grant((0, 99, "i1"), (100, 199, "i2"))
+        owner = mesh.hosts[0]
+        owner.back.stop_listening()
+        for connection in list(owner.back._connections):
+            connection.end()
+        lost = asyncio.ensure_future(mesh.ask(b"/read/x", headers=key(5), at=1))
+        await asyncio.sleep(0.1)
+        await owner.back.start()
+        assert (await lost)[0] == 200
+        status, _, _, seconds = await mesh.ask(b"/read/x", headers=key(5), at=1)
+        assert status == 200 and seconds < 2 * SECONDS
+
+    play(scenario, keyed=True)
