Connections that end under a request are told in a line and counted

One warning now names the request, what ended it, whether it had been begun, whether all of it had come and how much of the answer was out; a counter by cause. Between hosts, the one that asks says how old the broken request was and whether its connection was a kept one. No behaviour changes.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -180,6 +180,7 @@
             handler=self._ingress.handle,
             most=MOST_CALLERS,
             note_refused=lambda status: self.counters.count(f"rejected.{status}"),
+            note_cut=lambda cut: self._note_cut("caller", cut),
         )
         self._inbound = Server(
             address=parse_address(settings.inbound),
@@ -188,6 +189,7 @@
                 head_bytes=1 << 20, body_bytes=1 << 30, idle_seconds=HOP_IDLE_SECONDS
             ),
             holds_bodies=True,
+            note_cut=lambda cut: self._note_cut("host", cut),
         )
         desk = RelayDesk(
             transport=self._transport,
@@ -267,6 +269,26 @@
         else:
             log.info("A control host answers again.")
 
+    def _note_cut(self, peer, cut):
+        """Say that a connection of a caller or a host ended under its request."""
+        self.counters.count(f"cut.{peer}.{cut.why}")
+        headers = cut.request.headers
+        log.warning(
+            "A connection was ended under a request.",
+            extra={
+                "request": headers.get(self._dialect.request_id.lower()).decode(
+                    "latin-1"
+                ),
+                "peer": peer,
+                "why": cut.why,
+                "begun": cut.begun,
+                "whole": cut.whole,
+                "answered": cut.answered,
+                "stopping": self.stopping,
+                "version": self._books.table.config.version,
+            },
+        )
+
     def _note_late(self, size):
         self.counters.count("late_answers")
         self.counters.count("late_answer_bytes", size)
--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -17,7 +17,7 @@
 )
 from guavastream.kernel import TimeLimit, part_logger
 
-__all__ = ["Limits", "Request", "Responder", "Server"]
+__all__ = ["Cut", "Limits", "Request", "Responder", "Server"]
 
 log = part_logger("http")
 
@@ -38,6 +38,22 @@
     idle_seconds: float = 15.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class Cut:
+    """A connection that was ended here under a request without a whole answer.
+
+    `why` is what ended it, `begun` whether its handler had been called, `whole`
+    whether all of the request had come, `answered` how much of the answer had been
+    written: none or part.
+    """
+
+    request: object
+    why: str
+    begun: bool
+    whole: bool
+    answered: str
+
+
 class Request:
     """One request: its head, and its body as it comes.
 
@@ -88,8 +104,15 @@
         self._chunked = False
         self._left = 0
         self.started = False
+        # Whether all of the answer was written.
+        self.whole = False
         self.status = 0
 
+    @property
+    def request(self):
+        """What it answers."""
+        return self._request
+
     def go_ahead(self):
         """Ask for the body, if the peer holds it back until then."""
         self._connection.go_ahead(self._request)
@@ -97,6 +120,7 @@
     async def send(self, status, headers=(), body=b"", *, reason=b""):
         """Send a whole answer."""
         await self.start(status, headers, length=len(body), reason=reason, first=body)
+        self.finish()
 
     async def start(self, status, headers, *, length=None, reason=b"", first=b""):
         """Send the head; without `length` the body goes in chunks."""
@@ -112,6 +136,7 @@
             fields.append((b"Content-Length", b"%d" % length))
         if connection.closes_after(self._request):
             fields.append((b"Connection", b"close"))
+        self._left = (length or 0) - len(first)
         line = b"HTTP/1.1 %d %s" % (status, reason)
         connection.write(format_head(line, fields) + first)
         await connection.drain()
@@ -120,19 +145,21 @@
         """Send a piece of the body."""
         if not data:
             return
+        self._left -= len(data)
         if self._chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
         self._connection.write(data)
         await self._connection.drain()
 
     def finish(self):
-        """End a body that goes in chunks."""
+        """Note that all of the body was written."""
         if self._chunked:
             self._connection.write(b"0\r\n\r\n")
+        self.whole = self._chunked or self._left == 0
 
-    def abort(self):
+    def abort(self, why="handler"):
         """Reset the connection: what was begun must not look whole."""
-        self._connection.abort()
+        self._connection.cut(why)
 
 
 class _Connection(FlowProtocol):
@@ -144,6 +171,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._requests = deque()
         self._task = None
+        self._responder = None
+        self._lost = False
         self._refusal = 0
         self._current = None
         self._target = b""
@@ -182,6 +211,7 @@
 
     def connection_lost(self, error):
         super().connection_lost(error)
+        self._lost = True
         self._fail_bodies()
         self._server.closed(self)
         if self._task is not None:
@@ -257,6 +287,7 @@
     # The task
 
     async def _run(self):
+        why = "ended"
         try:
             while await self._next():
                 request = self._requests.popleft()
@@ -264,12 +295,13 @@
                 if not await self._serve(request):
                     break
         except asyncio.CancelledError:
-            pass
+            why = "cancelled"
         except Exception:
             log.exception("A connection failed.")
-            self.abort()
+            self.cut("error")
         finally:
             self._task = None
+            self._note_cuts(why)
             if self._transport is not None:
                 self._transport.close()
 
@@ -301,7 +333,7 @@
     async def _serve(self, request):
         self.busy = True
         self._server.used(self)
-        responder = Responder(connection=self, request=request)
+        responder = self._responder = Responder(connection=self, request=request)
         try:
             await self._server.handler(request, responder)
         finally:
@@ -344,15 +376,45 @@
 
     def end(self):
         """End the connection, with a reset if a request is in progress."""
+        self._note_cuts("stopped")
         if self.busy:
             self.abort()
         elif self._transport is not None:
             self._transport.close()
 
+    def cut(self, why):
+        """Reset the connection under its requests."""
+        self._note_cuts(why)
+        self.abort()
+
     def wake(self):
         """Look again whether the server is closing."""
         self._arrived.set()
 
+    def _note_cuts(self, why):
+        """Tell of the requests that this connection leaves without a whole answer."""
+        responder, self._responder = self._responder, None
+        waiting = list(self._requests)
+        self._requests.clear()
+        if self._lost:
+            # The caller has ended it.
+            return
+        if responder is not None and not responder.whole:
+            answered = "part" if responder.started else "none"
+            self._note_cut(responder.request, why, begun=True, answered=answered)
+        for request in waiting:
+            self._note_cut(request, why, begun=False, answered="none")
+
+    def _note_cut(self, request, why, *, begun, answered):
+        cut = Cut(
+            request=request,
+            why=why,
+            begun=begun,
+            whole=request.body.ended,
+            answered=answered,
+        )
+        self._server.note_cut(cut)
+
     def _refuse(self, status):
         self._refusal = self._refusal or status
         self._fail_bodies()
@@ -389,6 +451,8 @@
         Connections beyond which idle ones are ended, longest idle first.
     note_refused : callable, optional
         Told the status of each request that could not be read.
+    note_cut : callable, optional
+        Told the `Cut` of each request whose connection was ended here.
     holds_bodies : bool
         Whether the handler itself says when a body may come that its sender
         holds back; else it may come at once.
@@ -402,6 +466,7 @@
         limits=None,
         most=2000,
         note_refused=None,
+        note_cut=None,
         holds_bodies=False,
     ):
         self._address = address
@@ -415,6 +480,7 @@
         self.ends_idle = False
         self.holds_bodies = holds_bodies
         self.note_refused = note_refused or (lambda status: None)
+        self.note_cut = note_cut or (lambda cut: None)
 
     @property
     def address(self):
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -250,7 +250,7 @@
 
     async def _tell(self, responder, kind, code, retry_after=0.0):
         if responder.started:
-            responder.abort()
+            responder.abort(code)
             return
         headers = [
             (OWN + b"code", code.encode()),
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -166,7 +166,7 @@
             self._count(f"rejected.{bad.status}")
             await responder.send(bad.status)
         except CutOff:
-            responder.abort()
+            responder.abort("request_cut")
         except asyncio.CancelledError:
             # The caller left, perhaps to try again.
             if job is not None:
@@ -361,10 +361,12 @@
             hop = HopJob.of(job, server, now=self._clock())
             headers = [*job.headers, hop.header()]
             await self._send(exchange, job, server, headers)
+            sent_at = self._clock()
             try:
                 answer = await exchange.answer()
-            except CutOff:
+            except CutOff as cut:
                 self._client.forget(server.door)
+                self._log_cut(job, server, exchange, cut, sent_at)
                 raise Lost("answer_lost") from None
             report = read_report(answer)
             if report is not None:
@@ -383,6 +385,20 @@
 
             await self._pass_on(job, server, answer, read, responder)
 
+    def _log_cut(self, job, server, exchange, cut, sent_at):
+        self._count("cut_by_host")
+        log.warning(
+            "A connection to a host broke under a request.",
+            extra={
+                "request": job.id.decode("latin-1"),
+                "server": server.id,
+                "door": server.door,
+                "at_host_ms": round((self._clock() - sent_at) * 1e3),
+                "cut": str(cut),
+                "kept": exchange.reused,
+            },
+        )
+
     async def _send(self, exchange, job, server, headers):
         if job.stream is None and len(job.body) < LARGE_BYTES:
             exchange.send(job.method, job.target, headers, job.body)
@@ -446,7 +462,7 @@
         self._log_final(job, code)
         if responder.started:
             # What was begun must not look whole.
-            responder.abort()
+            responder.abort(code)
             return
         await responder.send(VERDICTS[code].status)
 
