--- a/guavastream/kernel/tests/test_waiting.py
+++ b/guavastream/kernel/tests/test_waiting.py
@@ -104,3 +104,28 @@
                 await signal.wait()
 
     run(main)
+
+
+def test_a_limit_that_has_struck_is_not_moved():
+    """Guards against a second cancellation, which is taken for one from elsewhere."""
+
+    async def main(loop):
+        limits = []
+
+        async def work():
+            try:
+                with TimeLimit(loop=loop, when=loop.time() + 1.0) as limit:
+                    limits.append(limit)
+                    # The end of another task takes a turn of the loop more.
+                    await asyncio.ensure_future(asyncio.sleep(5.0))
+            except TimeoutError:
+                await asyncio.sleep(0.5)
+                return "handled"
+
+        task = asyncio.ensure_future(work())
+        await asyncio.sleep(0)
+        # Due in the same turn as the limit, and right behind it.
+        loop.call_at(loop.time() + 1.0, lambda: limits[0].reschedule(loop.time()))
+        assert await task == "handled"
+
+    run(main)
--- a/guavastream/standins/__init__.py
+++ b/guavastream/standins/__init__.py
@@ -5,3 +5,4 @@
 from guavastream.standins.members import *
 from guavastream.standins.network import *
 from guavastream.standins.proxy import *
+from guavastream.standins.stalls import *
