A time limit that has struck is not moved and does not strike again

Callers of a stopping host (its limits are moved to the end of the grace time) whose deadline struck in the same turn had their connection closed without an answer: the second cancellation was counted as one from elsewhere, so that no TimeoutError was raised and the handler ended as if the caller had left. It takes a request whose end needs a turn more, such as an upload on its way to another host. The test failed before (CancelledError). A limit strikes once now; its block is about to end, which is all that a move could bring about.

--- a/guavastream/kernel/waiting.py
+++ b/guavastream/kernel/waiting.py
@@ -84,7 +84,9 @@
         return self._when
 
     def reschedule(self, when):
-        """Let the block end at another time."""
+        """Let the block end at another time, unless its time is over."""
+        if self._expired:
+            return
         self._when = when
         self._handle.cancel()
         self._handle = self._loop.call_at(when, self._expire)
