A body that was cut for its size never passes for whole

A body in chunks beyond MaxBodyBytes was refused, but its end was noted all the same if it came in the same read: the part of it that had been taken was passed on as the whole body, and run. Seen while the missing 413 was traced (a caller was told 200 for 4 of 8 KB). The test failed before. A body that has failed stays failed: what comes later cannot bring back what was dropped.

--- a/guavastream/http1/message.py
+++ b/guavastream/http1/message.py
@@ -150,9 +150,10 @@
         self._arrived.set()
 
     def feed_end(self):
-        """Note that the body is whole."""
-        self._ended = True
-        self._arrived.set()
+        """Note that the body is whole, unless a part of it was lost."""
+        if self._error is None:
+            self._ended = True
+            self._arrived.set()
 
     def fail(self, error):
         """Note that the body will never be whole."""
