No connection is closed as idle with a request that has come

Callers who came back near the end of the idle limit had their connection closed under a request that was read, or lay in the kernel: the timer and the request are due in one turn of the loop where it stood still, and the timer won. A limit that was raised did not reach connections that waited already, and one that was lowered would meet callers who know the old one. Now a connection ends only if nothing has come: what was read counts first, then what the kernel holds, by the limit of the last answer or the newest, whichever is longer. Ruled out as a cause of its own: two limits in one turn (TimeLimit counts them).

--- a/guavastream/http1/flow.py
+++ b/guavastream/http1/flow.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
 import struct
+import termios
 
 from guavastream.http1.message import tune_socket
 from guavastream.kernel import Signal
@@ -14,6 +16,7 @@
 READ_BYTES = 64 << 10
 # On, for no time: closing ends the connection with a reset.
 LINGER_NONE = struct.pack("ii", 1, 0)
+_INT = struct.Struct("i")
 
 
 class FlowProtocol(asyncio.Protocol):
@@ -47,6 +50,14 @@
         if not self._transport.is_closing():
             self._transport.write(data)
 
+    def has_unread(self):
+        """Whether bytes of the peer have come that were not read yet."""
+        sock = self._transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return False
+        unread = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(_INT.size))
+        return _INT.unpack(unread)[0] > 0
+
     async def drain(self):
         """Wait while the peer does not read."""
         await self._writable.wait()
--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -1,6 +1,7 @@
 """Serving side: a task for each connection reads requests one by one."""
 
 import asyncio
+import contextlib
 import itertools
 from collections import deque
 from dataclasses import dataclass
@@ -24,6 +25,8 @@
 BACKLOG = 1024
 # Requests that a caller may send ahead on one connection before reading stops.
 MAX_AHEAD = 4
+# Time for the loop to read what has come already.
+UNREAD_SECONDS = 0.01
 # Fields that a request has once at most.
 ONCE = (b"host", b"content-length", b"transfer-encoding")
 
@@ -180,6 +183,7 @@
         self._head_bytes = 0
         self._body_bytes = 0
         self._head_since = None
+        self._idle_since = self._idle_allowed = 0.0
         self._in_head = True
         self.busy = False
 
@@ -307,29 +311,37 @@
 
     async def _next(self):
         """Wait for a request; return False when the connection is to end."""
-        limits = self._server.limits
+        self._idle_since = self._loop.time()
+        self._idle_allowed = self._server.limits.idle_seconds
         while not self._requests:
             if self._refusal:
                 await self._end_refused()
                 return False
             if self._server.ends_idle and self._head_since is None:
                 return False
-            self._arrived.clear()
-            started, allowed = self._head_since, limits.head_seconds
-            if started is None:
-                started, allowed = self._loop.time(), limits.idle_seconds
-            try:
-                with TimeLimit(loop=self._loop, when=started + allowed):
-                    await self._arrived.wait()
-            except TimeoutError:
-                if self._head_since is None:
-                    return False
-                if self._loop.time() - self._head_since >= limits.head_seconds:
+            until = self._patient_until()
+            if self._loop.time() >= until:
+                if self._head_since is not None:
                     self._refusal = 408
-                    await self._end_refused()
+                    continue
+                if not self.has_unread():
                     return False
+                # What has come in time is read in the next turn of the loop.
+                until = self._loop.time() + UNREAD_SECONDS
+            self._arrived.clear()
+            with contextlib.suppress(TimeoutError):
+                with TimeLimit(loop=self._loop, when=until):
+                    await self._arrived.wait()
         return True
 
+    def _patient_until(self):
+        """Return the time at which the caller has taken too long."""
+        limits = self._server.limits
+        if self._head_since is not None:
+            return self._head_since + limits.head_seconds
+        # A caller knows the limit of its last answer, or the newest one.
+        return self._idle_since + max(self._idle_allowed, limits.idle_seconds)
+
     async def _serve(self, request):
         self.busy = True
         self._server.used(self)
