The limit of a head counts from its first byte

A caller that began a head on an idle connection got the rest of the idle limit for it (6 s where 3 s are allowed), since the wait had begun before; a head that began behind another request in one piece counted as idle. The wait now starts anew with the first byte. Both tests failed before: 200 where 408 is due.

--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -199,8 +199,6 @@
             return
         if self._in_head:
             self._head_bytes += len(data)
-            if self._head_since is None:
-                self._head_since = self._loop.time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -209,6 +207,9 @@
             self._refuse(400)
         if self._in_head and self._head_bytes > self._server.limits.head_bytes:
             self._refuse(431)
+        if self._head_since is not None:
+            # Its limit counts from now on, not that of an idle connection.
+            self._arrived.set()
 
     def eof_received(self):
         return False
@@ -227,6 +228,7 @@
         self._target = b""
         self._headers = Headers()
         self._in_head = True
+        self._head_since = self._loop.time()
 
     def on_url(self, url):
         self._target += url
