Callers are told for how long their connection is kept

Nothing said how long a caller may count on an open connection; one that guessed sent as it was closed. Answers carry Keep-Alive with four fifths of the idle limit in whole seconds (none under one second, and none between hosts, which know it). With it: the wait for a request does not compare times, which a clock that rounds down never lets end (found as a test on a paused clock that did not end, since the change of the idle limit); whether its time was over is what the timer says.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -189,6 +189,8 @@
                 head_bytes=1 << 20, body_bytes=1 << 30, idle_seconds=HOP_IDLE_SECONDS
             ),
             holds_bodies=True,
+            # Hosts know it, and bytes between availability zones cost.
+            tells_idle=False,
             note_cut=lambda cut: self._note_cut("host", cut),
         )
         desk = RelayDesk(
--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -1,7 +1,6 @@
 """Serving side: a task for each connection reads requests one by one."""
 
 import asyncio
-import contextlib
 import itertools
 from collections import deque
 from dataclasses import dataclass
@@ -27,6 +26,9 @@
 MAX_AHEAD = 4
 # Time for the loop to read what has come already.
 UNREAD_SECONDS = 0.01
+# Share of the idle limit that callers are told; the rest is for the way, and for a
+# host that stands still.
+COUNTED_SHARE = 0.8
 # Fields that a request has once at most.
 ONCE = (b"host", b"content-length", b"transfer-encoding")
 
@@ -139,6 +141,9 @@
             fields.append((b"Content-Length", b"%d" % length))
         if connection.closes_after(self._request):
             fields.append((b"Connection", b"close"))
+        elif connection.keep_seconds:
+            value = b"timeout=%d" % connection.keep_seconds
+            fields.append((b"Keep-Alive", value))
         self._left = (length or 0) - len(first)
         line = b"HTTP/1.1 %d %s" % (status, reason)
         connection.write(format_head(line, fields) + first)
@@ -322,18 +327,25 @@
             if self._server.ends_idle and self._head_since is None:
                 return False
             until = self._patient_until()
-            if self._loop.time() >= until:
-                if self._head_since is not None:
-                    self._refusal = 408
-                    continue
-                if not self.has_unread():
-                    return False
-                # What has come in time is read in the next turn of the loop.
-                until = self._loop.time() + UNREAD_SECONDS
-            self._arrived.clear()
-            with contextlib.suppress(TimeoutError):
-                with TimeLimit(loop=self._loop, when=until):
-                    await self._arrived.wait()
+            if await self._arrives(until) or self._patient_until() > until:
+                continue
+            if self._head_since is not None:
+                self._refusal = 408
+            elif not self.has_unread():
+                return False
+            elif not await self._arrives(self._loop.time() + UNREAD_SECONDS):
+                return False
+        return True
+
+    async def _arrives(self, until):
+        """Wait until something arrives; return False if nothing did in time."""
+        self._arrived.clear()
+        try:
+            with TimeLimit(loop=self._loop, when=until):
+                await self._arrived.wait()
+        except TimeoutError:
+            # It may have come in the very turn in which the time was over.
+            return self._arrived.is_set()
         return True
 
     def _patient_until(self):
@@ -383,6 +395,13 @@
             or not request.body.ended
         )
 
+    @property
+    def keep_seconds(self):
+        """Whole seconds for which callers may count on the connection, 0 if none."""
+        if not self._server.tells_idle:
+            return 0
+        return int(self._server.limits.idle_seconds * COUNTED_SHARE)
+
     @property
     def idle(self):
         """Whether nothing of a request has come that is not answered."""
@@ -467,6 +486,8 @@
         Told the status of each request that could not be read.
     note_cut : callable, optional
         Told the `Cut` of each request whose connection was ended here.
+    tells_idle : bool
+        Whether answers say how long their connection is kept.
     holds_bodies : bool
         Whether the handler itself says when a body may come that its sender
         holds back; else it may come at once.
@@ -481,6 +502,7 @@
         most=2000,
         note_refused=None,
         note_cut=None,
+        tells_idle=True,
         holds_bodies=False,
     ):
         self._address = address
@@ -493,6 +515,7 @@
         self.closing = False
         self.ends_idle = False
         self.holds_bodies = holds_bodies
+        self.tells_idle = tells_idle
         self.note_refused = note_refused or (lambda status: None)
         self.note_cut = note_cut or (lambda cut: None)
 
