A connection ends only after an answer that says so, with nothing read behind it

Requests that were read and waited behind another on their connection were dropped when the host began to stop, or when what followed them could not be read; and a stop that began between an answer's head and its end closed a connection whose answer had not said so. Whether to close is decided once, in the head of the answer, and not while more is waiting: the last one says it.

--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -109,6 +109,8 @@
         self._chunked = False
         self._left = 0
         self.started = False
+        # Whether the answer says that its connection ends.
+        self.closes = False
         # Whether all of the answer was written.
         self.whole = False
         self.status = 0
@@ -139,7 +141,8 @@
             fields.append((b"Transfer-Encoding", b"chunked"))
         elif status not in (204, 304):
             fields.append((b"Content-Length", b"%d" % length))
-        if connection.closes_after(self._request):
+        self.closes = connection.closes_after(self._request)
+        if self.closes:
             fields.append((b"Connection", b"close"))
         elif connection.keep_seconds:
             value = b"timeout=%d" % connection.keep_seconds
@@ -364,12 +367,7 @@
             await self._server.handler(request, responder)
         finally:
             self.busy = False
-        if self.closes_after(request):
-            return False
-        if not request.body.ended:
-            # The rest of this body must not be read as the next request.
-            return False
-        return True
+        return responder.whole and not responder.closes
 
     async def _end_refused(self):
         self._server.note_refused(self._refusal)
@@ -388,12 +386,11 @@
 
     def closes_after(self, request):
         """Whether the connection ends after the answer to `request`."""
-        return (
-            not request.keep_alive
-            or self._server.closing
-            or bool(self._refusal)
-            or not request.body.ended
-        )
+        if not request.keep_alive or not request.body.ended:
+            # The rest of a body must not be read as the next request.
+            return True
+        # What was sent ahead is answered too, and a refusal closes with its own answer.
+        return self._server.closing and not self._requests and not self._refusal
 
     @property
     def keep_seconds(self):
