A connection is closed only after its caller has stopped sending

Callers who were refused while their body was on its way (no configuration, no route, stopping, too large; 300 KB and more, or less on a slow way) met a reset that overtook the answer: closing with bytes unread makes the kernel send one. The connection now says that nothing follows, and reads and drops what still comes, for 2 s at most and on 200 connections at a time. The same for connections closed as idle: a request that crosses meets an end, not a reset.

--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -26,6 +26,10 @@
 MAX_AHEAD = 4
 # Time for the loop to read what has come already.
 UNREAD_SECONDS = 0.01
+# Time after its last answer in which a connection reads what its caller still sends,
+# and connections that do so at a time.
+LINGER_SECONDS = 2.0
+MOST_LINGERING = 200
 # Share of the idle limit that callers are told; the rest is for the way, and for a
 # host that stands still.
 COUNTED_SHARE = 0.8
@@ -184,6 +188,8 @@
         self._task = None
         self._responder = None
         self._lost = False
+        self._leaves = self._lingers = False
+        self._end_of_linger = None
         self._refusal = 0
         self._current = None
         self._target = b""
@@ -203,7 +209,7 @@
         self._task = self._loop.create_task(self._run())
 
     def data_received(self, data):
-        if self._refusal:
+        if self._refusal or self._lingers:
             return
         if self._in_head:
             self._head_bytes += len(data)
@@ -225,6 +231,8 @@
     def connection_lost(self, error):
         super().connection_lost(error)
         self._lost = True
+        if self._end_of_linger is not None:
+            self._end_of_linger.cancel()
         self._fail_bodies()
         self._server.closed(self)
         if self._task is not None:
@@ -316,8 +324,23 @@
         finally:
             self._task = None
             self._note_cuts(why)
-            if self._transport is not None:
-                self._transport.close()
+            self._linger()
+
+    def _linger(self):
+        """Say that nothing follows, and read on for a while before closing.
+
+        Closed with bytes unread, or still to come, the connection is reset, and the
+        reset overtakes the answer (RFC 9112, 9.6).
+        """
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._lingers = True
+        self._resume()
+        self._transport.write_eof()
+        self._server.lingers(self)
+        self._end_of_linger = self._loop.call_later(
+            LINGER_SECONDS, self._transport.close
+        )
 
     async def _next(self):
         """Wait for a request; return False when the connection is to end."""
@@ -327,7 +350,8 @@
             if self._refusal:
                 await self._end_refused()
                 return False
-            if self._server.ends_idle and self._head_since is None:
+            ends_idle = self._leaves or self._server.ends_idle
+            if ends_idle and self._head_since is None:
                 return False
             until = self._patient_until()
             if await self._arrives(until) or self._patient_until() > until:
@@ -417,6 +441,11 @@
         self._note_cuts(why)
         self.abort()
 
+    def leave(self):
+        """End the connection as soon as it is idle."""
+        self._leaves = True
+        self.wake()
+
     def wake(self):
         """Look again whether the server is closing."""
         self._arrived.set()
@@ -506,6 +535,7 @@
         self._listener = None
         # In the order of their last use.
         self._connections = {}
+        self._lingering = {}
         self._most = most
         self.handler = handler
         self.limits = limits or Limits()
@@ -556,7 +586,7 @@
     async def stop(self):
         """Stop listening; end what is idle and cut what is not."""
         self._listener.close()
-        for connection in list(self._connections):
+        for connection in [*self._connections, *self._lingering]:
             connection.end()
 
     def opened(self, connection):
@@ -566,7 +596,7 @@
         if excess > 0:
             idle = (c for c in self._connections if c.idle)
             for other in list(itertools.islice(idle, excess)):
-                other.end()
+                other.leave()
 
     def used(self, connection):
         """Note that a request came on a connection."""
@@ -574,6 +604,14 @@
             del self._connections[connection]
             self._connections[connection] = None
 
+    def lingers(self, connection):
+        """Note a connection that only reads on, and end the oldest beyond the bound."""
+        self._connections.pop(connection, None)
+        self._lingering[connection] = None
+        if len(self._lingering) > MOST_LINGERING:
+            next(iter(self._lingering)).end()
+
     def closed(self, connection):
         """Forget a connection."""
         self._connections.pop(connection, None)
+        self._lingering.pop(connection, None)
