A body in chunks beyond the limit is told 413

The handler met the cut body and reset the connection, since it took it for a caller who had left, before the answer that says why could be written. What becomes of a request that did not come whole is the connection's to decide now: the refusal, if it knows one, else a reset, told as a cut. The test failed before (reset).

--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -389,9 +389,18 @@
         responder = self._responder = Responder(connection=self, request=request)
         try:
             await self._server.handler(request, responder)
+        except CutOff:
+            # The request did not come whole.
+            if not responder.started and self._refusal:
+                self._responder = None
+                await self._end_refused()
+                return False
         finally:
             self.busy = False
-        return responder.whole and not responder.closes
+        if not responder.whole:
+            self.cut("request_cut" if not request.body.ended else "unanswered")
+            return False
+        return not responder.closes
 
     async def _end_refused(self):
         self._server.note_refused(self._refusal)
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -165,8 +165,6 @@
         except BadRequest as bad:
             self._count(f"rejected.{bad.status}")
             await responder.send(bad.status)
-        except CutOff:
-            responder.abort("request_cut")
         except asyncio.CancelledError:
             # The caller left, perhaps to try again.
             if job is not None:
