A request whose handler fails is answered 500

An error nobody expects ended the connection without an answer; it is logged with its trace and told as 500, which promises nothing, unless an answer had begun. The test failed before.

--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -395,6 +395,10 @@
                 self._responder = None
                 await self._end_refused()
                 return False
+        except Exception:
+            log.exception("A request failed.")
+            if not responder.started:
+                await responder.send(500)
         finally:
             self.busy = False
         if not responder.whole:
