An answer that is written whole is not taken back

Where a time limit struck while a whole answer waited for its caller to read, the connection was reset and what was on its way with it. A whole answer is written at once and goes out under the connection's own patience (the idle limit), not the request's; only an answer that was begun and is not whole ends with a reset.

--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -1,6 +1,7 @@
 """Serving side: a task for each connection reads requests one by one."""
 
 import asyncio
+import contextlib
 import itertools
 from collections import deque
 from dataclasses import dataclass
@@ -115,10 +116,16 @@
         self.started = False
         # Whether the answer says that its connection ends.
         self.closes = False
-        # Whether all of the answer was written.
-        self.whole = False
+        self._ended = False
         self.status = 0
 
+    @property
+    def whole(self):
+        """Whether all of the answer was written."""
+        if self._chunked:
+            return self._ended
+        return self.started and self._left == 0
+
     @property
     def request(self):
         """What it answers."""
@@ -129,12 +136,16 @@
         self._connection.go_ahead(self._request)
 
     async def send(self, status, headers=(), body=b"", *, reason=b""):
-        """Send a whole answer."""
-        await self.start(status, headers, length=len(body), reason=reason, first=body)
+        """Send a whole answer; the connection sees to it that it goes out."""
+        self._begin(status, headers, length=len(body), reason=reason, first=body)
         self.finish()
 
     async def start(self, status, headers, *, length=None, reason=b"", first=b""):
         """Send the head; without `length` the body goes in chunks."""
+        self._begin(status, headers, length=length, reason=reason, first=first)
+        await self._connection.drain()
+
+    def _begin(self, status, headers, *, length, reason, first):
         self.started = True
         self.status = status
         connection = self._connection
@@ -154,7 +165,6 @@
         self._left = (length or 0) - len(first)
         line = b"HTTP/1.1 %d %s" % (status, reason)
         connection.write(format_head(line, fields) + first)
-        await connection.drain()
 
     async def write(self, data):
         """Send a piece of the body."""
@@ -170,7 +180,7 @@
         """Note that all of the body was written."""
         if self._chunked:
             self._connection.write(b"0\r\n\r\n")
-        self.whole = self._chunked or self._left == 0
+        self._ended = True
 
     def abort(self, why="handler"):
         """Reset the connection: what was begun must not look whole."""
@@ -404,7 +414,13 @@
         if not responder.whole:
             self.cut("request_cut" if not request.body.ended else "unanswered")
             return False
-        return not responder.closes
+        with contextlib.suppress(TimeoutError):
+            with TimeLimit.within(self._server.limits.idle_seconds, loop=self._loop):
+                await self.drain()
+                return not responder.closes
+        # The caller does not read.
+        self.abort()
+        return False
 
     async def _end_refused(self):
         self._server.note_refused(self._refusal)
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -249,6 +249,9 @@
         responder.finish()
 
     async def _tell(self, responder, kind, code, retry_after=0.0):
+        if responder.whole:
+            # Its time was over just as the answer went out.
+            return
         if responder.started:
             responder.abort(code)
             return
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -456,6 +456,9 @@
         await responder.send(VERDICTS[refused.code].status, headers)
 
     async def _fail(self, responder, job, code):
+        if responder.whole:
+            # Its time was over just as the answer went out.
+            return
         self._count(f"failed.{code}")
         self._log_final(job, code)
         if responder.started:
--- a/guavastream/relay/tests/test_hop.py
+++ b/guavastream/relay/tests/test_hop.py
@@ -58,7 +58,7 @@
 class Responder:
     """Keeps what it is told."""
 
-    started = False
+    started = whole = False
 
     def __init__(self):
         self.asked = False
