Soak: callers who come back on open connections, and cuts that hosts tell of

Callers use one connection to each host again and again, 0.3 to 0.6 of a short idle limit after its last answer, while hosts stand still for up to 2.5 s. A connection that ends in place of an answer breaks a promise, unless the host was stopped or killed then, or the caller itself was late. In all soaks every line of a host that says that it ended a connection under a request breaks one too.

--- a/guavastream/platform/emulator/machine.py
+++ b/guavastream/platform/emulator/machine.py
@@ -88,6 +88,8 @@
     process: object = None
     # Whether a fault is at work on the process.
     struck: bool = False
+    # Whether it is told to stop, or killed.
+    ending: bool = False
 
     def address(self, port):
         """Return IP:PORT of one of `PORTS`."""
@@ -106,6 +108,11 @@
             stderr=(self.folder / f"{self.name}.err").open("ab"),
         )
 
+    def log(self):
+        """Return what its processes have written."""
+        path = self.folder / f"{self.name}.log"
+        return path.read_text(errors="replace") if path.exists() else ""
+
     async def end(self, number=signal.SIGKILL):
         """Send a signal and wait until the process has ended."""
         if self.process.returncode is None:
--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -101,6 +101,8 @@
         How servers are granted keys, "heartbeat" or "request".
     late : float
         Share of the orders about keys that are carried out late.
+    idle : float, optional
+        Idle limit of callers' connections, seconds.
     on_start : callable
         Told each `BackendServer` before it begins to serve.
     """
@@ -113,6 +115,7 @@
         plain=2,
         granting="heartbeat",
         late=0.0,
+        idle=None,
         on_start=lambda server: None,
     ):
         # Addresses of this run's own, so that runs side by side do not meet.
@@ -121,6 +124,7 @@
         self.folder = folder
         self.granting = granting
         self._late = late
+        self._idle = idle
         self.control = [
             Machine(f"core-{n}", f"{net}.{n}", ports, folder) for n in (1, 2, 3)
         ]
@@ -147,7 +151,10 @@
 
     def make_config(self, version):
         """Return the first configuration, with servers granted keys as here."""
-        return make_config(version, granting=self.granting)
+        config = make_config(version, granting=self.granting)
+        if self._idle is not None:
+            config["Limits"]["IdleTimeout"] = f"{int(self._idle * 1000)}ms"
+        return config
 
     async def _sent_first(self):
         status, _ = await self.change(self.control[0], self.make_config(1), 0)
@@ -305,8 +312,7 @@
         await self._strike_process(machine, fault, restart)
 
     def _count_new_voters(self):
-        paths = [self.folder / f"{machine.name}.log" for machine in self.control]
-        return sum(path.read_text().count(NEW_VOTER) for path in paths)
+        return sum(machine.log().count(NEW_VOTER) for machine in self.control)
 
     async def _has_new_voters(self, before):
         return self._count_new_voters() > before
@@ -322,13 +328,14 @@
                 machine.process.send_signal(signal.SIGCONT)
                 return
             number = signal.SIGTERM if fault.kind == "stop" else signal.SIGKILL
+            machine.ending = True
             await machine.end(number)
             if fault.kind == "wipe":
                 shutil.rmtree(self.folder / machine.name)
             await asyncio.sleep(fault.seconds)
             await restart()
         finally:
-            machine.struck = False
+            machine.struck = machine.ending = False
             self._struck_at[machine.name] = asyncio.get_running_loop().time()
 
     async def _strike_server(self, place, fault):
--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -38,6 +38,15 @@
 # Share of the ends at which the server's connections do not break.
 SILENT_HARMS = 0.3
 TOUCH_SECONDS = 3.0
+# The connection ended in place of an answer.
+CUT_OFF = -1
+# Idle limit where callers come back on their connections, and the shares of it after
+# which they do; what is left of it must pass while a host stands still.
+SHORT_IDLE = 1.0
+COME_BACK = (0.3, 0.6)
+# A caller that was late by more than this itself is no witness, seconds.
+OWN_DELAY = 0.1
+READ_AND_CUT = "A connection was ended under a request."
 
 
 class SoakFailure(GuavastreamError):
@@ -47,7 +56,9 @@
 
 
 class _Soak:
-    def __init__(self, *, seed, seconds, callers, folder, calm, granting, harmful):
+    def __init__(
+        self, *, seed, seconds, callers, folder, calm, granting, harmful, returning
+    ):
         self.ledger = Ledger()
         self.counts = {}
         self._rng = random.Random(seed)
@@ -57,9 +68,14 @@
         # Where harmful requests came in, by their ids.
         self._harmful_at = {}
         self._harms = set()
+        self._returning = returning
         self._ids = iter(range(1, 10**9))
         self._world = World(
-            folder=folder, on_start=self._watch, granting=granting, late=LATE_ORDERS
+            folder=folder,
+            on_start=self._watch,
+            granting=granting,
+            late=LATE_ORDERS,
+            idle=SHORT_IDLE if returning else None,
         )
         counts = {
             "control": len(self._world.control),
@@ -80,6 +96,8 @@
             work += [asyncio.ensure_future(self._operate()) for _ in range(2)]
             work.append(asyncio.ensure_future(self._read()))
             work.append(asyncio.ensure_future(self._write_strays()))
+            for place in world.places * (self._callers if self._returning else 0):
+                work.append(asyncio.ensure_future(self._come_back(place)))
             harm = [asyncio.ensure_future(self._recur(name)) for name in self._harmful]
             await self._strike_all()
             for task in harm:
@@ -94,6 +112,10 @@
             await asyncio.sleep(PATIENCE_SECONDS)
         finally:
             await world.stop()
+        for place in world.places:
+            for line in place.machine.log().splitlines():
+                if READ_AND_CUT in line:
+                    self.ledger.note("what was read is answered", line)
         return self.ledger.verdict()
 
     async def _strike_all(self):
@@ -173,11 +195,30 @@
                     client, place, name, id, key, body, rest
                 )
             self.ledger.answered(id, status, data, b"body of " + id)
-        except (NotSent, CutOff, TimeoutError):
+        except CutOff:
+            status = CUT_OFF
+        except (NotSent, TimeoutError):
             pass
         self.counts[status] = self.counts.get(status, 0) + 1
         return status
 
+    async def _come_back(self, place):
+        """Use one connection to a host again and again, near its idle limit."""
+        loop, client = asyncio.get_running_loop(), Client()
+        while True:
+            pause = SHORT_IDLE * self._rng.uniform(*COME_BACK)
+            due = loop.time() + pause
+            await asyncio.sleep(pause)
+            in_time = loop.time() - due < OWN_DELAY
+            kept, process = client.idle_count > 0, place.machine.process
+            name = self._rng.choice(sorted(ROUTES))
+            status = await self._ask(client, place, name, self._rng.randrange(65536))
+            # A host that is stopped or killed may end what it has not read.
+            lives = process is place.machine.process and not place.machine.ending
+            if status == CUT_OFF and kept and in_time and lives:
+                detail = f"{name} at {place.machine.name}, {loop.time():.2f}"
+                self.ledger.note("who comes back is answered", detail)
+
     async def _write_strays(self):
         """Send heartbeats as other writers do; they name no server to use."""
         rng = random.Random(len(self.schedule))
@@ -271,6 +312,7 @@
     calm=False,
     granting="heartbeat",
     harmful=False,
+    returning=False,
 ):
     """Play one seed; return broken promises, counts of answers and faults.
 
@@ -291,6 +333,9 @@
         of which are carried out late).
     harmful : bool
         Whether some requests come again and again that end their servers.
+    returning : bool
+        Whether callers come back on connections whose idle limit is short, so that
+        hosts stand still beyond it.
 
     Raises
     ------
@@ -307,6 +352,7 @@
             calm=calm,
             granting=granting,
             harmful=harmful,
+            returning=returning,
         )
         return await soak.run(), soak.counts, len(soak.schedule)
 
@@ -338,6 +384,11 @@
     parser.add_argument(
         "--harmful", action="store_true", help="with requests that end their servers"
     )
+    parser.add_argument(
+        "--returning",
+        action="store_true",
+        help="with callers who come back on connections with a short idle limit",
+    )
     parser.add_argument("--folder", help="keep settings, data and logs here")
     return _soak
 
@@ -358,6 +409,7 @@
                 calm=arguments.calm,
                 granting=arguments.granting,
                 harmful=arguments.harmful,
+                returning=arguments.returning,
             )
         except SoakFailure as error:
             print(f"seed {seed}: {error}")
--- a/guavastream/platform/tests/test_soak.py
+++ b/guavastream/platform/tests/test_soak.py
@@ -21,3 +21,9 @@
         seed=1, seconds=12, folder=tmp_path, calm=True, harmful=True
     )
     assert broken == [] and counts[200] > 50 and counts[503] >= 10
+
+
+def test_callers_who_come_back_to_a_host_that_stood_still_are_answered(tmp_path):
+    """Guards against connections closed as idle with a request on them."""
+    broken, counts, _ = run_soak(seed=1, seconds=12, folder=tmp_path, returning=True)
+    assert broken == [] and counts[200] > 50
