Requests that are suspect take turns from the newest to the oldest

Callers of an innocent request that had been at two servers as they ended got 504 for every one of 15 tries, for as long as it came more often than it can run alone: turns went in the order of arrival, so that each came when most of its time was over, was cut off in the middle of its work, and never cleared.

--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -10,6 +10,7 @@
 from guavastream.relay.pick import Report
 from guavastream.relay.quarantine import Quarantine
 from guavastream.relay.server_client import ServerClient
+from guavastream.relay.turns import Turns
 
 __all__ = ["Attempt", "Guard", "Held"]
 
@@ -123,7 +124,7 @@
         )
         self.quarantine = Quarantine(clock=self._clock, books=books, count=count)
         # Held by the one request that runs of those that may be to blame.
-        self._alone = asyncio.Lock()
+        self._alone = Turns(loop=loop)
         self._gate = Gate(loop=loop, policy=policy)
         self._id = self._here = ""
         self._held = None
@@ -261,7 +262,7 @@
                 self._gate.leave(usual, kind=attempt.kind, seconds=seconds)
         finally:
             if alone:
-                self._alone.release()
+                self._alone.give_back()
 
     async def _wait_alone(self, attempt, instance):
         """Wait until no other request runs that may be to blame, if this one may be.
@@ -272,16 +273,16 @@
         standing = self.quarantine.check(attempt, instance)
         if standing is None or not standing.watched:
             return False
+        needed = max(LAST_SECONDS, self._gate.usual(attempt.kind))
         try:
-            with TimeLimit(loop=self._loop, when=attempt.deadline - LAST_SECONDS):
-                await self._alone.acquire()
+            await self._alone.take(until=attempt.deadline - needed)
         except TimeoutError:
             raise NotRun("overloaded") from None
         try:
             # While it waited, it may have been found to be the one.
             self.quarantine.check(attempt, instance)
         except NotRun:
-            self._alone.release()
+            self._alone.give_back()
             raise
         return True
 
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -7,6 +7,7 @@
 from guavastream.fleet import LeaveInstance, ReleaseKeys
 from guavastream.http1 import CutOff
 from guavastream.relay.dialect import OWN
+from guavastream.relay.fingerprint import fingerprint
 from guavastream.relay.guard import LEAVING_SECONDS
 from guavastream.relay.ingress import MOST_REFUSALS
 from guavastream.relay.outcome import NotRun
@@ -562,3 +563,32 @@
         assert status == 200 and seconds < 2 * SECONDS
 
     play(scenario, keyed=True)
+
+
+def test_a_suspect_request_that_comes_often_is_answered_and_cleared():
+    """Guards against turns so late that none of them leads to an answer."""
+
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        host.server.seconds = 0.3
+        assert (await mesh.ask(b"/read/x"))[0] == 200
+        print = fingerprint(b"GET", [(b"Host", b"a.example")], b"/read/x", b"")
+        for life in ("one", "other"):
+            host.guard.quarantine.note_end(print, life)
+        answers = []
+
+        async def ask():
+            answers.append((await mesh.ask(b"/read/x"))[0])
+
+        # Nothing is answered at first, so that a queue is there.
+        host.server.seconds = 9.0
+        tasks = []
+        for number in range(60):
+            if number == 20:
+                host.server.seconds = 0.3
+            tasks.append(asyncio.ensure_future(ask()))
+            await asyncio.sleep(0.2)
+        await asyncio.gather(*tasks)
+        assert answers[-20:].count(200) >= 18
+
+    play(scenario, hosts=1)
