A server that stops cuts neither who has just connected nor answers on their way

New connections are held off by a packet filter for 50 ms, as the door does (moved to kernel/, without ctypes), while those that have begun are taken; and stop() waits up to 0.2 s for answers that still go out. A connection that ends though no answer said so may bear a farewell for a request that crosses. Three tests; the first fails without the wait (reset).

--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -16,7 +16,7 @@
     Headers,
     format_head,
 )
-from guavastream.kernel import TimeLimit, part_logger
+from guavastream.kernel import TimeLimit, drop_new_connections, part_logger
 
 __all__ = ["Cut", "Limits", "Request", "Responder", "Server"]
 
@@ -31,6 +31,11 @@
 # and connections that do so at a time.
 LINGER_SECONDS = 2.0
 MOST_LINGERING = 200
+# Time for the loop to accept the connections that have begun.
+ACCEPT_SECONDS = 0.05
+# Longest wait at a stop for answers that are on their way out.
+FLUSH_SECONDS = 0.2
+POLL_SECONDS = 0.01
 # Share of the idle limit that callers are told; the rest is for the way, and for a
 # host that stands still.
 COUNTED_SHARE = 0.8
@@ -326,6 +331,10 @@
                 self._resume()
                 if not await self._serve(request):
                     break
+            else:
+                if not self._refusal:
+                    # For a request that crosses the end; it will not be handled.
+                    self.write(self._server.farewell)
         except asyncio.CancelledError:
             why = "cancelled"
         except Exception:
@@ -541,6 +550,9 @@
         Told the status of each request that could not be read.
     note_cut : callable, optional
         Told the `Cut` of each request whose connection was ended here.
+    farewell : bytes, optional
+        A whole answer that is sent on a connection which ends though nothing said so.
+        Peers must bear answers that they have not asked for.
     tells_idle : bool
         Whether answers say how long their connection is kept.
     holds_bodies : bool
@@ -557,6 +569,7 @@
         most=2000,
         note_refused=None,
         note_cut=None,
+        farewell=b"",
         tells_idle=True,
         holds_bodies=False,
     ):
@@ -572,6 +585,7 @@
         self.ends_idle = False
         self.holds_bodies = holds_bodies
         self.tells_idle = tells_idle
+        self.farewell = farewell
         self.note_refused = note_refused or (lambda status: None)
         self.note_cut = note_cut or (lambda cut: None)
 
@@ -581,6 +595,11 @@
         host, port = self._listener.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
+    @property
+    def open_count(self):
+        """Number of open connections."""
+        return len(self._connections) + len(self._lingering)
+
     @property
     def busy(self):
         """Number of requests in progress."""
@@ -612,11 +631,27 @@
         """Take no new connections; open ones go on."""
         self._listener.close()
 
+    async def end_listening(self):
+        """Take no new connections once those that have begun are taken.
+
+        Closing a listening socket resets what waits in its queue, whose callers have
+        perhaps sent a whole request. With new ones held off for a moment none waits.
+        """
+        for listener in self._listener.sockets:
+            # Not every platform knows it; most of the queue is taken all the same.
+            with contextlib.suppress(OSError):
+                drop_new_connections(listener)
+        await asyncio.sleep(ACCEPT_SECONDS)
+        self._listener.close()
+
     async def stop(self):
-        """Stop listening; end what is idle and cut what is not."""
+        """Stop listening; end what is idle, let answers out, and cut the rest."""
         self._listener.close()
         for connection in [*self._connections, *self._lingering]:
             connection.end()
+        until = asyncio.get_running_loop().time() + FLUSH_SECONDS
+        while self.open_count and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(POLL_SECONDS)
 
     def opened(self, connection):
         """Note a new connection, and end idle ones beyond the bound."""
--- a/guavastream/http1/tests/test_no_answer_missing.py
+++ b/guavastream/http1/tests/test_no_answer_missing.py
@@ -1,10 +1,11 @@
 """Whoever has sent a whole request gets an answer on that connection."""
 
 import asyncio
+import socket
 
 import pytest
 
-from guavastream.http1 import BodyStream, CutOff, Limits, Server
+from guavastream.http1 import BodyStream, Client, CutOff, Limits, Server
 from guavastream.kernel import EagerSelector
 from guavastream.standins import run_stalling
 
@@ -329,3 +330,77 @@
             await body.read_up_to(1 << 20)
 
     asyncio.run(scenario())
+
+
+def test_callers_who_have_just_connected_are_answered_by_a_server_that_stops():
+    """Guards against connections that are reset in the queue of a closed listener."""
+
+    async def scenario(server, connect):
+        host, _, port = server.address.rpartition(":")
+        callers = [socket.create_connection((host, int(port))) for _ in range(50)]
+        for caller in callers:
+            caller.sendall(GET)
+        await server.end_listening()
+        server.begin_close()
+        while server.busy:
+            await asyncio.sleep(0)
+        await server.stop()
+        for caller in callers:
+            with caller:
+                assert caller.recv(100).startswith(OK)
+
+    play(scenario)
+
+
+def test_answers_that_still_go_out_are_not_lost_with_the_server():
+    """Guards against a stop that ends with answers in the buffers of connections."""
+    size = 8 << 20
+
+    async def answer_much(request, responder):
+        await responder.send(200, (), bytes(size))
+
+    async def scenario(server, connect):
+        caller = await connect()
+        caller.send(GET)
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        stopping = asyncio.ensure_future(server.stop())
+        assert head.startswith(OK)
+        assert len(await caller.reader.readexactly(size)) == size
+        await stopping
+        assert server.open_count == 0
+
+    play(scenario, handler=answer_much)
+
+
+def test_a_request_that_crosses_the_end_of_its_connection_is_told_so():
+    """Guards against a connection between hosts that ends under a request just sent."""
+    ran = []
+
+    async def run(request, responder):
+        ran.append(request)
+        await responder.send(200)
+
+    async def scenario():
+        farewell = b"HTTP/1.1 503 Gone\r\nContent-Length: 0\r\n\r\n"
+        server = Server(address=("127.0.0.1", 0), handler=run, farewell=farewell)
+        await server.start()
+        client = Client()
+        for crosses in (False, True):
+            async with await client.open(server.address) as exchange:
+                exchange.send(b"GET", b"/x", [])
+                assert (await exchange.answer()).status == 200
+            server.ends_idle = True
+            for connection in list(server._connections):
+                connection.wake()
+            if not crosses:
+                while client.count_open(server.address):
+                    await asyncio.sleep(0)
+                server.ends_idle = False
+        async with await client.open(server.address) as exchange:
+            assert exchange.reused
+            exchange.send(b"GET", b"/x", [])
+            assert (await exchange.answer()).status == 503
+        assert len(ran) == 2
+        await server.stop()
+
+    run_stalling(scenario())
--- a/guavastream/kernel/__init__.py
+++ b/guavastream/kernel/__init__.py
@@ -4,6 +4,7 @@
 from guavastream.kernel.clocks import *
 from guavastream.kernel.counters import *
 from guavastream.kernel.hybrid import *
+from guavastream.kernel.listening import *
 from guavastream.kernel.logs import *
 from guavastream.kernel.loops import *
 from guavastream.kernel.metrics import *
--- a/guavastream/web/listen.py
+++ b/guavastream/kernel/listening.py
@@ -1,6 +1,6 @@
 """Stop a listening socket from taking connections, without cutting any."""
 
-import ctypes
+import array
 import socket
 import struct
 
@@ -47,6 +47,7 @@
        1993; socket(7), SO_ATTACH_FILTER.
     """
     code = b"".join(struct.pack("HBBI", *step) for step in PROGRAM)
-    buffer = ctypes.create_string_buffer(code, len(code))
-    program = struct.pack("HP", len(PROGRAM), ctypes.addressof(buffer))
+    buffer = array.array("B", code)
+    address, _ = buffer.buffer_info()
+    program = struct.pack("HP", len(PROGRAM), address)
     listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
--- a/guavastream/web/serve.py
+++ b/guavastream/web/serve.py
@@ -10,9 +10,8 @@
 from cheroot import server as cheroot_server
 from cheroot.workers import threadpool
 
-from guavastream.kernel import parse_address, part_logger
+from guavastream.kernel import drop_new_connections, parse_address, part_logger
 from guavastream.web.headers import StrictConnection
-from guavastream.web.listen import drop_new_connections
 from guavastream.web.watch import CallerWatch
 
 __all__ = ["CHUNK_BYTES", "Exchange", "HttpServer"]
