A host that stops answers the other hosts to the last

Idle connections of other hosts end with an answer that says so; requests of other hosts have the same end of time as callers' (504 if they run); what waits for the local server is refused as not run shortly before. The tests: a stop under load cuts nothing between hosts (wiring; passes before too, as the paused network has no way between); requests at their end are answered (new API).

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -23,6 +23,7 @@
 from guavastream.messages import RelayDesk, RelayingTransport
 from guavastream.messages.zmq_transport import ZmqNetwork
 from guavastream.relay import (
+    FAREWELL,
     HOP_IDLE_SECONDS,
     Guard,
     HopDoor,
@@ -63,7 +64,11 @@
 IDLE_SECONDS = 0.3
 LAST_SECONDS = 0.3
 END_SECONDS = 0.9
-# Final answers of what is still waiting then go out this long before.
+# Time for a request whose connection was made last, on the way from another host.
+TAIL_SECONDS = 0.1
+# What waits for the local server is refused this long before, so that it is known
+# not to have run, and what still runs has its final answer then.
+REFUSED_SECONDS = 0.2
 ANSWER_SECONDS = 0.1
 POLL_SECONDS = 0.05
 
@@ -191,6 +196,7 @@
             holds_bodies=True,
             # Hosts know it, and bytes between availability zones cost.
             tells_idle=False,
+            farewell=FAREWELL,
             note_cut=lambda cut: self._note_cut("host", cut),
         )
         desk = RelayDesk(
@@ -461,7 +467,8 @@
         log.info("Stops: callers are sent elsewhere.")
         began = self._loop.time()
         limit = began + self._settings.grace - END_SECONDS
-        self._ingress.end_by(limit - ANSWER_SECONDS)
+        for part in (self._ingress, self._hops):
+            part.end_by(limit - ANSWER_SECONDS)
         self._outbound.closing = True
         quiet_since = None
         while self._loop.time() < began + BUSY_SECONDS:
@@ -484,11 +491,22 @@
             busy = self._outbound.busy or self._inbound.busy
             if self._loop.time() >= end and not busy:
                 break
+            if self._loop.time() >= limit - REFUSED_SECONDS:
+                self._guard.refuse_waiting()
             await asyncio.sleep(POLL_SECONDS)
-        self._outbound.stop_listening()
-        self._inbound.stop_listening()
+        await asyncio.gather(
+            self._outbound.end_listening(), self._inbound.end_listening()
+        )
+        await self._answer_last()
         log.info("Stopped.")
 
+    async def _answer_last(self):
+        """Refuse what was on its way when the last connections were taken."""
+        self._inbound.begin_close()
+        end = self._loop.time() + TAIL_SECONDS
+        while self._loop.time() < end:
+            await asyncio.sleep(POLL_SECONDS)
+
     async def stop(self):
         """End all that is left."""
         await self._tasks.stop()
--- a/guavastream/relay/admission.py
+++ b/guavastream/relay/admission.py
@@ -361,6 +361,13 @@
         if future.done() and not future.cancelled() and not future.exception():
             self._free()
 
+    def refuse_waiting(self):
+        """Refuse all that wait, as their callers can still go elsewhere."""
+        for waiter in self._queue:
+            if not waiter.future.done():
+                refused = NotRun("leaving", retry_after=SHORTEST_RETRY)
+                waiter.future.set_exception(refused)
+
     def leave(self, usual, *, kind, seconds=None):
         """Give a slot back.
 
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -161,6 +161,10 @@
             of_kind=gate.measured(kind),
         )
 
+    def refuse_waiting(self):
+        """Refuse the requests that wait for the local server."""
+        self._gate.refuse_waiting()
+
     def note_heard(self, id):
         """Note that a life of the local server spoke for itself."""
         self._server.watch.note_heard(id)
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from guavastream.http1 import CutOff
+from guavastream.http1 import CutOff, format_head
 from guavastream.kernel import TimeLimit, replace
 from guavastream.relay.admission import Gate
 from guavastream.relay.dialect import OWN
@@ -11,7 +11,14 @@
 from guavastream.relay.outcome import VERDICTS, Lost, NotRun
 from guavastream.relay.pick import format_report, parse_report
 
-__all__ = ["HOP_IDLE_SECONDS", "HopDoor", "HopJob", "read_failure", "read_report"]
+__all__ = [
+    "FAREWELL",
+    "HOP_IDLE_SECONDS",
+    "HopDoor",
+    "HopJob",
+    "read_failure",
+    "read_report",
+]
 
 # The other host answers this much sooner than the one that asks gives up, so
 # that its word on whether the request ran is still heard.
@@ -21,6 +28,15 @@
 # costs as much as the request on it.
 HOP_IDLE_SECONDS = 60.0
 JOB = OWN + b"job"
+# What the other host reads if it sends a request just as its connection ends.
+FAREWELL = format_head(
+    b"HTTP/1.1 503 Gone",
+    [
+        (OWN + b"code", b"unreachable"),
+        (b"Content-Length", b"0"),
+        (b"Connection", b"close"),
+    ],
+)
 LENGTH = frozenset({b"content-length"})
 # Large bodies that come in at a time at the most: two fill a link as well as
 # twenty, and a third is on its way while one of them waits for its sender.
@@ -123,6 +139,14 @@
         self._intake = Gate(loop=loop, slots=MOST_BODIES)
         self._link_rate = link_rate
         self._usual_length = 0.0
+        self._ends_at = float("inf")
+        self._limits = set()
+
+    def end_by(self, when):
+        """See that every request has its answer by the clock's time `when`."""
+        self._ends_at = when
+        for limit in self._limits:
+            limit.reschedule(min(limit.when, when))
 
     async def handle(self, request, responder):
         """Answer a request that another host sent for the local server."""
@@ -140,9 +164,13 @@
                 raise NotRun("unreachable")
             if request.awaits_go or not (request.body.ended or not request.length):
                 attempt = await self._take_body(attempt, request, responder)
-            with TimeLimit(loop=self._loop, when=attempt.deadline):
-                async with self._guard.serve(attempt) as answer:
-                    await self._pass_back(answer, responder, attempt.kind)
+            with TimeLimit(loop=self._loop, when=attempt.deadline) as limit:
+                self._limits.add(limit)
+                try:
+                    async with self._guard.serve(attempt) as answer:
+                        await self._pass_back(answer, responder, attempt.kind)
+                finally:
+                    self._limits.discard(limit)
         except NotRun as refused:
             await self._tell(responder, attempt.kind, refused.code, refused.retry_after)
         except Lost as lost:
@@ -227,7 +255,7 @@
             urgency=hop.rank if hop.urgency is None else hop.urgency,
             kind=hop.route,
             wanted_by=now + hop.wanted_ms / 1000,
-            deadline=now + hop.left_ms / 1000,
+            deadline=min(now + hop.left_ms / 1000, self._ends_at),
         )
 
     async def _pass_back(self, answer, responder, kind):
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -592,3 +592,32 @@
         assert answers[-20:].count(200) >= 18
 
     play(scenario, hosts=1)
+
+
+def test_requests_of_other_hosts_are_answered_before_a_stop_ends():
+    """Guards against what runs, or waits for the server, as its host's time is over."""
+
+    async def scenario(mesh):
+        loop = asyncio.get_running_loop()
+        near, far = mesh.hosts
+        near.server.stop_listening()
+        near.guard.note_left(near.id)
+        mesh.apply(LeaveInstance(id=near.id))
+        far.server.seconds, slots = 5.0, far.server.slots
+        mesh.timeout("pay", 9.0)
+        asked = [
+            asyncio.ensure_future(
+                mesh.ask(b"/pay/%d" % number, method=b"POST", deadline=9000)
+            )
+            for number in range(slots + 2)
+        ]
+        await asyncio.sleep(0.5)
+        far.hops.end_by(loop.time() + 1.0)
+        far.guard.refuse_waiting()
+        answers = [await one for one in asked]
+        assert [answer[0] for answer in answers] == [*[504] * slots, 503, 503]
+        assert all(answer[3] < 2.0 for answer in answers)
+        assert len(far.server.ran) == slots
+        assert "cut_by_host" not in near.counts
+
+    play(scenario)
