--- a/guavastream/replica/holder.py
+++ b/guavastream/replica/holder.py
@@ -102,7 +102,8 @@
                 with TimeLimit(loop=loop, when=deadline):
                     await event.wait()
             except TimeoutError:
-                return False
+                # It may have come in the very turn in which the time was over.
+                return self._table.index >= index
             finally:
                 # Whoever has stopped waiting must not pass for one that waits.
                 if event in self._events:
