News that comes as the time to wait for it is over is taken

A hedged watch dropped an answer that had come in the turn of the loop in which its time was over, and asked another control host for the same news: 400 KB again on a narrow link (same class as the incident). The test failed before.

--- a/guavastream/leases/hedged_watch.py
+++ b/guavastream/leases/hedged_watch.py
@@ -175,9 +175,9 @@
         For the `hasty` also None once all have said that they cannot answer.
         """
         while True:
-            for call in self._calls:
-                if call.task.done() and not call.task.exception():
-                    return call
+            call = self._find_answered()
+            if call is not None:
+                return call
             if hasty and all(call.task.done() for call in self._calls):
                 return None
             if self._loop.time() >= until:
@@ -187,7 +187,14 @@
                 with TimeLimit(loop=self._loop, when=until):
                     await self._heard.wait()
             except TimeoutError:
-                return None
+                # It may have come in the very turn in which the time was over.
+                return self._find_answered()
+
+    def _find_answered(self):
+        for call in self._calls:
+            if call.task.done() and not call.task.exception():
+                return call
+        return None
 
     def failure(self):
         """Return an error of the calls, rather one that says something."""
