--- a/guavastream/http1/__init__.py
+++ b/guavastream/http1/__init__.py
@@ -2,4 +2,5 @@
 
 from guavastream.http1.client import *
 from guavastream.http1.message import *
+from guavastream.http1.responder import *
 from guavastream.http1.server import *
