--- a/guavastream/http1/connection.py
+++ b/guavastream/http1/connection.py
@@ -212,19 +212,22 @@
                 await self._end_refused()
                 return False
             ends_idle = self._leaves or self._server.ends_idle
-            if ends_idle and self._head_since is None:
-                return False
-            until = self._patient_until()
-            if await self._arrives(until) or self._patient_until() > until:
-                continue
+            if not ends_idle or self._head_since is not None:
+                until = self._patient_until()
+                if await self._arrives(until) or self._patient_until() > until:
+                    continue
             if self._head_since is not None:
                 self._refusal = 408
-            elif not self.has_unread():
-                return False
-            elif not await self._arrives(self._loop.time() + UNREAD_SECONDS):
+            elif not await self._has_more():
                 return False
         return True
 
+    async def _has_more(self):
+        """Whether something has come that the loop has not read yet."""
+        if not self.has_unread():
+            return False
+        return await self._arrives(self._loop.time() + UNREAD_SECONDS)
+
     async def _arrives(self, until):
         """Wait until something arrives; return False if nothing did in time."""
         self._arrived.clear()
--- a/guavastream/http1/tests/test_no_answer_missing.py
+++ b/guavastream/http1/tests/test_no_answer_missing.py
@@ -108,6 +108,21 @@
     play(scenario, selector=EagerSelector())
 
 
+def test_a_request_is_served_that_waits_unread_as_its_server_closes():
+    """Guards against idle connections that a stop ends with a request on them."""
+
+    async def scenario(server, connect):
+        caller = await connect()
+        caller.send(GET)
+        await caller.read()
+        caller.send(GET)
+        server.begin_close()
+        head, _ = await caller.read()
+        assert head.startswith(OK) and b"connection: close" in head.lower()
+
+    play(scenario)
+
+
 def test_a_longer_idle_limit_holds_for_connections_that_are_open():
     """Guards against callers who trust a new limit and meet the old one."""
 
@@ -392,6 +407,8 @@
             server.ends_idle = True
             for connection in list(server._connections):
                 connection.wake()
+            # The server ends the connection; its peer has not read that yet.
+            await asyncio.sleep(0)
             if not crosses:
                 while client.count_open(server.address):
                     await asyncio.sleep(0)
