What must not run twice is announced first on a new connection between hosts

The platform takes no packet filter, it seems: held off are only those who connect where the kernel takes it. On a connection that was just made the head goes out with Expect, as that of large bodies does, and the body when the other host asks for it; a connection that ends before has run nothing, so that another server is asked. A way there and back more, on new connections only. Small bodies pass the gate of large ones.

--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -9,7 +9,7 @@
 from guavastream.relay.guard import Attempt
 from guavastream.relay.job import read_body
 from guavastream.relay.outcome import VERDICTS, Lost, NotRun
-from guavastream.relay.pick import format_report, parse_report
+from guavastream.relay.pick import LARGE_BYTES, format_report, parse_report
 
 __all__ = [
     "FAREWELL",
@@ -192,9 +192,10 @@
         """
         try:
             with TimeLimit(loop=self._loop, when=attempt.deadline):
-                if request.awaits_go:
+                if request.awaits_go and not 0 <= request.length < LARGE_BYTES:
                     body, stream = await self._take_large(attempt, request, responder)
                 else:
+                    responder.go_ahead()
                     body, stream = await read_body(request)
         except TimeoutError:
             raise NotRun("no_time") from None
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -398,7 +398,10 @@
         )
 
     async def _send(self, exchange, job, server, headers):
-        if job.stream is None and len(job.body) < LARGE_BYTES:
+        # A new connection may meet a host that is about to end and reset it; whether
+        # the request had been read could not be told.
+        unsure = bool(job.body) and not job.safe and not exchange.reused
+        if job.stream is None and len(job.body) < LARGE_BYTES and not unsure:
             exchange.send(job.method, job.target, headers, job.body)
             return
         try:
