--- a/guavastream/bench/requests.py
+++ b/guavastream/bench/requests.py
@@ -12,7 +12,7 @@
 from guavastream.bench.cluster import Cluster, Deployment, ServerSpec
 from guavastream.bench.load import CallerHttp, Load, RequestKind
 from guavastream.bench.scenario import BENCHES, Bench, Figure
-from guavastream.standins import FaultProxy, behaviour_body
+from guavastream.emulator import FaultProxy, behaviour_body
 
 __all__ = []
 
--- a/guavastream/commands/processes.py
+++ b/guavastream/commands/processes.py
@@ -63,7 +63,7 @@
 
 
 def _standin(arguments):
-    from guavastream.standins import StandinServer, StandinSettings
+    from guavastream.emulator import StandinServer, StandinSettings
 
     configure_logs(level="INFO", host=arguments.listen)
     server = StandinServer(
--- a/guavastream/control/tests/test_bad_commands.py
+++ b/guavastream/control/tests/test_bad_commands.py
@@ -5,11 +5,11 @@
 import pytest
 
 from guavastream.control.tests.test_fleet import FIRST, Core
+from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.exception import PeerFailure
 from guavastream.fleet import encode_command, handles
 from guavastream.kernel import replace
 from guavastream.messages import message
-from guavastream.standins import FakeNetwork, run_paused
 
 
 @message
--- a/guavastream/control/tests/test_catching_up.py
+++ b/guavastream/control/tests/test_catching_up.py
@@ -4,9 +4,9 @@
 import random
 
 from guavastream.control.tests.test_fleet import ROUTE, start_core
+from guavastream.emulator import run_paused
 from guavastream.fleet import ChangeRoutes
 from guavastream.routes import ServiceRules
-from guavastream.standins import run_paused
 
 # A link of 170 Mbit/s, and changes of 400 KB.
 RATE = 21_000_000.0
--- a/guavastream/control/tests/test_disks.py
+++ b/guavastream/control/tests/test_disks.py
@@ -4,8 +4,8 @@
 import random
 
 from guavastream.control import Raft, RaftTiming, StateMachine, Storage
+from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.exception import GuavastreamError
-from guavastream.standins import FakeNetwork, run_paused
 
 ADDRESSES = ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
 
--- a/guavastream/control/tests/test_fleet.py
+++ b/guavastream/control/tests/test_fleet.py
@@ -10,6 +10,7 @@
 from guavastream.control.fleet import FRESH_SECONDS, FleetService, VoterKeeper
 from guavastream.control.grants import Granter
 from guavastream.control.suspects import SuspectKeeper
+from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.exception import GuavastreamError, PeerFailure
 from guavastream.fleet import (
     Beat,
@@ -21,7 +22,6 @@
 )
 from guavastream.leases import ControlClient, HoldTiming, Watch
 from guavastream.routes import Part, Repeat, Route, ServiceRules
-from guavastream.standins import FakeNetwork, run_paused
 
 TIMING = RaftTiming(
     heartbeat=0.08, election_min=0.5, election_max=0.8, lease=0.45, call=0.4
--- a/guavastream/control/tests/test_grants.py
+++ b/guavastream/control/tests/test_grants.py
@@ -7,6 +7,7 @@
 from guavastream.control import TableMachine
 from guavastream.control.grants import Granter
 from guavastream.control.tests.test_fleet import FIRST
+from guavastream.emulator import run_paused
 from guavastream.exception import NotLeader
 from guavastream.fleet import (
     KEYS,
@@ -18,7 +19,6 @@
     encode_command,
 )
 from guavastream.leases import HoldTiming
-from guavastream.standins import run_paused
 
 HOLDS = HoldTiming(hold=2.8, settle=1.0)
 COMMIT_SECONDS = 0.05
--- a/guavastream/control/tests/test_pauses.py
+++ b/guavastream/control/tests/test_pauses.py
@@ -6,10 +6,10 @@
 
 from guavastream.control import ControlService, Planner, TableMachine
 from guavastream.control.tests.test_raft import with_group
+from guavastream.emulator import run_paused
 from guavastream.exception import NotLeader
 from guavastream.leases import Lease, LeaseKeeper, LeaseTiming, Renew, Submit
 from guavastream.messages import encode_message
-from guavastream.standins import run_paused
 from guavastream.state import RegisterMember
 
 PAUSE_SECONDS = 30.0
--- a/guavastream/control/tests/test_planner.py
+++ b/guavastream/control/tests/test_planner.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from guavastream.control import Planner, TableMachine
+from guavastream.emulator import run_paused
 from guavastream.leases import LeaseKeeper, LeaseTiming
-from guavastream.standins import run_paused
 from guavastream.state import (
     AssignShards,
     RemoveMembers,
--- a/guavastream/control/tests/test_power.py
+++ b/guavastream/control/tests/test_power.py
@@ -16,9 +16,9 @@
 
 from guavastream.control import Storage
 from guavastream.control.tests.test_fleet import FIRST, ROUTE, Core
+from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.exception import GuavastreamError
 from guavastream.fleet import ChangeRoutes
-from guavastream.standins import FakeNetwork, run_paused
 
 LOST_DISKS = 2
 VOTERS = 5
--- a/guavastream/control/tests/test_raft.py
+++ b/guavastream/control/tests/test_raft.py
@@ -8,8 +8,8 @@
 
 from guavastream.control import Raft, RaftTiming, StateMachine, Storage
 from guavastream.control.messages import Hello
+from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.exception import GuavastreamError, NotLeader
-from guavastream.standins import FakeNetwork, run_paused
 
 TIMING = RaftTiming()
 
--- a/guavastream/control/tests/test_votes.py
+++ b/guavastream/control/tests/test_votes.py
@@ -7,8 +7,8 @@
 
 from guavastream.control import Entry, Raft, RaftTiming, StateMachine, Storage
 from guavastream.control.messages import AppendEntries, RequestVote
+from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.exception import PeerFailure
-from guavastream.standins import FakeNetwork, run_paused
 
 TIMING = RaftTiming()
 SILENCE = TIMING.election_min + 0.001
--- a/guavastream/door/tests/rig.py
+++ b/guavastream/door/tests/rig.py
@@ -6,18 +6,18 @@
 
 from guavastream.declare import Declaration, Preset, Service
 from guavastream.door import Door, Forwarder
-from guavastream.guard import Admission, Guard, Outcomes
-from guavastream.kernel import make_metrics
-from guavastream.leases import Lease
-from guavastream.membership import Announced
-from guavastream.routing import Chooser
-from guavastream.standins import (
+from guavastream.emulator import (
     Behaviour,
     FaultProxy,
     StandinServer,
     StandinSettings,
     make_member,
 )
+from guavastream.guard import Admission, Guard, Outcomes
+from guavastream.kernel import make_metrics
+from guavastream.leases import Lease
+from guavastream.membership import Announced
+from guavastream.routing import Chooser
 from guavastream.state import ShardMap, Table
 from guavastream.web import HttpSender, HttpServer
 
--- a/guavastream/door/tests/test_attempts.py
+++ b/guavastream/door/tests/test_attempts.py
@@ -7,9 +7,9 @@
 
 from guavastream.declare import Declaration, Service
 from guavastream.door import Forwarder
+from guavastream.emulator import make_member
 from guavastream.kernel import make_metrics
 from guavastream.routing import Chooser, Classified, Knowledge, Ran, Refused
-from guavastream.standins import make_member
 from guavastream.state import ShardMap, ShardTableHolder, Table
 from guavastream.web import AttemptFailed
 
--- a/guavastream/door/tests/test_path.py
+++ b/guavastream/door/tests/test_path.py
@@ -11,7 +11,7 @@
 import pytest
 
 from guavastream.door.tests.rig import make_table
-from guavastream.standins import Behaviour
+from guavastream.emulator import Behaviour
 from guavastream.state import ShardTableHolder
 
 
--- a/guavastream/experiment/tests/test_model.py
+++ b/guavastream/experiment/tests/test_model.py
@@ -4,12 +4,12 @@
 
 import pytest
 
+from guavastream.emulator import run_paused
 from guavastream.experiment.compare import difference
 from guavastream.experiment.model import Model
 from guavastream.experiment.run import Result
 from guavastream.experiment.scenario import Fault, load_scenario
 from guavastream.kernel import Policy
-from guavastream.standins import run_paused
 
 HOT = replace(load_scenario("hot-key"), seconds=8.0, counted_from=2.0)
 RUSH = replace(load_scenario("rush"), seconds=5.0, counted_from=2.0)
--- a/guavastream/fleet/tests/test_waiting_for_a_book.py
+++ b/guavastream/fleet/tests/test_waiting_for_a_book.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
+from guavastream.emulator import run_paused
 from guavastream.fleet import Book, BookCodec
 from guavastream.replica import TableHolder
-from guavastream.standins import run_paused
 
 
 def test_a_book_that_comes_as_the_time_is_over_has_come():
--- a/guavastream/guard/tests/test_admission.py
+++ b/guavastream/guard/tests/test_admission.py
@@ -6,10 +6,10 @@
 import pytest
 
 from guavastream.declare import Declaration, Preset, Service
+from guavastream.emulator import make_member
 from guavastream.guard import Admission
 from guavastream.leases import Lease
 from guavastream.routing import Classified, Refused, Target
-from guavastream.standins import make_member
 from guavastream.state import Pin, ShardMap, ShardTableHolder, Table, shard_of
 
 ME = 4
--- a/guavastream/guard/tests/test_server.py
+++ b/guavastream/guard/tests/test_server.py
@@ -8,10 +8,10 @@
 import pytest
 
 from guavastream.declare import Declaration, Service
+from guavastream.emulator import Behaviour, StandinServer, StandinSettings
 from guavastream.guard import ServerLink
 from guavastream.leases import Lease
 from guavastream.membership import Announced
-from guavastream.standins import Behaviour, StandinServer, StandinSettings
 from guavastream.state import ShardMap, ShardTableHolder, Table
 from guavastream.web import HttpSender, HttpServer
 
--- a/guavastream/hosts/tests/orders.py
+++ b/guavastream/hosts/tests/orders.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from guavastream.control.tests.test_fleet import FIRST, Core
+from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.exception import GuavastreamError
 from guavastream.fleet import Beat, BookCodec, LoadReport, ReportEnd
 from guavastream.hosts.key_keeper import KeyKeeper
@@ -14,7 +15,6 @@
 from guavastream.relay import KeyOutcome, KeyResult
 from guavastream.replica import TableHolder
 from guavastream.routes import Granting, ServiceRules
-from guavastream.standins import FakeNetwork, run_paused
 
 # One key in so many is watched; a prime, so that rows of any size have some.
 STEP = 997
--- a/guavastream/hosts/tests/rig.py
+++ b/guavastream/hosts/tests/rig.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from guavastream.control.tests.test_fleet import Core
+from guavastream.emulator import DialectServer, FakeNetwork, FakePeers, run_paused
 from guavastream.exception import GuavastreamError
 from guavastream.fleet import Beat, ChangeRoutes
 from guavastream.hosts import FleetSettings
@@ -14,7 +15,6 @@
 from guavastream.http1 import Client, CutOff, NotSent
 from guavastream.relay import Dialect, fingerprint
 from guavastream.routes import Part, Repeat, Route, ServiceRules
-from guavastream.standins import DialectServer, FakeNetwork, FakePeers, run_paused
 
 __all__ = ["Caller", "DIALECT", "Fleet", "Place", "Recurring", "play_fleet"]
 
--- a/guavastream/hosts/tests/test_book_follower.py
+++ b/guavastream/hosts/tests/test_book_follower.py
@@ -22,12 +22,12 @@
 import pytest
 
 from guavastream.control.tests.test_fleet import start_core
+from guavastream.emulator import run_paused
 from guavastream.fleet import Book, BookCodec, ChangeRoutes
 from guavastream.hosts.book_follower import BookFollower
 from guavastream.leases import Watch, Watched
 from guavastream.replica import TableHolder
 from guavastream.routes import Part, Repeat, Route
-from guavastream.standins import run_paused
 
 HOST = "10.2.0.1:1"
 # What is left of a link of 4 Mbit/s, of which bodies of requests take half.
--- a/guavastream/hosts/tests/test_cut_off.py
+++ b/guavastream/hosts/tests/test_cut_off.py
@@ -6,13 +6,13 @@
 import pytest
 
 from guavastream.control.tests.test_fleet import HEARTBEAT, HOLDS, start_core
+from guavastream.emulator import run_paused
 from guavastream.exception import GuavastreamError, PeerFailure
 from guavastream.fleet import Beat, BookCodec
 from guavastream.hosts.book_follower import BookFollower
 from guavastream.leases import ControlClient, Watch
 from guavastream.messages import RelayDesk, Relayed, RelayingTransport, encode_message
 from guavastream.replica import TableHolder
-from guavastream.standins import run_paused
 
 CUT, OTHER, THIRD = "10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1"
 HOSTS = (CUT, OTHER, THIRD)
--- a/guavastream/hosts/tests/test_in_force.py
+++ b/guavastream/hosts/tests/test_in_force.py
@@ -20,12 +20,12 @@
 import pytest
 
 from guavastream.control.tests.test_fleet import FIRST, Core, start_core
+from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.fleet import BookCodec, ChangeRoutes
 from guavastream.hosts.book_follower import BookFollower
 from guavastream.hosts.control_host import TIMING
 from guavastream.leases import ControlClient, Watch
 from guavastream.replica import TableHolder
-from guavastream.standins import FakeNetwork, run_paused
 
 # Time after its acknowledgement within which a change is to be in force: the
 # 2 s that operators are promised, less what a request needs on its way, and a
--- a/guavastream/hosts/tests/test_pace.py
+++ b/guavastream/hosts/tests/test_pace.py
@@ -12,12 +12,12 @@
 
 from guavastream.control.machine import TableMachine
 from guavastream.control.watching import WatchDesk
+from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.fleet import BookCodec, JoinInstance, LeaveInstance, encode_command
 from guavastream.hosts.book_follower import ANSWERS_PER_SECOND, BookFollower
 from guavastream.kernel import Signal, TimeLimit
 from guavastream.leases import ControlClient
 from guavastream.replica import TableHolder
-from guavastream.standins import FakeNetwork, run_paused
 
 CONTROL_HOSTS = ("10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1")
 HOSTS = 200
--- a/guavastream/hosts/tests/test_power_returns.py
+++ b/guavastream/hosts/tests/test_power_returns.py
@@ -16,11 +16,11 @@
 import random
 
 from guavastream.control.tests.test_fleet import start_core
+from guavastream.emulator import run_paused
 from guavastream.fleet import BookCodec, ChangeRoutes
 from guavastream.hosts.book_follower import BookFollower
 from guavastream.hosts.tests.test_book_follower import NARROW, large_change
 from guavastream.replica import TableHolder
-from guavastream.standins import run_paused
 
 HOSTS = 40
 # Control hosts are back one after the other within this time.
--- a/guavastream/http1/tests/test_http1.py
+++ b/guavastream/http1/tests/test_http1.py
@@ -5,9 +5,9 @@
 
 import pytest
 
+from guavastream.emulator import run_paused
 from guavastream.http1 import Client, CutOff, Limits, NotSent, Server
 from guavastream.http1.client import MOST_IDLE
-from guavastream.standins import run_paused
 
 ADDRESS = ("10.0.0.1", 80)
 PEER = "10.0.0.1:80"
--- a/guavastream/http1/tests/test_no_answer_missing.py
+++ b/guavastream/http1/tests/test_no_answer_missing.py
@@ -5,9 +5,9 @@
 
 import pytest
 
+from guavastream.emulator import run_stalling
 from guavastream.http1 import BodyStream, Client, CutOff, Limits, Server
 from guavastream.kernel import EagerSelector
-from guavastream.standins import run_stalling
 
 IDLE_SECONDS = 5.0
 GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
--- a/guavastream/kernel/tests/test_waiting.py
+++ b/guavastream/kernel/tests/test_waiting.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from guavastream.emulator import run_paused
 from guavastream.kernel import Signal, TimeLimit
-from guavastream.standins import run_paused
 
 
 def run(main):
--- a/guavastream/leases/tests/test_client.py
+++ b/guavastream/leases/tests/test_client.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
+from guavastream.emulator import run_paused
 from guavastream.exception import CallTimeout, NotLeader
 from guavastream.leases import ControlClient
 from guavastream.messages import Transport
-from guavastream.standins import run_paused
 
 
 class Hosts(Transport):
--- a/guavastream/leases/tests/test_hedged_watch.py
+++ b/guavastream/leases/tests/test_hedged_watch.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from guavastream.emulator import run_paused
 from guavastream.leases.hedged_watch import _Asked
-from guavastream.standins import run_paused
 
 
 def test_an_answer_that_comes_as_the_time_is_over_is_taken():
--- a/guavastream/membership/tests/test_membership.py
+++ b/guavastream/membership/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.leases import (
     ControlClient,
     LeaseTiming,
@@ -14,7 +15,6 @@
 )
 from guavastream.membership import Announced, Membership
 from guavastream.messages import decode_message
-from guavastream.standins import FakeNetwork, run_paused
 from guavastream.state import (
     Noop,
     RegisterMember,
--- a/guavastream/messages/tests/test_zmq.py
+++ b/guavastream/messages/tests/test_zmq.py
@@ -6,11 +6,11 @@
 import zmq
 import zmq.asyncio
 
+from guavastream.emulator import FaultProxy
 from guavastream.exception import CallTimeout, NotLeader, PeerFailure
 from guavastream.kernel import HybridClock
 from guavastream.messages import encode_message, message
 from guavastream.messages.zmq_transport import ZmqServer, ZmqTransport
-from guavastream.standins import FaultProxy
 
 
 @message
--- a/guavastream/operate/tests/test_door.py
+++ b/guavastream/operate/tests/test_door.py
@@ -5,11 +5,11 @@
 import warnings
 
 from guavastream.control import ControlInfo, HostReport
+from guavastream.emulator import run_paused
 from guavastream.exception import NotReady
 from guavastream.http1 import Client, CutOff, Limits, Server
 from guavastream.operate.door import MAX_BODY_BYTES, OperatorDoor
 from guavastream.replica import TableHolder
-from guavastream.standins import run_paused
 from guavastream.state import ChangeAnswer, ShardTableCodec
 
 ADDRESS = ("10.0.0.1", 80)
--- a/guavastream/platform/emulator/server.py
+++ b/guavastream/platform/emulator/server.py
@@ -7,12 +7,12 @@
 import time
 from dataclasses import dataclass, field
 
+from guavastream.emulator import DialectServer
 from guavastream.fleet import rows_without
 from guavastream.platform.emulator.machine import HEARTBEAT, call
 from guavastream.platform.keys import GRANT_PATH, RELEASE_PATH
 from guavastream.platform.units import parse_time
 from guavastream.platform.wire import DIALECT
-from guavastream.standins import DialectServer
 
 __all__ = ["BackendServer", "OrderedKeys"]
 
--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -7,6 +7,7 @@
 import signal
 from dataclasses import dataclass
 
+from guavastream.emulator import FaultProxy
 from guavastream.platform.emulator.machine import (
     PORTS,
     Machine,
@@ -15,7 +16,6 @@
     until,
 )
 from guavastream.platform.emulator.server import BackendServer
-from guavastream.standins import FaultProxy
 
 __all__ = ["Place", "ROUTES", "World", "make_config", "make_route"]
 
--- a/guavastream/platform/tests/test_lives.py
+++ b/guavastream/platform/tests/test_lives.py
@@ -6,9 +6,9 @@
 import pytest
 
 from guavastream.control.tests.test_fleet import start_core
+from guavastream.emulator import run_paused
 from guavastream.exception import FindingsError
 from guavastream.platform.wire import decode_beat
-from guavastream.standins import run_paused
 
 HEARTBEAT = 0.87
 # Time for two heartbeats and what is held back of their answers.
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -4,6 +4,7 @@
 import random
 import warnings
 
+from guavastream.emulator import DialectServer, run_paused
 from guavastream.fleet import Book, BookCodec, GrantKeys, JoinInstance
 from guavastream.http1 import Client, Limits, Server
 from guavastream.kernel import replace
@@ -17,7 +18,6 @@
     RouteIndex,
     ServiceRules,
 )
-from guavastream.standins import DialectServer, run_paused
 
 __all__ = ["DIALECT", "Host", "Mesh", "play", "route"]
 
--- a/guavastream/relay/tests/tandem.py
+++ b/guavastream/relay/tests/tandem.py
@@ -4,9 +4,9 @@
 import random
 from dataclasses import dataclass, field
 
+from guavastream.emulator import run_paused
 from guavastream.fleet import Instance
 from guavastream.relay import Gate, NotRun, Picker, Report
-from guavastream.standins import run_paused
 
 __all__ = ["Kind", "Tandem"]
 
--- a/guavastream/relay/tests/test_admission.py
+++ b/guavastream/relay/tests/test_admission.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 
+from guavastream.emulator import run_paused
 from guavastream.relay import Gate, NotRun
-from guavastream.standins import run_paused
 
 SLOTS = 8
 WORK = 0.16
--- a/guavastream/relay/tests/test_hop.py
+++ b/guavastream/relay/tests/test_hop.py
@@ -5,11 +5,11 @@
 
 import pytest
 
+from guavastream.emulator import run_paused
 from guavastream.http1.message import Headers
 from guavastream.relay import HopDoor, NotRun, Report
 from guavastream.relay.hop import MOST_BODIES, ROOM_SECONDS, HopJob
 from guavastream.relay.tests.rig import DIALECT
-from guavastream.standins import run_paused
 
 SECONDS_A_BODY = 0.1
 BODY_BYTES = 60_000
--- a/guavastream/relay/tests/test_job.py
+++ b/guavastream/relay/tests/test_job.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from guavastream.emulator import run_paused
 from guavastream.http1.message import Headers
 from guavastream.relay.job import LAST_HOP_SECONDS, JobReader
 from guavastream.relay.tests.rig import DIALECT, route
 from guavastream.routes import RouteConfig, RouteIndex
-from guavastream.standins import run_paused
 
 RUNNING = b"q1"
 # What the local server runs: its caller is patient, and has come back.
--- a/guavastream/relay/tests/test_shares.py
+++ b/guavastream/relay/tests/test_shares.py
@@ -12,8 +12,8 @@
 import random
 from dataclasses import dataclass, field
 
+from guavastream.emulator import run_paused
 from guavastream.relay import Gate, NotRun
-from guavastream.standins import run_paused
 
 SLOTS = 17
 SECONDS = 30.0
