--- a/guavastream/http1/responder.py
+++ b/guavastream/http1/responder.py
@@ -61,7 +61,7 @@
 
     Parameters
     ----------
-    connection : _Connection
+    connection : ServerConnection
         Where it goes.
     request : Request
         What it answers.
