--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -470,6 +470,22 @@
         for part in (self._ingress, self._hops):
             part.end_by(limit - ANSWER_SECONDS)
         self._outbound.closing = True
+        await self._wait_quiet(began)
+        # From here on requests are told that they did not run; open
+        # connections go on, so that none is cut in the middle of one.
+        self._ingress.leaving = self._hops.leaving = True
+        self._inbound.closing = True
+        self._outbound.begin_close()
+        await self._end_requests(limit)
+        await asyncio.gather(
+            self._outbound.end_listening(), self._inbound.end_listening()
+        )
+        self._inbound.begin_close()
+        await asyncio.sleep(TAIL_SECONDS)
+        log.info("Stopped.")
+
+    async def _wait_quiet(self, began):
+        """Wait until callers have gone elsewhere, but not for those who stay."""
         quiet_since = None
         while self._loop.time() < began + BUSY_SECONDS:
             await asyncio.sleep(POLL_SECONDS)
@@ -480,38 +496,23 @@
                 quiet_since = quiet_since or now
             calm = quiet_since is not None and now - quiet_since >= IDLE_SECONDS
             if calm and now - began >= QUIET_SECONDS:
-                break
-        # From here on requests are told that they did not run; open
-        # connections go on, so that none is cut in the middle of one.
-        self._ingress.leaving = self._hops.leaving = True
-        self._inbound.closing = True
-        self._outbound.begin_close()
+                return
+
+    async def _end_requests(self, limit):
+        """Wait until nothing runs, or waits, until the clock's time `limit`."""
         end = self._loop.time() + LAST_SECONDS
         while self._loop.time() < limit:
             busy = self._outbound.busy or self._inbound.busy
             if self._loop.time() >= end and not busy:
-                break
+                return
             if self._loop.time() >= limit - REFUSED_SECONDS:
                 self._guard.refuse_waiting()
             await asyncio.sleep(POLL_SECONDS)
-        await asyncio.gather(
-            self._outbound.end_listening(), self._inbound.end_listening()
-        )
-        await self._answer_last()
-        log.info("Stopped.")
-
-    async def _answer_last(self):
-        """Refuse what was on its way when the last connections were taken."""
-        self._inbound.begin_close()
-        end = self._loop.time() + TAIL_SECONDS
-        while self._loop.time() < end:
-            await asyncio.sleep(POLL_SECONDS)
 
     async def stop(self):
         """End all that is left."""
         await self._tasks.stop()
         await self._keeper.stop()
-        await self._outbound.stop()
-        await self._inbound.stop()
+        await asyncio.gather(self._outbound.stop(), self._inbound.stop())
         self._relay.close()
         self._direct.close()
