--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -66,8 +66,8 @@
 END_SECONDS = 0.9
 # Time for a request whose connection was made last, on the way from another host.
 TAIL_SECONDS = 0.1
-# What waits for the local server is refused this long before, so that it is known
-# not to have run, and what still runs has its final answer then.
+# So long before the end what waits for the local server is refused, as it is known
+# not to have run, and what still runs is given its final answer.
 REFUSED_SECONDS = 0.2
 ANSWER_SECONDS = 0.1
 POLL_SECONDS = 0.05
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -30,7 +30,7 @@
 JOB = OWN + b"job"
 # What the other host reads if it sends a request just as its connection ends.
 FAREWELL = format_head(
-    b"HTTP/1.1 503 Gone",
+    b"HTTP/1.1 503 Service Unavailable",
     [
         (OWN + b"code", b"unreachable"),
         (b"Content-Length", b"0"),
