Limits that a stop moves, and waiting for a signal until a time, are written once

Both doors of a host kept their own set of open time limits, with the same way to add, take out and move them: kernel.TimeLimits has it now. That something which comes in the very turn of the loop in which its time is over counts was written at each of three waits; it is a matter of waiting for a signal: Signal.wait_until. Two more waits of the same shape (control hosts) call it. A hedged watch still looks at its calls once more, since a call that ends in that turn tells so in the next. No change of behaviour is meant and no test was changed.

--- a/guavastream/control/leader.py
+++ b/guavastream/control/leader.py
@@ -8,7 +8,7 @@
 from guavastream.control.messages import AppendEntries, InstallSnapshot
 from guavastream.control.storage import COMMAND, VOTERS, Entry
 from guavastream.exception import GuavastreamError, NotLeader, PeerFailure
-from guavastream.kernel import Signal, TimeLimit, part_logger
+from guavastream.kernel import Signal, part_logger
 
 __all__ = ["Leader"]
 
@@ -72,11 +72,8 @@
         try:
             while not self._step_down.is_set():
                 self._tend_peers(tasks)
-                try:
-                    with TimeLimit.within(self._timing.heartbeat, loop=self._loop):
-                        await self._step_down.wait()
-                except TimeoutError:
-                    pass
+                soon = self._loop.time() + self._timing.heartbeat
+                await self._step_down.wait_until(soon)
         finally:
             self._leading = False
             if self._leader == self.voter:
--- a/guavastream/control/voter.py
+++ b/guavastream/control/voter.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from guavastream.control.storage import COMMAND, VOTERS, Snapshot
-from guavastream.kernel import Signal, TimeLimit, part_logger
+from guavastream.kernel import Signal, part_logger
 
 __all__ = ["RaftTiming", "StateMachine", "Voter"]
 
@@ -265,11 +265,7 @@
         """Wait until an entry after `index` is applied, or `timeout` seconds."""
         if self._applied > index:
             return
-        try:
-            with TimeLimit.within(timeout, loop=self._loop):
-                await self._advanced.wait()
-        except TimeoutError:
-            pass
+        await self._advanced.wait_until(self._loop.time() + timeout)
 
     # The log on the disk
 
--- a/guavastream/http1/connection.py
+++ b/guavastream/http1/connection.py
@@ -231,13 +231,7 @@
     async def _arrives(self, until):
         """Wait until something arrives; return False if nothing did in time."""
         self._arrived.clear()
-        try:
-            with TimeLimit(loop=self._loop, when=until):
-                await self._arrived.wait()
-        except TimeoutError:
-            # It may have come in the very turn in which the time was over.
-            return self._arrived.is_set()
-        return True
+        return await self._arrived.wait_until(until)
 
     def _patient_until(self):
         """Return the time at which the caller has taken too long."""
--- a/guavastream/kernel/waiting.py
+++ b/guavastream/kernel/waiting.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
+import contextlib
 
-__all__ = ["Signal", "TimeLimit"]
+__all__ = ["Signal", "TimeLimit", "TimeLimits"]
 
 
 class Signal:
@@ -49,6 +50,18 @@
         self._waiters.append(waiter)
         await waiter
 
+    async def wait_until(self, when):
+        """Wait until it is set; return False if it is not by the loop's time `when`.
+
+        What sets it in the very turn of the loop in which the time is over counts.
+        """
+        try:
+            with TimeLimit(loop=self._loop, when=when):
+                await self.wait()
+        except TimeoutError:
+            return self._set
+        return True
+
 
 class TimeLimit:
     """Ends what runs inside a `with` block at a time, by `TimeoutError`.
@@ -108,3 +121,39 @@
     def _expire(self):
         self._expired = True
         self._task.cancel()
+
+
+class TimeLimits:
+    """The limits of many blocks, which can all be made to end by one time.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        The running loop.
+    """
+
+    def __init__(self, *, loop):
+        self._loop = loop
+        self._end = float("inf")
+        self._open = set()
+
+    @property
+    def end(self):
+        """The loop's time by which all blocks end."""
+        return self._end
+
+    @contextlib.contextmanager
+    def until(self, when):
+        """End what runs inside a `with` block at a time, as `TimeLimit` does."""
+        with TimeLimit(loop=self._loop, when=min(when, self._end)) as limit:
+            self._open.add(limit)
+            try:
+                yield
+            finally:
+                self._open.discard(limit)
+
+    def end_by(self, when):
+        """Let all blocks end by a time, those that are open and later ones."""
+        self._end = when
+        for limit in self._open:
+            limit.reschedule(min(limit.when, when))
--- a/guavastream/leases/hedged_watch.py
+++ b/guavastream/leases/hedged_watch.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from guavastream.exception import CallTimeout, GuavastreamError
-from guavastream.kernel import Signal, TimeLimit, replace
+from guavastream.kernel import Signal, replace
 
 __all__ = ["HedgedWatch"]
 
@@ -183,11 +183,8 @@
             if self._loop.time() >= until:
                 return None
             self._heard.clear()
-            try:
-                with TimeLimit(loop=self._loop, when=until):
-                    await self._heard.wait()
-            except TimeoutError:
-                # It may have come in the very turn in which the time was over.
+            if not await self._heard.wait_until(until):
+                # A call that ends in this turn of the loop tells so in the next.
                 return self._find_answered()
 
     def _find_answered(self):
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from guavastream.http1 import CutOff, format_head
-from guavastream.kernel import TimeLimit, replace
+from guavastream.kernel import TimeLimit, TimeLimits, replace
 from guavastream.relay.admission import Gate
 from guavastream.relay.dialect import OWN
 from guavastream.relay.guard import Attempt
@@ -141,14 +141,11 @@
         self._intake = Gate(loop=loop, slots=MOST_BODIES)
         self._link_rate = link_rate
         self._usual_length = 0.0
-        self._ends_at = float("inf")
-        self._limits = set()
+        self._limits = TimeLimits(loop=loop)
 
     def end_by(self, when):
         """See that every request has its answer by the clock's time `when`."""
-        self._ends_at = when
-        for limit in self._limits:
-            limit.reschedule(min(limit.when, when))
+        self._limits.end_by(when)
 
     async def handle(self, request, responder):
         """Answer a request that another host sent for the local server."""
@@ -166,13 +163,9 @@
                 raise NotRun("unreachable")
             if request.awaits_go or not (request.body.ended or not request.length):
                 attempt = await self._take_body(attempt, request, responder)
-            with TimeLimit(loop=self._loop, when=attempt.deadline) as limit:
-                self._limits.add(limit)
-                try:
-                    async with self._guard.serve(attempt) as answer:
-                        await self._pass_back(answer, responder, attempt.kind)
-                finally:
-                    self._limits.discard(limit)
+            with self._limits.until(attempt.deadline):
+                async with self._guard.serve(attempt) as answer:
+                    await self._pass_back(answer, responder, attempt.kind)
         except NotRun as refused:
             await self._tell(responder, attempt.kind, refused.code, refused.retry_after)
         except Lost as lost:
@@ -259,7 +252,7 @@
             urgency=hop.rank if hop.urgency is None else hop.urgency,
             kind=hop.route,
             wanted_by=now + hop.wanted_ms / 1000,
-            deadline=min(now + hop.left_ms / 1000, self._ends_at),
+            deadline=min(now + hop.left_ms / 1000, self._limits.end),
         )
 
     async def _pass_back(self, answer, responder, kind):
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -6,7 +6,7 @@
 import random
 
 from guavastream.http1 import Client, CutOff, NotSent
-from guavastream.kernel import Policy, TimeLimit, part_logger, replace
+from guavastream.kernel import Policy, TimeLimits, part_logger, replace
 from guavastream.relay.budget import RetryShare
 from guavastream.relay.dialect import OWN
 from guavastream.relay.fingerprint import fingerprint
@@ -119,8 +119,7 @@
         # Set in the last moments of a stop: whoever still asks for the local
         # server is told that nothing ran.
         self.leaving = False
-        self._limits = set()
-        self._ends_at = float("inf")
+        self._limits = TimeLimits(loop=loop)
         self._reader = JobReader(
             loop=loop,
             dialect=dialect,
@@ -141,14 +140,10 @@
             job = await self._reader.read(request, started=started)
             if job.deadline - self._clock() < LEAST_SECONDS:
                 raise NotRun("no_time")
-            if self._ends_at < job.deadline:
-                job = replace(job, deadline=self._ends_at)
-            with TimeLimit(loop=self._loop, when=job.deadline) as limit:
-                self._limits.add(limit)
-                try:
-                    await self._serve(job, responder)
-                finally:
-                    self._limits.discard(limit)
+            if self._limits.end < job.deadline:
+                job = replace(job, deadline=self._limits.end)
+            with self._limits.until(job.deadline):
+                await self._serve(job, responder)
         except NotRun as refused:
             if job is not None and job.lost:
                 # The answer speaks for all tries, not for the last one.
@@ -178,9 +173,7 @@
         Callers may wait for longer than a stopping process may take. Cut off,
         they would be told nothing; what comes from now on is refused in time.
         """
-        self._ends_at = when
-        for limit in self._limits:
-            limit.reschedule(min(limit.when, when))
+        self._limits.end_by(when)
 
     async def _serve(self, job, responder):
         share = self._shares.get(job.service)
--- a/guavastream/replica/holder.py
+++ b/guavastream/replica/holder.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from guavastream.exception import BadMessage
-from guavastream.kernel import Signal, TimeLimit
+from guavastream.kernel import Signal
 from guavastream.replica.codec import decode_command
 
 __all__ = ["TableHolder"]
@@ -99,11 +99,8 @@
             self._events.append(event)
             self.want()
             try:
-                with TimeLimit(loop=loop, when=deadline):
-                    await event.wait()
-            except TimeoutError:
-                # It may have come in the very turn in which the time was over.
-                return self._table.index >= index
+                if not await event.wait_until(deadline):
+                    return False
             finally:
                 # Whoever has stopped waiting must not pass for one that waits.
                 if event in self._events:
@@ -123,11 +120,7 @@
         loop = asyncio.get_running_loop()
         event = Signal(loop=loop)
         self._wanted.append(event)
-        try:
-            with TimeLimit.within(timeout, loop=loop):
-                await event.wait()
-        except TimeoutError:
-            pass
+        await event.wait_until(loop.time() + timeout)
 
     def wait_in_thread(self, index, timeout):
         """Wait in a worker thread for a table after `index`."""
