A cold server gets no more requests than it tolerates

A heartbeat's ColdRemaining only halved the capacity in the plan; ColdPerS was not read.

Change: the process beside the server counts what it sends (relay/cold.py) and keeps the tolerated rate in any second, also for requests that wait for a slot; the larger bound covers what it can't know (its predecessor's last second). A server is cold until a heartbeat of this incarnation says otherwise, again if heartbeats stop, and after an evacuation until its next heartbeat. What doesn't fit is refused at once with the time at which there is room. Reports carry that time: pickers pass over full servers, ingresses refuse without a hop when all are full. The plan gives a cold server the keys its rate can bear.

Weighed: a token bucket (lets twice the rate through in one second), a limit at each sender (77 hosts would need shares), probes of the health path (heartbeats say the same within 0.9 s; a new incarnation is cold until heard).

--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -677,11 +677,13 @@
             else 1 / DEFAULT_SLOT_RATE
         )
         now = self._clock()
+        rules = self._state.config.services.get(name)
+        cold_rate = rules and rules.cold_rate or float("inf")
         capacity = {}
         for server in servers:
             rate = server.slots / self._latency.get(server.id, median)
             if self._cold_until.get(server.id, 0.0) > now:
-                rate *= COLD_CAPACITY_FACTOR
+                rate = min(rate * COLD_CAPACITY_FACTOR, cold_rate)
             capacity[server.id] = max(rate, 0.1)
         return capacity
 
--- a/guavastream/emulator/dialect.py
+++ b/guavastream/emulator/dialect.py
@@ -1,6 +1,7 @@
 """A small backend server that speaks a dialect, for tests in one loop."""
 
 import asyncio
+from collections import deque
 
 from guavastream.http1 import Server
 
@@ -36,6 +37,10 @@
     behave : callable
         Coroutine function of request and responder that may answer in place
         of the server after the work is done; returns whether it did.
+    cold_until : float
+        Loop time until which the server is cold; its work then takes twice as long.
+    most_while_cold : int
+        Largest number of requests that it got within a second while it was cold.
     """
 
     def __init__(self, *, id, dialect, address, slots=8, seconds=0.1):
@@ -49,6 +54,9 @@
         self.behave = None
         self.calls = {}
         self.on_run = lambda request, key: None
+        self.cold_until = 0.0
+        self.most_while_cold = 0
+        self._arrivals = deque()
         self.running = 0
         # Keys of the requests that run, as often as each runs.
         self.running_keys = []
@@ -60,6 +68,19 @@
         """IP:PORT of the server."""
         return self._server.address
 
+    @property
+    def cold_seconds(self):
+        """Time for which the server stays cold."""
+        return max(0.0, self.cold_until - asyncio.get_running_loop().time())
+
+    def _note_arrival(self):
+        now = asyncio.get_running_loop().time()
+        self._arrivals.append(now)
+        while self._arrivals[0] < now - 1.0:
+            self._arrivals.popleft()
+        if self.cold_seconds:
+            self.most_while_cold = max(self.most_while_cold, len(self._arrivals))
+
     async def start(self):
         """Begin to serve."""
         await self._server.start()
@@ -90,6 +111,7 @@
         if expected != self.id or (key and not self.holds(int(key))):
             await responder.send(421, refused)
             return
+        self._note_arrival()
         if self.sheds or self.running >= self.slots:
             await responder.send(503, refused)
             return
@@ -100,7 +122,7 @@
         number = int(key) if key else -1
         self.running_keys.append(number)
         try:
-            await asyncio.sleep(self.seconds)
+            await asyncio.sleep(self.seconds * (2 if self.cold_seconds else 1))
         except asyncio.CancelledError:
             self.cut.append(id)
             raise
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -25,6 +25,7 @@
 from guavastream.relay import (
     CLOSING_RESPONSE,
     HOP_IDLE_SECONDS,
+    ColdStartLimiter,
     Guard,
     HopHandler,
     Ingress,
@@ -160,6 +161,12 @@
             on_ended=self._end_reporter.record_end,
             on_answered=self._end_reporter.record_answered,
             policy=settings.policy,
+            cold_limiter=ColdStartLimiter(
+                clock=clock,
+                heartbeat=settings.heartbeat,
+                overage=settings.cold_overage,
+                slack=settings.cold_slack,
+            ),
             evacuation=settings.evacuation,
         )
         self._newest_heartbeats = {}
--- a/guavastream/hosts/settings.py
+++ b/guavastream/hosts/settings.py
@@ -51,6 +51,9 @@
     evacuation : float
         Time from the acknowledgement of a zone's evacuation until its servers must get
         no more requests, seconds.
+    cold_overage, cold_slack : float
+        A cold server must get at most its tolerated rate times `cold_overage`, plus
+        `cold_slack`, requests in any second.
     policy : Policy
         Which mechanisms are enabled.
     """
@@ -77,6 +80,8 @@
     regions: dict = field(default_factory=dict)
     order_resend: float = 4.0
     evacuation: float = 5.0
+    cold_overage: float = 1.5
+    cold_slack: float = 8.0
     policy: Policy = Policy()
 
     @property
--- a/guavastream/hosts/tests/rig.py
+++ b/guavastream/hosts/tests/rig.py
@@ -57,21 +57,23 @@
     )
 
 
-CONFIG = ChangeRoutes(
-    base=0,
-    version=1,
-    digest=b"first",
-    whole=True,
-    routes=(
-        make_route("page", "pages", RetrySafety.SAFE),
-        make_route("order", "orders", RetrySafety.UNSAFE),
-        make_route("load", "orders", RetrySafety.UPLOAD),
-    ),
-    services=(
-        ServiceRules(name="pages", keyed=True),
-        ServiceRules(name="orders", keyed=False),
-    ),
-)
+def make_config(cold_rate):
+    """Return the first configuration."""
+    return ChangeRoutes(
+        base=0,
+        version=1,
+        digest=b"first",
+        whole=True,
+        routes=(
+            make_route("page", "pages", RetrySafety.SAFE),
+            make_route("order", "orders", RetrySafety.UNSAFE),
+            make_route("load", "orders", RetrySafety.UPLOAD),
+        ),
+        services=(
+            ServiceRules(name="pages", keyed=True, cold_rate=cold_rate),
+            ServiceRules(name="orders", keyed=False, cold_rate=cold_rate),
+        ),
+    )
 
 
 @dataclass(kw_only=True)
@@ -145,8 +147,8 @@
         process, self.process = self.process, None
         await process.stop()
 
-    async def start_server(self, *, port=SERVER_PORT):
-        """Start a new incarnation of the server."""
+    async def start_server(self, *, port=SERVER_PORT, cold=0.0):
+        """Start a new incarnation of the server, which is cold for `cold` seconds."""
         self.incarnations += 1
         self._rows = ()
         server = DialectServer(
@@ -158,6 +160,7 @@
         if self.service == "pages":
             server.holds = self._holds
         server.on_run = lambda entry, key: self._fleet.note_run(self, server, entry)
+        server.cold_until = asyncio.get_running_loop().time() + cold
         self.server = server
         await server.start()
         self._heartbeat_task = asyncio.ensure_future(self._send_heartbeats(server))
@@ -193,7 +196,7 @@
                 zone=self.zone,
                 slots=server.slots,
                 leaving=False,
-                cold_seconds=0.0,
+                cold_seconds=server.cold_seconds,
                 seq=seq,
                 holds=tuple(row[:3] for row in self._rows),
                 released=released,
@@ -265,11 +268,14 @@
 class Fleet:
     """Control hosts, hosts with servers, callers, and recurring requests."""
 
-    def __init__(self, folder, *, pages=6, orders=4, seed=1, zones=("a",)):
+    def __init__(
+        self, folder, *, pages=6, orders=4, seed=1, zones=("a",), cold_rate=0.0
+    ):
         self.rng = random.Random(seed)
         self.network = FakeNetwork(seed=seed)
         self.cluster = ControlCluster(folder, self.network)
         names = ["pages"] * pages + ["orders"] * orders
+        self._cold_rate = cold_rate
         self.hosts = [
             SimulatedHost(self, n, service, zones[n % len(zones)])
             for n, service in enumerate(names, 1)
@@ -287,7 +293,7 @@
         """Start everything and wait until all keys have owners."""
         self.cluster.start_all()
         await self.cluster.wait_for_voters()
-        await self.cluster.change(CONFIG)
+        await self.cluster.change(make_config(self._cold_rate))
         for host in self.hosts:
             await host.start_process()
             await host.start_server()
--- a/guavastream/hosts/tests/test_evacuation.py
+++ b/guavastream/hosts/tests/test_evacuation.py
@@ -70,19 +70,24 @@
 
 
 def test_the_servers_get_work_again_when_the_evacuation_ends(tmp_path):
+    # They have lost their caches meanwhile: each gets no more than it tolerates.
     async def scenario(fleet):
         log = RunLog(fleet)
         fleet.load(LOAD)
         await fleet.set_evacuation("x", active=True)
         await asyncio.sleep(6.0)
+        servers = [host.server for host in fleet.hosts if host.zone == "x"]
+        for server in servers:
+            server.cold_until = fleet.now() + 3.0
         await fleet.set_evacuation("x", active=False)
         ended_at = fleet.now()
         await asyncio.sleep(8.0)
+        assert all(server.most_while_cold <= 7 for server in servers)
         assert log.count("x", "orders", ended_at + 3.0) > 20
         # At this load no keys need to move back, except to servers without any.
         assert log.count("x", "pages", ended_at + 3.0) > 0
 
-    run_fleet(tmp_path, scenario, pages=6, orders=6, zones=ZONES)
+    run_fleet(tmp_path, scenario, pages=6, orders=6, zones=ZONES, cold_rate=7.5)
 
 
 def test_callers_are_refused_at_once_if_no_server_is_left(tmp_path):
--- a/guavastream/platform/emulator/server.py
+++ b/guavastream/platform/emulator/server.py
@@ -11,7 +11,7 @@
 from guavastream.fleet import subtract_range
 from guavastream.platform.emulator.machine import HEARTBEAT_SECONDS, call
 from guavastream.platform.keys import GRANT_PATH, RELEASE_PATH
-from guavastream.platform.units import parse_time
+from guavastream.platform.units import format_time, parse_time
 from guavastream.platform.wire import DIALECT
 
 __all__ = ["BackendServer", "CallGrantedKeys"]
@@ -136,7 +136,7 @@
             "Version": "v1",
             "Slots": 8,
             "State": state,
-            "ColdRemaining": "0ms",
+            "ColdRemaining": format_time(self.server.cold_seconds),
             "Seq": self.seq,
             "born": self.started_ms,
         }
--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -53,8 +53,9 @@
     } | changes
 
 
-def make_config(version, *, granting="heartbeat"):
+def make_config(version, *, granting="heartbeat", cold_rate=0.0):
     """Return a configuration of all routes and services."""
+    cold = {"ColdPerS": cold_rate} if cold_rate else {}
     return {
         "Version": f"{version:08x}",
         "Routes": {name: make_route(name) for name in ROUTES},
@@ -65,6 +66,7 @@
                 "Sharding": name == "keyed",
                 "Grants": granting,
             }
+            | cold
             for name in SERVICES
         },
         "Limits": {
@@ -108,6 +110,9 @@
         Called with each `BackendServer` before it begins to serve.
     zones : tuple of str
         Availability zones, to which the hosts with servers belong in turn.
+    cold_seconds, cold_rate : float
+        How long a server is cold after its start, and how many requests per second it
+        tolerates then; 0 if servers start warm.
     """
 
     def __init__(
@@ -121,6 +126,8 @@
         idle_seconds=None,
         on_start=lambda server: None,
         zones=("a",),
+        cold_seconds=0.0,
+        cold_rate=0.0,
     ):
         # Addresses depend on the process id, so that concurrent runs don't collide.
         ip_prefix = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}"
@@ -142,6 +149,8 @@
             for n, service in enumerate(service_names, 11)
         ]
         self._on_start = on_start
+        self._cold_seconds = cold_seconds
+        self._cold_rate = cold_rate
         self._last_fault_at = {}
         self._seeds = [machine.address("control") for machine in self.control_hosts]
 
@@ -159,7 +168,7 @@
 
     def make_config(self, version):
         """Return a configuration with this platform's granting and idle timeout."""
-        config = make_config(version, granting=self.granting)
+        config = make_config(version, granting=self.granting, cold_rate=self._cold_rate)
         if self._idle_seconds is not None:
             config["Limits"]["IdleTimeout"] = f"{int(self._idle_seconds * 1000)}ms"
         return config
@@ -211,6 +220,8 @@
             late_share=self._late_share,
         )
         server_host.server = server
+        now = asyncio.get_running_loop().time()
+        server.server.cold_until = now + self._cold_seconds
         self._on_start(server)
         server_host.task = asyncio.ensure_future(self._serve(server_host, server))
 
--- a/guavastream/platform/settings.py
+++ b/guavastream/platform/settings.py
@@ -108,6 +108,8 @@
         "regions": reader.get_table("Zones"),
         "order_resend": reader.get_parsed("Bounds.Ack", parse_time, 4.0),
         "evacuation": reader.get_parsed("Bounds.Evacuation", parse_time, 5.0),
+        "cold_overage": reader.get_parsed("Bounds.ColdOverage", _parse_positive, 1.5),
+        "cold_slack": reader.get_parsed("Bounds.ColdSlack", _parse_positive, 8.0),
         "policy": reader.get_policy(policy),
         "metrics": f"{ip}:{last_port}" if peer_port else "",
     }
--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -166,6 +166,8 @@
                     self.ledger.record_violation(
                         "requests that a host has read are answered", line
                     )
+        if self._evacuations is not None:
+            self._evacuations.check_cold_servers()
         return self.ledger.all_violations()
 
     async def _inject_faults(self):
@@ -229,6 +231,8 @@
             )
 
         server.server.on_run = on_run
+        if self._evacuations is not None:
+            self._evacuations.note_start(server)
 
     # Callers
 
@@ -424,7 +428,7 @@
         Whether callers reuse connections with a short idle timeout, which expires while
         a host is frozen.
     evacuating : bool
-        Whether an operator evacuates availability zones.
+        Whether an operator evacuates availability zones, and servers start cold.
 
     Returns
     -------
@@ -488,7 +492,7 @@
     parser.add_argument(
         "--evacuating",
         action="store_true",
-        help="with evacuations of availability zones",
+        help="with evacuations of availability zones and servers that start cold",
     )
     parser.add_argument(
         "--returning",
--- a/guavastream/platform/soak_evacuations.py
+++ b/guavastream/platform/soak_evacuations.py
@@ -1,11 +1,14 @@
-"""Evacuations of availability zones in a soak test."""
+"""Evacuations of availability zones and cold servers in a soak test."""
 
 import asyncio
 import random
 
 __all__ = ["EVACUATING_PLATFORM", "EvacuationCheck"]
 
-EVACUATING_PLATFORM = {"zones": ("a", "b")}
+# Settings of the emulated platform. The bound of requests per second at a cold server
+# follows from its tolerated rate and the default settings of a process.
+EVACUATING_PLATFORM = {"zones": ("a", "b"), "cold_seconds": 2.0, "cold_rate": 7.5}
+MAX_REQUESTS_WHILE_COLD = 19
 # A zone's servers get no request later than this after the acknowledgement.
 EVACUATION_SECONDS = 5.0
 # A host may be late for this long after a fault of its own or of control hosts.
@@ -34,10 +37,15 @@
         self._platform = platform
         self._ledger = ledger
         self._rng = random.Random(seed)
+        self._servers = []
         # Times of the acknowledgements, for the zones that are evacuated.
         self._acknowledged_at = {}
         self._evacuated_zone = ""
 
+    def note_start(self, server):
+        """Note a `BackendServer` that starts."""
+        self._servers.append(server)
+
     def note_run(self, id, server):
         """Check a request that a server begins to run."""
         now = asyncio.get_running_loop().time()
@@ -50,6 +58,15 @@
                 "servers of an evacuated zone get no requests", f"{id!r} {late:.1f} s"
             )
 
+    def check_cold_servers(self):
+        """Check that no cold server got more requests in a second than allowed."""
+        for server in self._servers:
+            most = server.server.most_while_cold
+            if most > MAX_REQUESTS_WHILE_COLD:
+                self._ledger.record_violation(
+                    "cold servers are not pressed", f"{server.id}: {most} in a second"
+                )
+
     async def run(self):
         """Evacuate one zone after the other, until cancelled."""
         while True:
@@ -60,6 +77,10 @@
                 self._acknowledged_at[zone] = asyncio.get_running_loop().time()
             await asyncio.sleep(self._rng.uniform(*EVACUATED_SECONDS))
             self._acknowledged_at.pop(zone, None)
+            for server in self._servers:
+                if server.zone == zone:
+                    now = asyncio.get_running_loop().time()
+                    server.server.cold_until = now + EVACUATING_PLATFORM["cold_seconds"]
             await self._send_until_done(zone, active=False)
 
     async def end(self):
--- a/guavastream/platform/tests/test_settings.py
+++ b/guavastream/platform/tests/test_settings.py
@@ -94,12 +94,14 @@
     assert unknown.granting is Granting.UNKNOWN
 
 
-def test_zones_and_bounds_of_evacuations_are_parsed():
+def test_zones_and_bounds_of_evacuations_and_cold_servers_are_parsed():
     zones = "Zones.a=north\nZones.b=north\n"
     bounds = "Bounds.Ack=3s\nBounds.Evacuation=4s\n"
+    bounds += "Bounds.ColdOverage=2\nBounds.ColdSlack=5\n"
     settings = parse_settings(CONTROL_HOST + zones + bounds)
     assert settings.regions == {"a": "north", "b": "north"}
     assert (settings.order_resend, settings.evacuation) == (3.0, 4.0)
+    assert (settings.cold_overage, settings.cold_slack) == (2.0, 5.0)
     with pytest.raises(FindingsError) as caught:
-        parse_settings(CONTROL_HOST + "Bounds.Evacuation=-1s\n")
-    assert [f.place for f in caught.value.findings] == ["Bounds.Evacuation"]
+        parse_settings(CONTROL_HOST + "Bounds.ColdSlack=-1\n")
+    assert [f.place for f in caught.value.findings] == ["Bounds.ColdSlack"]
--- a/guavastream/platform/tests/test_soak.py
+++ b/guavastream/platform/tests/test_soak.py
@@ -31,7 +31,7 @@
     assert violations == [] and counts[200] > 50
 
 
-def test_evacuated_zones_get_no_requests(tmp_path):
+def test_evacuated_zones_get_no_requests_and_cold_servers_are_not_pressed(tmp_path):
     """Guards against hosts that send to servers which must not get the request."""
     violations, counts, _ = run_soak(
         seed=1, seconds=14, folder=tmp_path, evacuating=True
--- a/guavastream/platform/tests/test_wire.py
+++ b/guavastream/platform/tests/test_wire.py
@@ -188,3 +188,15 @@
     services = {"huvo11a": CONFIG["Services"]["huvo11a"] | granting_fields}
     change = decode_put(CONFIG | {"Services": services, "Routes": {}})
     assert change.services[0].granting is granting
+
+
+def test_the_rate_that_a_cold_server_tolerates_is_decoded():
+    def decode_rate(rate):
+        service = CONFIG["Services"]["huvo11a"] | {"ColdStart": "3s", "ColdPerS": rate}
+        services = CONFIG["Services"] | {"huvo11a": service}
+        command = decode_put(CONFIG | {"Services": services})
+        return [service.cold_rate for service in command.services]
+
+    assert decode_rate(7.5) == [7.5, 0.0]
+    with pytest.raises(FindingsError):
+        decode_rate(-1)
--- a/guavastream/platform/wire.py
+++ b/guavastream/platform/wire.py
@@ -48,6 +48,7 @@
 # about 90 rows, and more while it releases many.
 MAX_INTEGER = 2**63 - 1
 MAX_WEIGHT = 1e9
+MAX_COLD_RATE = 1e9
 MAX_TEXT_LENGTH = 255
 MAX_ROWS = 2048
 # A longer warm-up is not plausible for a server that has just started.
@@ -57,6 +58,7 @@
 
 
 _Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+_ColdRate = Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_RATE)]
 _WeightValue = Annotated[float, msgspec.Meta(ge=-MAX_WEIGHT, le=MAX_WEIGHT)]
 
 
@@ -85,6 +87,8 @@
     sharding: bool = False
     warmup: str = "0ms"
     grants: str = ""
+    # Requests per second that a server tolerates while it is cold.
+    cold_per_s: _ColdRate = 0.0
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -365,6 +369,7 @@
         granting=GRANTING_BY_NAME.get(raw.grants, Granting.UNKNOWN)
         if raw.grants
         else None,
+        cold_rate=raw.cold_per_s,
         raw_json=origin,
     )
 
--- a/guavastream/relay/__init__.py
+++ b/guavastream/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from guavastream.relay.admission import *
 from guavastream.relay.budget import *
+from guavastream.relay.cold import *
 from guavastream.relay.dialect import *
 from guavastream.relay.fingerprint import *
 from guavastream.relay.guard import *
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -6,6 +6,7 @@
 
 from guavastream.kernel import TimeLimit, part_logger, record
 from guavastream.relay.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
+from guavastream.relay.cold import ColdStartLimiter
 from guavastream.relay.outcome import NotRun
 from guavastream.relay.pick import Report
 from guavastream.relay.quarantine import Quarantine
@@ -132,6 +133,8 @@
         answered it.
     policy : Policy, optional
         Mechanisms that are in force.
+    cold_limiter : ColdStartLimiter, optional
+        Limits the requests to the local server while it is cold.
     evacuation : float
         Time from the acknowledgement of a zone's evacuation until its servers must get
         no more requests, seconds.
@@ -149,6 +152,7 @@
         on_ended=lambda instance, requests: None,
         on_answered=lambda fingerprint, instance: None,
         policy=None,
+        cold_limiter=None,
         evacuation=5.0,
     ):
         self._loop = loop
@@ -160,6 +164,7 @@
         self._count = count
         self._on_ended = on_ended
         self._on_answered = on_answered
+        self._cold_limiter = cold_limiter or ColdStartLimiter(clock=self._clock)
         self._evacuation_grace = EVACUATION_SHARE * evacuation
         # Times at which evacuations of the local server's zone came into force here.
         self._evacuated_at = {}
@@ -168,6 +173,7 @@
             dialect=dialect,
             count=count,
             on_ended=self._note_ended,
+            on_resend=self._cold_limiter.note_sent,
         )
         self.quarantine = Quarantine(
             clock=self._clock, fleet_holder=fleet_holder, count=count
@@ -208,8 +214,20 @@
             slots=admission_queue.slots,
             seconds=admission_queue.seconds,
             of_kind=admission_queue.mean_seconds_for(kind),
+            cold_wait=self._cold_wait(),
         )
 
+    def _cold_wait(self):
+        """Return the time until the local server, if cold, may get a request."""
+        instance = self.find_local(self._local_id)
+        if instance is None:
+            return None
+        return self._cold_limiter.wait_seconds(instance.id, self._cold_rate(instance))
+
+    def _cold_rate(self, instance):
+        rules = self._fleet_holder.table.config.services.get(instance.service)
+        return rules.cold_rate if rules else 0.0
+
     def refuse_waiting(self):
         """Refuse all requests that wait for the local server."""
         self._admission_queue.refuse_waiting()
@@ -217,6 +235,9 @@
     def note_heard(self, heartbeat):
         """Note that an incarnation of the local server announced itself."""
         self._server.watch.note_heard(heartbeat.id)
+        self._cold_limiter.note_heartbeat(
+            heartbeat.id, seq=heartbeat.seq, cold_seconds=heartbeat.cold_seconds
+        )
 
     def follow(self, before, fleet_state):
         """Take note of changes of the fleet state that concern the local server."""
@@ -235,6 +256,8 @@
                 self._begin_evacuation(instance, fleet_state)
             elif known.evacuated and not instance.evacuated:
                 self._evacuated_at.pop(id, None)
+                # Servers may lose their caches during an evacuation.
+                self._cold_limiter.note_maybe_cold(id)
 
     def _begin_evacuation(self, instance, fleet_state):
         self._evacuated_at[instance.id] = self._clock()
@@ -315,28 +338,30 @@
         try:
             if attempt.key is not None:
                 await self._wait_for_key(attempt)
-            estimate = await self._wait_for_slot(attempt, instance)
-            began, seconds = self._clock(), None
-            self._running_attempts[attempt.id] = attempt
-            try:
-                self._refuse_without_work(
-                    attempt, self.find_local(instance.id) or instance
-                )
-                # The key may have moved to another server during the wait.
-                if attempt.key is not None and not self._holds_key(attempt):
-                    raise NotRun("moving")
-                answer = await self._server.send(instance, attempt)
+            with self._reserve_cold_start(attempt, instance) as reservation:
+                estimate = await self._wait_for_slot(attempt, instance)
+                began, seconds = self._clock(), None
+                self._running_attempts[attempt.id] = attempt
                 try:
-                    yield answer
+                    self._refuse_without_work(
+                        attempt, self.find_local(instance.id) or instance
+                    )
+                    # The key may have moved to another server during the wait.
+                    if attempt.key is not None and not self._holds_key(attempt):
+                        raise NotRun("moving")
+                    self._use_reservation(reservation, attempt)
+                    answer = await self._server.send(instance, attempt)
+                    try:
+                        yield answer
+                    finally:
+                        self._clear_if_answered(answer, attempt, instance)
+                        answer.close()
+                        seconds = self._clock() - began
                 finally:
-                    self._clear_if_answered(answer, attempt, instance)
-                    answer.close()
-                    seconds = self._clock() - began
-            finally:
-                self._running_attempts.pop(attempt.id, None)
-                self._admission_queue.leave(
-                    estimate, kind=attempt.kind, seconds=seconds
-                )
+                    self._running_attempts.pop(attempt.id, None)
+                    self._admission_queue.leave(
+                        estimate, kind=attempt.kind, seconds=seconds
+                    )
         finally:
             if has_turn:
                 self._suspect_turn.release()
@@ -366,6 +391,21 @@
             raise
         return True
 
+    def _reserve_cold_start(self, attempt, instance):
+        """Reserve one of the requests that a cold server may get in a second."""
+        try:
+            return self._cold_limiter.reserve(instance.id, self._cold_rate(instance))
+        except NotRun as refused:
+            self._log_refusal(attempt, refused)
+            raise
+
+    def _use_reservation(self, reservation, attempt):
+        try:
+            reservation.use()
+        except NotRun as refused:
+            self._log_refusal(attempt, refused)
+            raise
+
     async def _wait_for_slot(self, attempt, instance):
         """Wait for a slot; return the estimate to pass to `AdmissionQueue.leave`."""
         self._admission_queue.slots = instance.slots
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -241,7 +241,7 @@
                 continue
             if job.keyed or not rule.try_elsewhere:
                 raise failure
-            refusals += code == "overloaded"
+            refusals += code in ("overloaded", "cold")
             if refusals >= MAX_REFUSALS:
                 raise failure
             if not self._has_untried_server(fleet_state, job, tried):
@@ -307,6 +307,9 @@
             owner = fleet_state.owner_of(job.service, job.key)
             if owner is None:
                 raise NotRun("no_owner", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
+            wait = self._picker.seconds_until_room([owner])
+            if wait:
+                raise NotRun("cold", retry_after=wait)
             if self._picker.is_silent(owner, job.route.name):
                 # The request would time out there without an answer.
                 raise NotRun("silent", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
@@ -323,9 +326,12 @@
             target=job.route.target,
             here=here,
         )
-        if server is None:
-            raise NotRun("no_server", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
-        return server
+        if server is not None:
+            return server
+        wait = self._picker.seconds_until_room(job.considered_servers)
+        if wait:
+            raise NotRun("cold", retry_after=wait)
+        raise NotRun("no_server", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
 
     async def _try(self, job, server, responder, *, last):
         """Make one attempt at a server, and update what the picker knows of it."""
@@ -342,6 +348,8 @@
                 self._picker.note_unreachable(server)
             else:
                 self._picker.note_reached(server)
+            if refused.code == "cold":
+                self._picker.note_full(server, refused.retry_after)
             if refused.code in ("server_refused", "leaving"):
                 self._picker.note_answer(server, failed=True)
             raise
--- a/guavastream/relay/outcome.py
+++ b/guavastream/relay/outcome.py
@@ -37,6 +37,7 @@
     "moving": FailureRule(status=503, wait_for_owner=True),
     "leaving": FailureRule(status=503, wait_for_owner=True, try_elsewhere=True),
     "overloaded": FailureRule(status=503, try_elsewhere=True),
+    "cold": FailureRule(status=503, try_elsewhere=True),
     "evacuated": FailureRule(status=503, wait_for_owner=True, try_elsewhere=True),
     "no_time": FailureRule(status=503),
     "quarantined": FailureRule(status=503),
--- a/guavastream/relay/pick.py
+++ b/guavastream/relay/pick.py
@@ -71,6 +71,9 @@
         Average time of all requests, 0 if unknown.
     of_kind : float
         Average time of the kind of request that was answered, 0 if unknown.
+    cold_wait : float or None
+        Time until the server, which is cold, may get another request; None if it is
+        not limited.
     """
 
     running: int = 0
@@ -78,6 +81,7 @@
     slots: int = 1
     seconds: float = 0.0
     of_kind: float = 0.0
+    cold_wait: float | None = None
 
 
 def format_report(report):
@@ -87,14 +91,19 @@
     --------
     >>> format_report(Report(running=3, slots=8, seconds=0.25, of_kind=0.04))
     b'3,0,8,250,40'
+    >>> format_report(Report(running=3, slots=8, cold_wait=0.1))
+    b'3,0,8,0,0,100'
     """
-    return b"%d,%d,%d,%d,%d" % (
+    value = b"%d,%d,%d,%d,%d" % (
         report.running,
         report.waiting,
         report.slots,
         int(report.seconds * 1000),
         int(report.of_kind * 1000),
     )
+    if report.cold_wait is None:
+        return value
+    return b"%s,%d" % (value, math.ceil(report.cold_wait * 1000))
 
 
 def parse_report(value):
@@ -104,9 +113,11 @@
     --------
     >>> parse_report(b"3,0,8,250,40").seconds, parse_report(b"x")
     (0.25, None)
+    >>> parse_report(b"3,0,8,0,0,100").cold_wait
+    0.1
     """
     try:
-        running, waiting, slots, ms, kind_ms = map(int, value.split(b","))
+        running, waiting, slots, ms, kind_ms, *cold_ms = map(int, value.split(b","))
     except ValueError:
         return None
     return Report(
@@ -115,6 +126,7 @@
         slots=max(1, slots),
         seconds=ms / 1000,
         of_kind=kind_ms / 1000,
+        cold_wait=cold_ms[0] / 1000 if cold_ms else None,
     )
 
 
@@ -133,6 +145,8 @@
     penalty: float = 0.0
     penalty_at: float = 0.0
     skip_until: float = float("-inf")
+    # Time until which the server, which is cold, gets as many requests as it tolerates.
+    full_until: float = float("-inf")
     # Current backoff, 0 if the server was reachable last.
     backoff: float = 0.0
     probed_at: float = float("-inf")
@@ -192,14 +206,18 @@
         return found or [s for s in choices.all if s.id not in avoid]
 
     def _reachable(self, servers, avoid):
-        """Return the servers that were not tried and are not skipped as unreachable."""
+        """Return the untried servers that are neither skipped nor cold and full."""
         now = self._clock()
         return [
             server
             for server in servers
-            if server.id not in avoid and self._state_of(server).skip_until <= now
+            if server.id not in avoid and self._skipped_until(server) <= now
         ]
 
+    def _skipped_until(self, server):
+        state = self._state_of(server)
+        return max(state.skip_until, state.full_until)
+
     def _state_of(self, server):
         """Return the `_ServerState` of a server, a new one if it is unknown."""
         state = self._states.get(server.id)
@@ -213,7 +231,8 @@
     ):
         """Return the server with the least expected time, None if there is none.
 
-        A server on this host or in this zone is preferred if it is fast enough.
+        A server on this host or in this zone is preferred if it is fast enough. Cold
+        servers that already get as many requests as they tolerate are left out.
 
         Parameters
         ----------
@@ -230,7 +249,12 @@
         here : str
             ID of the server on this host, which needs no hop to another host.
         """
-        untried = [s for s in servers if s.id not in avoid]
+        now = self._clock()
+        untried = [
+            s
+            for s in servers
+            if s.id not in avoid and self._state_of(s).full_until <= now
+        ]
         pool = self._without_skipped(untried)
         if not pool:
             return None
@@ -239,7 +263,6 @@
         )
         best, best_time = None, math.inf
         best_in_zone, best_time_in_zone = None, math.inf
-        now = self._clock()
         for server in pool:
             time = self._expected_seconds(server, kind, now)
             if server.id == here and time <= local_limit and self._policy.near:
@@ -251,6 +274,18 @@
         stays_in_zone = best_time_in_zone <= local_limit and self._policy.near
         return best_in_zone if stays_in_zone else best
 
+    def seconds_until_room(self, servers):
+        """Return the time until a cold server may get a request, 0 if one may now.
+
+        Returns 0 as well if there are no servers.
+        """
+        ends = [self._state_of(server).full_until for server in servers]
+        return max(0.0, min(ends) - self._clock()) if ends else 0.0
+
+    def note_full(self, server, seconds):
+        """Note that a server, which is cold, gets enough requests for some time."""
+        self._state_of(server).full_until = self._clock() + seconds
+
     def _without_skipped(self, servers):
         """Return the servers that are not skipped, all if too many would be skipped."""
         now = self._clock()
@@ -370,6 +405,7 @@
         state.report = report
         state.reported_at = state.answered_at = self._clock()
         state.sent_since_report = 0
+        state.full_until = state.reported_at + (report.cold_wait or 0.0)
 
     def note_answer(self, server, *, failed):
         """Update a server's penalty after an answer; health checks play no part."""
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -65,12 +65,15 @@
         Counts an event by name.
     on_ended : callable
         Passed on to `ServerWatch`.
+    on_resend : callable
+        Called before an attempt is sent again on a new connection.
     """
 
-    def __init__(self, *, loop, dialect, count, on_ended):
+    def __init__(self, *, loop, dialect, count, on_ended, on_resend=lambda: None):
         self._clock = loop.time
         self._dialect = dialect
         self._count = count
+        self._on_resend = on_resend
         self._client = Client()
         self.watch = ServerWatch(loop=loop, client=self._client, on_ended=on_ended)
 
@@ -89,6 +92,7 @@
         except _StaleConnection:
             # Most likely the server closed the connection while it was idle, but it
             # may also have ended while it ran the request.
+            self._on_resend()
             try:
                 return await self._exchange(instance, attempt, fresh=True)
             except NotRun as error:
--- a/guavastream/routes/model.py
+++ b/guavastream/routes/model.py
@@ -109,6 +109,9 @@
         How its servers are granted keys; None uses the setting of the process.
     raw_json : bytes
         The service as the operator wrote it.
+    cold_rate : float
+        Requests per second that a server tolerates while it is cold after its start;
+        0 if there is no limit.
     """
 
     name: str
@@ -118,6 +121,7 @@
     health: str = "/health"
     granting: Granting | None = None
     raw_json: bytes = b""
+    cold_rate: float = 0.0
 
 
 @record(encoded_names={"raw_json": "origin"})
