Requests of a route that names regions stay in them

Cause: AllowedRegions of a route was not read; its requests could go anywhere. Change: the regions of a route are kept in the configuration, the region of each zone comes from the settings, and one filter, where servers are listed, leaves out the others. A server in a zone of unknown region counts as elsewhere. A key whose owner is elsewhere is refused at once (wrong_region). A body goes from the ingress straight to the chosen server's host, so to no host elsewhere. Not built: workspaces with regions (no sheet has them) and owners of keys chosen by region; both are questions in docs/design/platform.md.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -182,6 +182,7 @@
                 host=settings.host,
                 zone=settings.zone,
                 sampled=settings.policy.sampled,
+                regions=settings.regions,
             ),
             ratio=settings.retry_ratio,
             count=self.counters.count,
--- a/guavastream/platform/tests/test_wire.py
+++ b/guavastream/platform/tests/test_wire.py
@@ -200,3 +200,9 @@
     assert decode_rate(7.5) == [7.5, 0.0]
     with pytest.raises(FindingsError):
         decode_rate(-1)
+
+
+def test_the_regions_of_a_route_are_decoded():
+    routes = {"r": ROUTE | {"AllowedRegions": ["north"]}}
+    (route,) = decode_put(CONFIG | {"Routes": routes}).routes
+    assert route.regions == ("north",)
--- a/guavastream/platform/wire.py
+++ b/guavastream/platform/wire.py
@@ -79,6 +79,8 @@
     priority: _Integer = 0
     service: str = ""
     weighted_services: tuple[_WeightedService, ...] = ()
+    # Regions whose servers may get the requests; all if it is empty.
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _Service(msgspec.Struct, rename="pascal"):
@@ -354,6 +356,7 @@
         weighted_services=tuple(
             WeightedService(service=p.service, weight=p.weight) for p in weighted
         ),
+        regions=raw.allowed_regions,
         raw_json=origin,
     )
 
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -280,14 +280,18 @@
         )
 
     def _has_untried_server(self, fleet_state, job, tried):
-        choices = self._lists.of(fleet_state.instances, job.service)
+        choices = self._choices_for(fleet_state, job)
         return any(server.id not in tried for server in choices.all)
 
+    def _choices_for(self, fleet_state, job):
+        """Return the `Choices` of servers that may run a job, by their region."""
+        return self._lists.of(fleet_state.instances, job.service, job.route.regions)
+
     def _is_evacuated(self, fleet_state, job):
         """Whether all servers of a job's service are in evacuated zones."""
         return (
             any(server.evacuated for server in fleet_state.servers(job.service))
-            and not self._lists.of(fleet_state.instances, job.service).all
+            and not self._choices_for(fleet_state, job).all
         )
 
     def _is_last_attempt(self, fleet_state, job, server, tried, refusals):
@@ -307,6 +311,8 @@
             owner = fleet_state.owner_of(job.service, job.key)
             if owner is None:
                 raise NotRun("no_owner", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
+            if not self._lists.allows(owner, job.route.regions):
+                raise NotRun("wrong_region", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
             wait = self._picker.seconds_until_room([owner])
             if wait:
                 raise NotRun("cold", retry_after=wait)
@@ -317,7 +323,7 @@
                 raise NotRun("unreachable", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
             return owner
         here = self._guard.local_id
-        choices = self._lists.of(fleet_state.instances, job.service)
+        choices = self._choices_for(fleet_state, job)
         job.considered_servers[:] = self._picker.candidates(choices, tried, here=here)
         server = self._picker.choose(
             job.considered_servers,
--- a/guavastream/relay/outcome.py
+++ b/guavastream/relay/outcome.py
@@ -38,6 +38,8 @@
     "leaving": FailureRule(status=503, wait_for_owner=True, try_elsewhere=True),
     "overloaded": FailureRule(status=503, try_elsewhere=True),
     "cold": FailureRule(status=503, try_elsewhere=True),
+    # The owner of the key is in a region that the route does not allow.
+    "wrong_region": FailureRule(status=503),
     "evacuated": FailureRule(status=503, wait_for_owner=True, try_elsewhere=True),
     "no_time": FailureRule(status=503),
     "quarantined": FailureRule(status=503),
--- a/guavastream/relay/servers.py
+++ b/guavastream/relay/servers.py
@@ -50,6 +50,8 @@
         This host and its availability zone.
     sampled : bool
         Whether only a subset of the servers of a large service is used.
+    regions : dict of str to str, optional
+        Region of each availability zone.
 
     Notes
     -----
@@ -66,7 +68,8 @@
        20, on subsets of backends.
     """
 
-    def __init__(self, *, host, zone, sampled=True):
+    def __init__(self, *, host, zone, sampled=True, regions=None):
+        self._regions = regions or {}
         self._host = host
         self._zone = zone
         self._sampled = sampled
@@ -74,7 +77,7 @@
         self._lists = {}
         self._ranks = {}
 
-    def of(self, instances, service):
+    def of(self, instances, service, regions=()):
         """Return the `Choices` of a service.
 
         Parameters
@@ -84,21 +87,32 @@
             same object, so pass a new dict whenever an instance changes.
         service : str
             Name of the service.
+        regions : tuple of str
+            Regions whose servers may be chosen; all regions if it is empty.
         """
         if instances is not self._instances:
             self._instances = instances
             self._lists = {}
             self._ranks = {id: r for id, r in self._ranks.items() if id in instances}
-        found = self._lists.get(service)
+        found = self._lists.get((service, regions))
         if found is None:
-            found = self._lists[service] = self._make(service)
+            found = self._lists[service, regions] = self._make(service, regions)
         return found
 
-    def _make(self, service):
+    def allows(self, server, regions):
+        """Return whether a server may get requests that are limited to regions.
+
+        A server in a zone whose region is not known may not get any of them.
+        """
+        return not regions or self._regions.get(server.zone) in regions
+
+    def _make(self, service, regions):
         servers = tuple(
             instance
             for instance in self._instances.values()
-            if instance.service == service and instance.accepts_work
+            if instance.service == service
+            and instance.accepts_work
+            and self.allows(instance, regions)
         )
         subset = servers
         if self._sampled and len(servers) > MAX_COMPARED:
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -43,7 +43,8 @@
 class Host:
     """One host: its ingress, its guard, its server and its HTTP listeners."""
 
-    def __init__(self, mesh, number):
+    def __init__(self, mesh, number, zone):
+        self.zone = zone
         loop = asyncio.get_running_loop()
         self.ip = f"10.0.0.{number}"
         self.id = f"i{number}"
@@ -71,7 +72,7 @@
             guard=self.guard,
             picker=Picker(clock=loop.time, rng=random.Random(number)),
             service="s",
-            lists=ServerLists(host=self.ip, zone=""),
+            lists=ServerLists(host=self.ip, zone="", regions=mesh.regions),
             ratio=0.2,
             count=self._count,
             observe=lambda name, seconds: None,
@@ -101,9 +102,12 @@
 
 
 class Mesh:
-    """Hosts that share one fleet state and one configuration."""
+    """Hosts that share one fleet state and one configuration.
 
-    def __init__(self, *, hosts=2, keyed=False, routes=None):
+    The hosts belong in turn to the zones of `regions`, a dict of region by zone.
+    """
+
+    def __init__(self, *, hosts=2, keyed=False, routes=None, regions=None):
         routes = routes or (
             route("read"),
             route("pay", RetrySafety.UNSAFE),
@@ -116,7 +120,12 @@
         )
         self.index = RouteIndex(config)
         self.fleet_state = FleetState(config=config)
-        self.hosts = [Host(self, number) for number in range(1, hosts + 1)]
+        self.regions = regions or {"z": ""}
+        zones = list(self.regions)
+        self.hosts = [
+            Host(self, number, zones[number % len(zones)])
+            for number in range(1, hosts + 1)
+        ]
         self.client = Client()
         self._numbers = iter(range(1, 10**6))
 
@@ -130,7 +139,7 @@
                     host=host.id,
                     door=host.inbound,
                     address=host.server.address,
-                    zone="z",
+                    zone=host.zone,
                     slots=host.server.slots,
                 )
             )
--- a/guavastream/routes/model.py
+++ b/guavastream/routes/model.py
@@ -70,6 +70,8 @@
         Services that share the requests.
     raw_json : bytes
         The route as the operator wrote it, for reading the configuration back.
+    regions : tuple of str
+        Regions whose servers may get its requests; all regions if it is empty.
     """
 
     name: str
@@ -82,6 +84,7 @@
     attempts: int
     weighted_services: tuple[WeightedService, ...]
     raw_json: bytes = b""
+    regions: tuple[str, ...] = ()
 
     @property
     def idempotent(self):
