--- /dev/null
+++ b/guavastream/control/capacity.py
@@ -0,0 +1,69 @@
+"""Estimates of the load that each server of a keyed service can bear."""
+
+__all__ = ["CapacityEstimator"]
+
+# Requests per second assumed for a slot before any latency has been reported.
+DEFAULT_SLOT_RATE = 8.0
+# A server that reports itself as cold works at about half its speed.
+COLD_CAPACITY_FACTOR = 0.5
+# Lower bound of a capacity, in requests per second.
+MIN_CAPACITY = 0.1
+
+
+class CapacityEstimator:
+    """Estimates capacities from reported latencies and from heartbeats.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic time in seconds.
+
+    Examples
+    --------
+    >>> from guavastream.fleet import Instance
+    >>> a, b = (
+    ...     Instance(
+    ...         id=id, service="s", host="", door="", address="", zone="", slots=5
+    ...     )
+    ...     for id in "ab"
+    ... )
+    >>> estimator = CapacityEstimator(clock=lambda: 0.0)
+    >>> estimator.note_latency("a", 0.1)
+    >>> estimator.note_cold("b", 3.0)
+    >>> estimator.capacities([a, b], cold_rate=7.5)
+    {'a': 50.0, 'b': 7.5}
+    """
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self._latency = {}
+        self._cold_until = {}
+
+    def note_latency(self, id, seconds):
+        """Note the smoothed time that a server takes for a request."""
+        self._latency[id] = seconds
+
+    def note_cold(self, id, seconds):
+        """Note for how long a server stays cold."""
+        self._cold_until[id] = self._clock() + seconds
+
+    def capacities(self, servers, cold_rate=0.0):
+        """Return the requests per second that each server can process, by ID.
+
+        Parameters
+        ----------
+        servers : list of Instance
+            Servers of one service.
+        cold_rate : float
+            Requests per second that a cold server tolerates; 0 if there is no limit.
+        """
+        known = sorted(self._latency[s.id] for s in servers if s.id in self._latency)
+        median = known[len(known) // 2] if known else 1 / DEFAULT_SLOT_RATE
+        now = self._clock()
+        capacities = {}
+        for server in servers:
+            rate = server.slots / self._latency.get(server.id, median)
+            if self._cold_until.get(server.id, 0.0) > now:
+                rate = min(rate * COLD_CAPACITY_FACTOR, cold_rate or rate)
+            capacities[server.id] = max(rate, MIN_CAPACITY)
+        return capacities
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -3,8 +3,10 @@
 import asyncio
 from heapq import nlargest
 
-from guavastream.control.holds import HoldTracker, KeyMove
+from guavastream.control.capacity import CapacityEstimator
+from guavastream.control.holds import HoldTracker
 from guavastream.control.loads import KeyLoads, Loads
+from guavastream.control.moves import KeyMoves
 from guavastream.exception import NotLeader
 from guavastream.fleet import (
     EndInstance,
@@ -30,10 +32,6 @@
 TICK_INTERVAL_SECONDS = 0.05
 # Interval between balancing plans, about that of the load reports.
 BALANCE_INTERVAL_SECONDS = 0.25
-# Requests per second assumed for a slot before any latency has been reported.
-DEFAULT_SLOT_RATE = 8.0
-# A server that reports itself as cold works at about half its speed.
-COLD_CAPACITY_FACTOR = 0.5
 # A move waits this long for a moment at which both the source and the target have
 # a heartbeat waiting for an answer; after that the source alone is enough, and
 # after twice this long the move starts regardless.
@@ -41,8 +39,6 @@
 # Time that the source needs to release a range: its next heartbeat follows within
 # 0.1 s, and its requests in progress take a while.
 HANDOVER_SECONDS = 0.2
-# A move is given up if its source has not been told to release the range by then.
-MOVE_TIMEOUT_SECONDS = 6.0
 
 # Maximum numbers of busiest keys and of moves in a log line.
 MAX_LOGGED_KEYS = 5
@@ -96,10 +92,9 @@
         self._latest = {}
         self._wakeups = {}
         self._waiting_until = {}
-        self._moves = []
+        self._moves = KeyMoves(clock=clock)
         self._loads = {}
-        self._latency = {}
-        self._cold_until = {}
+        self._estimator = CapacityEstimator(clock=clock)
         self._joined_at = {}
         self._balanced_at = 0.0
         self._removing = set()
@@ -117,7 +112,7 @@
         self._holds.start_term(self._state.instances, since=self._raft.predecessor_end)
         self._latest = {}
         self._waiting_until = {}
-        self._moves = []
+        self._moves.clear()
         self._joined_at = {}
         self._removing = set()
 
@@ -153,7 +148,7 @@
         if not await self._update_server(heartbeat):
             return HeartbeatAnswer(index=self._state.index, gone=True)
         self._holds.record_heartbeat(heartbeat.id)
-        self._cold_until[heartbeat.id] = arrived + heartbeat.cold_seconds
+        self._estimator.note_cold(heartbeat.id, heartbeat.cold_seconds)
         service = self._state.config.services.get(heartbeat.service)
         if service is None or not service.keyed:
             return HeartbeatAnswer(index=self._state.index)
@@ -204,7 +199,7 @@
         """Return the ranges that a server still owns but must release."""
         to_release = []
         for run in self._state.runs_owned_by(request.id, request.service):
-            to_keep = self._parts_to_keep(run)
+            to_keep = self._moves.parts_to_keep(run)
             remaining = [(run.first, run.last)]
             for key_range in to_keep:
                 remaining = subtract_range(remaining, key_range)
@@ -364,7 +359,7 @@
         ranges = []
         reported = set(message.holds)
         for run in self._state.runs_owned_by(message.id, message.service):
-            for first, last in self._parts_to_keep(run):
+            for first, last in self._moves.parts_to_keep(run):
                 already_held = any(
                     a <= first and last <= b and fence == run.fence
                     for a, b, fence in reported
@@ -374,27 +369,10 @@
                 )
         return ranges
 
-    def _parts_to_keep(self, run):
-        """Return the parts of a range that no started move takes away."""
-        parts = [(run.first, run.last)]
-        for move in self._moves:
-            if move.source == run.owner and move.is_active:
-                parts = subtract_range(parts, (move.first, move.last))
-        return parts
-
     def _renewal(self, message, arrived):
         """Renew the hold of a server and return the answer to its message."""
         self._waiting_until.pop(message.id, None)
-        previous_expiry = self._holds.expires_at(message.id)
-        for move in self._moves:
-            if (
-                move.source == message.id
-                and move.is_active
-                and not move.source_expires_at
-            ):
-                # This answer no longer renews the moved range; the previous answer
-                # was the last one to do so.
-                move.source_expires_at = previous_expiry
+        self._moves.note_renewal(message.id, self._holds.expires_at(message.id))
         self._holds.renew(message.id, arrived=arrived)
         return HeartbeatAnswer(
             index=self._state.index,
@@ -440,7 +418,7 @@
             )
         loads.note(report.keys, report.other_count)
         if report.latency:
-            self._latency[report.id] = report.latency
+            self._estimator.note_latency(report.id, report.latency)
 
     # Plans
 
@@ -506,30 +484,14 @@
         self._removing.difference_update(ids)
 
     async def _expire_moves(self):
-        """Free moved ranges whose source's hold has expired; drop old moves."""
-        now = self._clock()
-        for move in list(self._moves):
-            if (
-                move.source_expires_at
-                and now > move.source_expires_at
-                and self._is_still_owned(move)
-            ):
+        """Free moved ranges whose source's hold has expired; drop stalled moves."""
+        for move in self._moves.with_expired_source():
+            if move.is_owned(self._state.runs_of(move.service)):
                 rows = ((move.first, move.last, ""),)
                 await self._propose(
                     ReleaseKeys(service=move.service, owner=move.source, rows=rows)
                 )
-        self._moves = [
-            move
-            for move in self._moves
-            if move.source_expires_at or now - move.started_at <= MOVE_TIMEOUT_SECONDS
-        ]
-
-    def _is_still_owned(self, move):
-        """Whether the source of a move still owns any key of its range."""
-        runs = self._state.runs_of(move.service)
-        return any(
-            run.owner == move.source for run in runs_within(runs, move.first, move.last)
-        )
+        self._moves.drop_stalled()
 
     async def _plan_service(self, name):
         """Plan and commit grants for one service, and begin moves."""
@@ -555,7 +517,7 @@
         if not has_free:
             self._balanced_at = now
         loads = self._loads[name].current_loads() if name in self._loads else Loads()
-        moves = [move for move in self._moves if move.service == name]
+        moves = self._moves.of(name)
         finished = await self._grant_released(name, runs, moves, capacity)
         view = KeyRangeView(
             runs=self._state.runs_of(name),
@@ -565,9 +527,9 @@
             areas=loads.areas,
             policy=self._policy,
             moving={
-                (move.first, move.last): move.target
+                move.key_range: move.target
                 for move in moves
-                if (move.first, move.last) not in finished
+                if move.key_range not in finished
             },
         )
         plan = plan_key_ranges(view)
@@ -623,14 +585,9 @@
                     "number": len(rows),
                 },
             )
-        finished = {
-            (move.first, move.last) for move in moves if not self._is_still_owned(move)
-        }
-        self._moves = [
-            move
-            for move in self._moves
-            if move.service != name or (move.first, move.last) not in finished
-        ]
+        runs = self._state.runs_of(name)
+        finished = {move.key_range for move in moves if not move.is_owned(runs)}
+        self._moves.drop(name, finished)
         return finished
 
     def _begin_move(self, name, first, last, target):
@@ -638,19 +595,17 @@
         for run in runs_within(self._state.runs_of(name), first, last):
             if not run.owner or run.owner == target:
                 continue
-            move = KeyMove(
+            move = self._moves.begin(
                 service=name,
                 first=max(first, run.first),
                 last=min(last, run.last),
                 source=run.owner,
                 target=target,
-                started_at=self._clock(),
             )
             if self._granting_mode(name) is Granting.CALL:
                 # Sidecars that grant by calls can be told at any moment.
                 move.is_active = True
                 self._notify((move.source,))
-            self._moves.append(move)
             log.debug(
                 "Moving keys %d to %d of %s from server %s to %s.",
                 move.first,
@@ -670,22 +625,8 @@
             for i in self._state.servers(name)
             if i.accepts_work and self._is_present(i)
         ]
-        latencies = [self._latency[i.id] for i in servers if i.id in self._latency]
-        median = (
-            sorted(latencies)[len(latencies) // 2]
-            if latencies
-            else 1 / DEFAULT_SLOT_RATE
-        )
-        now = self._clock()
         rules = self._state.config.services.get(name)
-        cold_rate = rules and rules.cold_rate or float("inf")
-        capacity = {}
-        for server in servers:
-            rate = server.slots / self._latency.get(server.id, median)
-            if self._cold_until.get(server.id, 0.0) > now:
-                rate = min(rate * COLD_CAPACITY_FACTOR, cold_rate)
-            capacity[server.id] = max(rate, 0.1)
-        return capacity
+        return self._estimator.capacities(servers, rules.cold_rate if rules else 0.0)
 
     def _is_present(self, server):
         """Whether a server was heard from in this term, and may hold keys.
--- a/guavastream/control/holds.py
+++ b/guavastream/control/holds.py
@@ -1,27 +1,6 @@
-"""Leader state that is not replicated: when holds expire, and moves in progress."""
+"""When the holds of servers expire; kept by the leader only."""
 
-from dataclasses import dataclass
-
-__all__ = ["HoldTracker", "KeyMove"]
-
-
-@dataclass(kw_only=True, slots=True)
-class KeyMove:
-    """A key range that is being moved between two servers.
-
-    The source keeps the range until the move `is_active`. Once the source has
-    been told, `source_expires_at` is the time after which it certainly no longer
-    holds the range; 0 before that.
-    """
-
-    service: str
-    first: int
-    last: int
-    source: str
-    target: str
-    started_at: float
-    is_active: bool = False
-    source_expires_at: float = 0.0
+__all__ = ["HoldTracker"]
 
 
 class HoldTracker:
