--- a/guavastream/kernel/policy.py
+++ b/guavastream/kernel/policy.py
@@ -2,30 +2,14 @@
 
 import dataclasses
 from dataclasses import dataclass
-from enum import StrEnum
 
 from guavastream.exception import Finding, FindingsError
 
-__all__ = ["POLICY_VARIABLE", "Policy", "Reserve"]
+__all__ = ["POLICY_VARIABLE", "Policy"]
 
 POLICY_VARIABLE = "GUAVASTREAM_POLICY"
-
-
-class Reserve(StrEnum):
-    """How the time reserve of a request is chosen; see `guavastream.relay.reserve`."""
-
-    FIXED = "fixed"
-    LAST_SERVER = "last_server"
-    NONE = "none"
-    OBSERVED = "observed"
-
-
 # Parsers of a switch's value by the type of its field.
-VALUE_PARSERS = {
-    bool: {"on": True, "off": False}.__getitem__,
-    float: float,
-    Reserve: Reserve,
-}
+VALUE_PARSERS = {bool: {"on": True, "off": False}.__getitem__, float: float}
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,8 +58,6 @@
         Count the load of rarely used keys by area of the key space, not only in total.
     changes : bool
         Use the most recent rate of a key if its load has changed.
-    reserve : Reserve
-        How much time must be left beyond the expected wait.
     spare : float
         Factor on the time reserve that a request needs to be admitted.
     late_wait : float
@@ -101,7 +83,6 @@
     hottest: bool = True
     areas: bool = True
     changes: bool = True
-    reserve: Reserve = Reserve.FIXED
     spare: float = 1.0
     late_wait: float = 1.0
     owner_wait: float = 1.0
@@ -129,10 +110,7 @@
                 values[name] = VALUE_PARSERS[types[name]](value)
             except (KeyError, ValueError):
                 known = ", ".join(sorted(types))
-                detail = (
-                    f"{part!r} is invalid; known are {known}: on, off, a factor or a "
-                    f"kind of reserve ({', '.join(Reserve)})."
-                )
+                detail = f"{part!r} is invalid; known are {known}: on, off or a factor."
                 findings.append(
                     Finding(place=POLICY_VARIABLE, code="bad_value", text=detail)
                 )
--- a/guavastream/relay/admission.py
+++ b/guavastream/relay/admission.py
@@ -12,7 +12,7 @@
 
 from guavastream.kernel import Policy, TimeLimit
 from guavastream.relay.outcome import NotRun
-from guavastream.relay.reserve import RESERVES
+from guavastream.relay.reserve import time_reserve
 from guavastream.relay.shares import FairShares
 
 __all__ = ["AdmissionQueue"]
@@ -137,7 +137,6 @@
         # Clock times at which the queue was last empty and the server last answered.
         self._empty_at = self._answered_at = float("-inf")
         self._shares = FairShares(clock=self._clock)
-        self._reserve = RESERVES[self._policy.reserve]()
         self.slots = slots
 
     @property
@@ -240,7 +239,7 @@
             waiter = self._make_waiter(rank, estimate, wanted_by, deadline, call, now)
             if not admitted and self._policy.shares:
                 self._refuse_over_share(waiter, kind, now)
-            predicted = self._check_on_time(waiter, kind, now, call, last)
+            predicted = self._check_on_time(waiter, kind, now, call)
             insort(self._queue, waiter, key=_order)
             try:
                 await self._wait(waiter, now)
@@ -284,7 +283,7 @@
             deadline=deadline,
         )
 
-    def _check_on_time(self, waiter, kind, now, call, last):
+    def _check_on_time(self, waiter, kind, now, call):
         """Return the uncorrected predicted wait, or refuse the request.
 
         The check itself uses the prediction times the ratio of `_wait_ratio`.
@@ -301,7 +300,7 @@
         # An unresponsive server frees no slots. It is expected to stay unresponsive
         # for as long again as it has been so far.
         wait = self._wait_ratio(kind) * predicted + max(0.0, self._silence() - mean)
-        spare = 0.0 if call else self._time_reserve(waiter, now, last)
+        spare = 0.0 if call else self._time_reserve(waiter, now)
         if not self._policy.refusal:
             return predicted
         fits = now + wait + spare <= waiter.start_by
@@ -328,15 +327,14 @@
             raise NotRun("overloaded", retry_after=retry_after, reasons=reasons)
         return predicted
 
-    def _time_reserve(self, waiter, now, last):
+    def _time_reserve(self, waiter, now):
         """Return the time that a request needs beyond its predicted wait."""
         if waiter.order[0]:
             return 0.0
-        seconds = self._reserve.seconds(
+        seconds = time_reserve(
             estimate=waiter.estimate,
             left=waiter.start_by - now,
             standing=self._is_standing(now),
-            last=last,
         )
         return self._policy.spare * seconds
 
@@ -369,7 +367,6 @@
 
     def _note_wait(self, kind, predicted, actual):
         """Update the moving averages of actual and predicted waits of a kind."""
-        self._reserve.observe(self._wait_ratio(kind) * predicted, actual)
         before = self._waits.get(kind, (MIN_WAIT_SECONDS, MIN_WAIT_SECONDS))
         self._waits[kind] = (
             before[0] + WAIT_RATIO_WEIGHT * (actual - before[0]),
