A cold server is full for all kinds of requests alike

The distinction by kind came for an order of kinds at cold servers that is not built; without one it only makes each kind find out by itself that a server is full.

--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -313,7 +313,7 @@
                 raise NotRun("no_owner", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
             if not self._lists.allows(owner, job.route.regions):
                 raise NotRun("wrong_region", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
-            wait = self._picker.seconds_until_room([owner], job.route.name)
+            wait = self._picker.seconds_until_room([owner])
             if wait:
                 raise NotRun("cold", retry_after=wait)
             if self._picker.is_silent(owner, job.route.name):
@@ -324,9 +324,7 @@
             return owner
         here = self._guard.local_id
         choices = self._choices_for(fleet_state, job)
-        job.considered_servers[:] = self._picker.candidates(
-            choices, tried, here=here, kind=job.route.name
-        )
+        job.considered_servers[:] = self._picker.candidates(choices, tried, here=here)
         server = self._picker.choose(
             job.considered_servers,
             kind=job.route.name,
@@ -336,7 +334,7 @@
         )
         if server is not None:
             return server
-        wait = self._picker.seconds_until_room(job.considered_servers, job.route.name)
+        wait = self._picker.seconds_until_room(job.considered_servers)
         if wait:
             raise NotRun("cold", retry_after=wait)
         raise NotRun("no_server", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
@@ -357,7 +355,7 @@
             else:
                 self._picker.note_reached(server)
             if refused.code == "cold":
-                self._picker.note_full(server, refused.retry_after, kind=job.route.name)
+                self._picker.note_full(server, refused.retry_after)
             if refused.code in ("server_refused", "leaving"):
                 self._picker.note_answer(server, failed=True)
             raise
--- a/guavastream/relay/pick.py
+++ b/guavastream/relay/pick.py
@@ -145,8 +145,8 @@
     penalty: float = 0.0
     penalty_at: float = 0.0
     skip_until: float = float("-inf")
-    # Time by kind until which the server, which is cold, takes no such request.
-    full_until: dict = field(default_factory=dict)
+    # Time until which the server, which is cold, gets as many requests as it tolerates.
+    full_until: float = float("-inf")
     # Current backoff, 0 if the server was reachable last.
     backoff: float = 0.0
     probed_at: float = float("-inf")
@@ -175,7 +175,7 @@
         self._states = {}
         self._kind_averages = {}
 
-    def candidates(self, choices, avoid=frozenset(), *, here="", kind=""):
+    def candidates(self, choices, avoid=frozenset(), *, here=""):
         """Return the list of servers to choose among for one request.
 
         Parameters
@@ -186,8 +186,6 @@
             IDs of the servers that have been tried.
         here : str
             ID of the server on this host, which is included if it was not tried.
-        kind : str
-            Kind of the request.
 
         Notes
         -----
@@ -198,28 +196,27 @@
         """
         if len(choices.subset) == len(choices.all):
             return [server for server in choices.all if server.id not in avoid]
-        found = self._reachable(choices.subset, avoid, kind)
+        found = self._reachable(choices.subset, avoid)
         local = choices.by_id.get(here)
         if local is not None and here not in avoid and local not in found:
             found.append(local)
         if not found:
             sampled = self._rng.sample(choices.all, SAMPLED_SERVERS)
-            found = self._reachable(sampled, avoid, kind)
+            found = self._reachable(sampled, avoid)
         return found or [s for s in choices.all if s.id not in avoid]
 
-    def _reachable(self, servers, avoid, kind):
+    def _reachable(self, servers, avoid):
         """Return the untried servers that are neither skipped nor cold and full."""
         now = self._clock()
         return [
             server
             for server in servers
-            if server.id not in avoid
-            and self._state_of(server).skip_until <= now
-            and self._full_until(server, kind) <= now
+            if server.id not in avoid and self._skipped_until(server) <= now
         ]
 
-    def _full_until(self, server, kind):
-        return self._state_of(server).full_until.get(kind, 0.0)
+    def _skipped_until(self, server):
+        state = self._state_of(server)
+        return max(state.skip_until, state.full_until)
 
     def _state_of(self, server):
         """Return the `_ServerState` of a server, a new one if it is unknown."""
@@ -254,7 +251,9 @@
         """
         now = self._clock()
         untried = [
-            s for s in servers if s.id not in avoid and self._full_until(s, kind) <= now
+            s
+            for s in servers
+            if s.id not in avoid and self._state_of(s).full_until <= now
         ]
         pool = self._without_skipped(untried)
         if not pool:
@@ -275,17 +274,17 @@
         stays_in_zone = best_time_in_zone <= local_limit and self._policy.near
         return best_in_zone if stays_in_zone else best
 
-    def seconds_until_room(self, servers, kind):
-        """Return the time until a cold server takes a kind of request, 0 if it may now.
+    def seconds_until_room(self, servers):
+        """Return the time until a cold server may get a request, 0 if one may now.
 
         Returns 0 as well if there are no servers.
         """
-        ends = [self._full_until(server, kind) for server in servers]
+        ends = [self._state_of(server).full_until for server in servers]
         return max(0.0, min(ends) - self._clock()) if ends else 0.0
 
-    def note_full(self, server, seconds, *, kind):
-        """Note that a server, which is cold, takes no requests of a kind for a time."""
-        self._state_of(server).full_until[kind] = self._clock() + seconds
+    def note_full(self, server, seconds):
+        """Note that a server, which is cold, gets enough requests for some time."""
+        self._state_of(server).full_until = self._clock() + seconds
 
     def _without_skipped(self, servers):
         """Return the servers that are not skipped, all if too many would be skipped."""
@@ -406,10 +405,7 @@
         state.report = report
         state.reported_at = state.answered_at = self._clock()
         state.sent_since_report = 0
-        if report.cold_wait:
-            state.full_until[kind] = state.reported_at + report.cold_wait
-        elif state.full_until:
-            state.full_until.pop(kind, None)
+        state.full_until = state.reported_at + (report.cold_wait or 0.0)
 
     def note_answer(self, server, *, failed):
         """Update a server's penalty after an answer; health checks play no part."""
