--- a/guavastream/platform/soak_evacuations.py
+++ b/guavastream/platform/soak_evacuations.py
@@ -11,7 +11,8 @@
 MAX_REQUESTS_WHILE_COLD = 19
 # A zone's servers get no request later than this after the acknowledgement.
 EVACUATION_SECONDS = 5.0
-# A host may be late for this long after a fault of its own or of control hosts.
+# The host beside a server may be late for this long after a fault of its own or of a
+# control host.
 CALM_SECONDS = 3.0
 PAUSE_SECONDS = (0.2, 2.0)
 EVACUATED_SECONDS = (0.5, 9.0)
@@ -52,8 +53,8 @@
         late = now - self._acknowledged_at.get(server.zone, float("inf"))
         if late <= EVACUATION_SECONDS:
             return
-        hosts = self._platform.server_hosts
-        if self._platform.is_fault_free(hosts, CALM_SECONDS):
+        beside = [p for p in self._platform.server_hosts if p.server is server]
+        if self._platform.is_fault_free(beside, CALM_SECONDS):
             self._ledger.record_violation(
                 "servers of an evacuated zone get no requests", f"{id!r} {late:.1f} s"
             )
