The soak stops evacuating before it waits for recovery

Traced: the evacuating operator went on after the faults, so zones were evacuated while recovery was waited for; and where its evacuation had been ended for it, it still made the zone's servers cold, which were serving by then. The check and its bound are unchanged.

--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -137,8 +137,7 @@
                     asyncio.ensure_future(self._reuse_connection(server_host))
                 )
             if self._evacuations is not None:
-                evacuating_task = asyncio.ensure_future(self._evacuations.run())
-                background_tasks.append(evacuating_task)
+                background_tasks.append(self._evacuations.start())
             harmful_tasks = [
                 asyncio.ensure_future(self._repeat_harmful_request(route_name))
                 for route_name in self._harmful_routes
--- a/guavastream/platform/soak_evacuations.py
+++ b/guavastream/platform/soak_evacuations.py
@@ -42,6 +42,7 @@
         # Times of the acknowledgements, for the zones that are evacuated.
         self._acknowledged_at = {}
         self._evacuated_zone = ""
+        self._task = None
 
     def note_start(self, server):
         """Note a `BackendServer` that starts."""
@@ -74,18 +75,31 @@
             await asyncio.sleep(self._rng.uniform(*PAUSE_SECONDS))
             zone = self._rng.choice(EVACUATING_PLATFORM["zones"])
             self._evacuated_zone = zone
-            if await self._send(zone, active=True):
+            is_acknowledged = await self._send(zone, active=True)
+            if is_acknowledged:
                 self._acknowledged_at[zone] = asyncio.get_running_loop().time()
             await asyncio.sleep(self._rng.uniform(*EVACUATED_SECONDS))
             self._acknowledged_at.pop(zone, None)
-            for server in self._servers:
-                if server.zone == zone:
-                    now = asyncio.get_running_loop().time()
-                    server.server.cold_until = now + EVACUATING_PLATFORM["cold_seconds"]
+            if is_acknowledged:
+                self._cool_servers(zone)
             await self._send_until_done(zone, active=False)
 
+    def _cool_servers(self, zone):
+        """Make the servers of an evacuated zone cold, as if they lost their caches."""
+        now = asyncio.get_running_loop().time()
+        for server in self._servers:
+            if server.zone == zone:
+                server.server.cold_until = now + EVACUATING_PLATFORM["cold_seconds"]
+
+    def start(self):
+        """Start to evacuate zones, and return the task."""
+        self._task = asyncio.ensure_future(self.run())
+        return self._task
+
     async def end(self):
-        """End the evacuation that is under way."""
+        """Evacuate no more zones, and end the evacuation that is under way."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
         self._acknowledged_at.clear()
         if self._evacuated_zone:
             await self._send_until_done(self._evacuated_zone, active=False)
