--- a/guavastream/platform/tests/test_words.py
+++ b/guavastream/platform/tests/test_words.py
@@ -10,7 +10,8 @@
     r"Response-Seal|Not-Executed|Server-Load|HeartbeatUrl|Expected-Instance"
     r"|Caller-Service|ColdRemaining|WeightedServices|Shard-Key|Instance-Id"
     r"|MaxAttempts|TargetLatency|PathPrefix|GUAVASTREAM_BOOT|InternalPorts"
-    r"|/api/instances|/api/config|/api/readiness"
+    r"|/api/instances|/api/config|/api/readiness|/api/evacuation"
+    r"|ColdPerS|ColdOverage|AllowedRegions"
 )
 
 
--- a/guavastream/relay/cold.py
+++ b/guavastream/relay/cold.py
@@ -139,7 +139,10 @@
         """Count a request that is sent to the server now."""
         now = self._clock()
         self._sent.append(now)
-        while self._sent[0] <= now - WINDOW_SECONDS:
+        self._forget_old(now)
+
+    def _forget_old(self, now):
+        while self._sent and self._sent[0] <= now - WINDOW_SECONDS:
             self._sent.popleft()
 
     def cancel(self):
@@ -172,8 +175,7 @@
         if not rate or not self.is_cold(instance):
             return None
         now = self._clock()
-        while self._sent and self._sent[0] <= now - WINDOW_SECONDS:
-            self._sent.popleft()
+        self._forget_old(now)
         excess = len(self._sent) + self._reserved - self._limit(rate, now)
         if excess < 0:
             return 0.0
