Read once more: one pass over the instances, and the cheap check first

Guard.follow went over all instances twice at each change of them, on every host; one pass over the earlier ones finds both the replaced and the evacuated. Whether a service is evacuated scanned all servers before a look at the cached list, at each poll of a request that waits for an owner. No behaviour meant to change; no assertion touched.

--- a/guavastream/fleet/tests/test_evacuations.py
+++ b/guavastream/fleet/tests/test_evacuations.py
@@ -24,7 +24,7 @@
 
 
 def server(id, zone):
-    return replace(join(id), zone=zone, address=f"{id}:3")
+    return join(id, f"{id}:3", zone=zone)
 
 
 def test_servers_of_an_evacuated_zone_get_no_work_until_it_ends():
--- a/guavastream/platform/settings.py
+++ b/guavastream/platform/settings.py
@@ -108,8 +108,10 @@
         "regions": reader.get_table("Zones"),
         "order_resend": reader.get_parsed("Bounds.Ack", parse_time, 4.0),
         "evacuation": reader.get_parsed("Bounds.Evacuation", parse_time, 5.0),
-        "cold_overage": reader.get_parsed("Bounds.ColdOverage", _parse_positive, 1.5),
-        "cold_slack": reader.get_parsed("Bounds.ColdSlack", _parse_positive, 8.0),
+        "cold_overage": reader.get_parsed(
+            "Bounds.ColdOverage", _parse_non_negative, 1.5
+        ),
+        "cold_slack": reader.get_parsed("Bounds.ColdSlack", _parse_non_negative, 8.0),
         "policy": reader.get_policy(policy),
         "metrics": f"{ip}:{last_port}" if peer_port else "",
     }
@@ -120,10 +122,10 @@
 
 def _parse_link_rate(text):
     """Convert a link rate in Mbit/s to bytes per second."""
-    return _parse_positive(text) * BYTES_PER_MBIT
+    return _parse_non_negative(text) * BYTES_PER_MBIT
 
 
-def _parse_positive(text):
+def _parse_non_negative(text):
     """Return a finite number that is not negative."""
     number = float(text)
     if not 0 <= number < float("inf"):
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -244,15 +244,14 @@
         self.quarantine.follow(before, fleet_state)
         if fleet_state.instances is before.instances:
             return
-        for id, instance in before.instances.items():
-            if instance.door == self._door and id in fleet_state.gone:
-                if id not in fleet_state.instances:
-                    self._server.watch.note_replaced(instance)
-        for id, instance in fleet_state.instances.items():
-            known = before.instances.get(id)
-            if instance.door != self._door or known is None:
+        for id, known in before.instances.items():
+            if known.door != self._door:
                 continue
-            if instance.evacuated and not known.evacuated:
+            instance = fleet_state.instances.get(id)
+            if instance is None:
+                if id in fleet_state.gone:
+                    self._server.watch.note_replaced(known)
+            elif instance.evacuated and not known.evacuated:
                 self._begin_evacuation(instance, fleet_state)
             elif known.evacuated and not instance.evacuated:
                 self._evacuated_at.pop(id, None)
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -289,10 +289,9 @@
 
     def _is_evacuated(self, fleet_state, job):
         """Whether all servers of a job's service are in evacuated zones."""
-        return (
-            any(server.evacuated for server in fleet_state.servers(job.service))
-            and not self._choices_for(fleet_state, job).all
-        )
+        if self._choices_for(fleet_state, job).all:
+            return False
+        return any(server.evacuated for server in fleet_state.servers(job.service))
 
     def _is_last_attempt(self, fleet_state, job, server, tried, refusals):
         """Whether no other server is tried if this one refuses the request."""
