Hosts log what a server says of itself in its answers

The host beside the server reads both headers and writes one line for each change, with the requests sent within the last second. Nothing is decided by it yet.

--- a/guavastream/platform/tests/test_words.py
+++ b/guavastream/platform/tests/test_words.py
@@ -11,7 +11,7 @@
     r"|Caller-Service|ColdRemaining|WeightedServices|Shard-Key|Instance-Id"
     r"|MaxAttempts|TargetLatency|PathPrefix|GUAVASTREAM_BOOT|InternalPorts"
     r"|/api/instances|/api/config|/api/readiness|/api/evacuation"
-    r"|ColdPerS|ColdOverage|AllowedRegions"
+    r"|ColdPerS|ColdOverage|AllowedRegions|Server-Limit|Server-Leaving"
 )
 
 
--- a/guavastream/platform/wire.py
+++ b/guavastream/platform/wire.py
@@ -37,6 +37,8 @@
     seal=b"Response-Seal",
     not_run=b"Not-Executed",
     instance=b"Instance-Id",
+    rate_limit=b"Server-Limit",
+    leaving=b"Server-Leaving",
     call_separator=b".",
 )
 
--- a/guavastream/relay/__init__.py
+++ b/guavastream/relay/__init__.py
@@ -15,3 +15,4 @@
 from guavastream.relay.server_client import *
 from guavastream.relay.servers import *
 from guavastream.relay.shares import *
+from guavastream.relay.statements import *
--- a/guavastream/relay/cold.py
+++ b/guavastream/relay/cold.py
@@ -145,6 +145,12 @@
         while self._sent and self._sent[0] <= now - WINDOW_SECONDS:
             self._sent.popleft()
 
+    @property
+    def sent(self):
+        """Number of requests that were sent within the last second."""
+        self._forget_old(self._clock())
+        return len(self._sent)
+
     def cancel(self):
         """Return a reservation."""
         self._reserved -= 1
--- a/guavastream/relay/dialect.py
+++ b/guavastream/relay/dialect.py
@@ -35,6 +35,11 @@
         Present in an answer if the server has not run the request.
     instance : bytes
         Incarnation of the server that answers a health check.
+    rate_limit : bytes
+        Requests per second, a decimal number, that the server takes from all hosts
+        together; present in its answers for as long as it limits them.
+    leaving : bytes
+        Present in all answers of a server that is about to stop.
     call_separator : bytes
         Separator in the ids of nested calls: a server that sends a call while it
         runs a request may use that request's id, this separator and an id of its
@@ -49,6 +54,8 @@
     seal: bytes = b""
     not_run: bytes = b"Guavastream-Not-Run"
     instance: bytes = b"Guavastream-Instance"
+    rate_limit: bytes = b"Guavastream-Rate-Limit"
+    leaving: bytes = b"Guavastream-Leaving"
     call_separator: bytes = b"."
 
 
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -11,6 +11,7 @@
 from guavastream.relay.pick import Report
 from guavastream.relay.quarantine import Quarantine
 from guavastream.relay.server_client import ServerClient
+from guavastream.relay.statements import ServerStatement
 from guavastream.relay.turns import LifoLock
 
 __all__ = ["Attempt", "Guard", "HeldKeys"]
@@ -174,7 +175,10 @@
             count=count,
             on_ended=self._note_ended,
             on_resend=self._cold_limiter.note_sent,
+            on_statement=self._note_statement,
         )
+        # The newest statement of each local instance that has answered.
+        self._statements = {}
         self.quarantine = Quarantine(
             clock=self._clock, fleet_holder=fleet_holder, count=count
         )
@@ -268,6 +272,27 @@
         """Note that the local server's address refused a connection."""
         self._server.watch.note_refused(instance)
 
+    def _note_statement(self, instance, statement):
+        """Take note of what the local server says of itself in an answer."""
+        before = self._statements.get(instance.id, ServerStatement())
+        if statement == before:
+            return
+        self._statements[instance.id] = statement
+        self._count("server_statements")
+        log.info(
+            "The local server says something new of itself.",
+            extra={
+                "server": instance.id,
+                "per_second": statement.rate_limit,
+                "limited": statement.is_limited,
+                "leaving": statement.leaving,
+                "before_per_second": before.rate_limit,
+                "running": self._admission_queue.running,
+                "waiting": self._admission_queue.waiting,
+                "sent": self._cold_limiter.sent,
+            },
+        )
+
     def _note_ended(self, instance, requests):
         if instance.leaving or instance.id in self._departure_acknowledged_at:
             # After a planned end, the running requests are not suspected as its cause.
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -5,6 +5,7 @@
 from guavastream.relay.fingerprint import fingerprint
 from guavastream.relay.outcome import NotRun, OutcomeUnknown
 from guavastream.relay.server_watch import ServerWatch
+from guavastream.relay.statements import read_statement
 
 __all__ = ["ServerAnswer", "ServerClient"]
 
@@ -67,9 +68,21 @@
         Passed on to `ServerWatch`.
     on_resend : callable
         Called before an attempt is sent again on a new connection.
+    on_statement : callable
+        Called with the instance and the `ServerStatement` of each of its answers.
     """
 
-    def __init__(self, *, loop, dialect, count, on_ended, on_resend=lambda: None):
+    def __init__(
+        self,
+        *,
+        loop,
+        dialect,
+        count,
+        on_ended,
+        on_resend=lambda: None,
+        on_statement=lambda instance, statement: None,
+    ):
+        self._on_statement = on_statement
         self._clock = loop.time
         self._dialect = dialect
         self._count = count
@@ -107,6 +120,7 @@
         self.watch.begin(instance.id, exchange, attempt)
         try:
             answer = await self._send_request(exchange, instance, attempt)
+            self._note_statement(instance, answer)
             self._check_answer(answer)
         except IncompleteMessage as cut:
             self.watch.note_unanswered(exchange)
@@ -165,6 +179,12 @@
 
         return await exchange.answer(is_for_attempt)
 
+    def _note_statement(self, instance, answer):
+        # Another instance at the same address speaks for itself only.
+        if answer.status != MISDIRECTED_STATUS:
+            statement = read_statement(answer.headers, self._dialect)
+            self._on_statement(instance, statement)
+
     def _check_answer(self, answer):
         names = self._dialect
         headers = answer.headers
