Failing tests: servers get more than the limit that they name

Servers of the emulator name limits and say in their answers that they leave; a check of what each host was told finds requests that must not reach them.

--- a/guavastream/emulator/__init__.py
+++ b/guavastream/emulator/__init__.py
@@ -6,3 +6,4 @@
 from guavastream.emulator.network import *
 from guavastream.emulator.proxy import *
 from guavastream.emulator.stalls import *
+from guavastream.emulator.statements import *
--- a/guavastream/emulator/dialect.py
+++ b/guavastream/emulator/dialect.py
@@ -41,6 +41,12 @@
         Loop time until which the server is cold; its work then takes twice as long.
     most_while_cold : int
         Largest number of requests that it got within a second while it was cold.
+    rate_limit : float or None
+        Requests per second that its answers say it takes; None if they name no limit.
+    leaving : bool
+        Whether its answers say that it is about to stop.
+    on_arrival : callable
+        Called with the id of each request that it gets and does not misdirect.
     """
 
     def __init__(self, *, id, dialect, address, slots=8, seconds=0.1):
@@ -56,6 +62,9 @@
         self.on_run = lambda request, key: None
         self.cold_until = 0.0
         self.most_while_cold = 0
+        self.rate_limit = None
+        self.leaving = False
+        self.on_arrival = lambda id: None
         self._arrivals = deque()
         self.running = 0
         # Keys of the requests that run, as often as each runs.
@@ -81,6 +90,15 @@
         if self.cold_seconds:
             self.most_while_cold = max(self.most_while_cold, len(self._arrivals))
 
+    def _statement(self):
+        """Return the headers in which an answer says something of the server."""
+        names, fields = self._dialect, []
+        if self.rate_limit is not None:
+            fields.append((names.rate_limit, b"%.1f" % self.rate_limit))
+        if self.leaving:
+            fields.append((names.leaving, b"1"))
+        return fields
+
     async def start(self):
         """Begin to serve."""
         await self._server.start()
@@ -112,8 +130,9 @@
             await responder.send(421, refused)
             return
         self._note_arrival()
+        self.on_arrival(id)
         if self.sheds or self.running >= self.slots:
-            await responder.send(503, refused)
+            await responder.send(503, refused + self._statement())
             return
         self.running += 1
         caller = headers.get(names.caller.lower())
@@ -132,4 +151,4 @@
         if self.behave is not None and await self.behave(request, responder):
             return
         sealed = [*echo, (names.seal, b"seal-" + id)] if names.seal else echo
-        await responder.send(200, sealed, b"body of " + id)
+        await responder.send(200, sealed + self._statement(), b"body of " + id)
--- a/guavastream/hosts/tests/rig.py
+++ b/guavastream/hosts/tests/rig.py
@@ -7,7 +7,13 @@
 from dataclasses import dataclass, field
 
 from guavastream.control.tests.test_fleet import ControlCluster
-from guavastream.emulator import DialectServer, FakeNetwork, FakePeers, run_paused
+from guavastream.emulator import (
+    DialectServer,
+    FakeNetwork,
+    FakePeers,
+    StatementCheck,
+    run_paused,
+)
 from guavastream.exception import GuavastreamError
 from guavastream.fleet import (
     ChangeRoutes,
@@ -67,6 +73,7 @@
         routes=(
             make_route("page", "pages", RetrySafety.SAFE),
             make_route("order", "orders", RetrySafety.UNSAFE),
+            make_route("look", "orders", RetrySafety.SAFE),
             make_route("load", "orders", RetrySafety.UPLOAD),
         ),
         services=(
@@ -106,6 +113,8 @@
         self.version = "v1"
         self.incarnations = 0
         self.service_seconds = 0.05
+        # Whether the heartbeats of a server that leaves say so, as its answers do.
+        self.announces_departure = True
         self._fleet = fleet
         self._rows = ()
         self._until = 0.0
@@ -145,6 +154,7 @@
     async def kill_process(self):
         """End the process without draining."""
         process, self.process = self.process, None
+        self._fleet.statements.note_fault(self.ip)
         await process.stop()
 
     async def start_server(self, *, port=SERVER_PORT, cold=0.0):
@@ -160,6 +170,7 @@
         if self.service == "pages":
             server.holds = self._holds
         server.on_run = lambda entry, key: self._fleet.note_run(self, server, entry)
+        server.on_arrival = lambda id: self._fleet.statements.note_arrival(id, server)
         server.cold_until = asyncio.get_running_loop().time() + cold
         self.server = server
         await server.start()
@@ -195,7 +206,7 @@
                 address=server.address,
                 zone=self.zone,
                 slots=server.slots,
-                leaving=False,
+                leaving=server.leaving and self.announces_departure,
                 cold_seconds=server.cold_seconds,
                 seq=seq,
                 holds=tuple(row[:3] for row in self._rows),
@@ -232,20 +243,35 @@
 class Caller:
     """Sends requests, each under a new request id."""
 
-    def __init__(self):
+    def __init__(self, statements):
+        self._statements = statements
         self._client = Client()
         self._numbers = iter(range(1, 10**9))
 
     async def ask(
-        self, host, method, target, *, key=None, body=b"", seconds=TIMEOUT, chunks=None
+        self,
+        host,
+        method,
+        target,
+        *,
+        key=None,
+        body=b"",
+        seconds=TIMEOUT,
+        chunks=None,
+        parent=b"",
     ):
         """Send one request; return its status (0 if it was cut) and headers.
 
         With `chunks` the body is sent in chunks, of which the first has this size.
+        With `parent`, the id of a request, it is a call of the server that runs that.
         """
+        id = b"%s-%d" % (target[1:4], next(self._numbers))
+        if parent:
+            id = parent + DIALECT.call_separator + id
+        self._statements.note_sent(id, host.ip)
         fields = [
             (b"Host", b"a.example"),
-            (DIALECT.request_id, b"%s-%d" % (target[1:4], next(self._numbers))),
+            (DIALECT.request_id, id),
             (DIALECT.deadline_ms, b"%d" % (seconds * 1000)),
         ]
         if key is not None:
@@ -262,6 +288,11 @@
                     await answer.body.read_up_to(1 << 20)
         except (NotSent, IncompleteMessage, TimeoutError):
             return 0, {}
+        self._statements.note_answer(
+            id,
+            limited=bool(answer.headers.get(DIALECT.rate_limit.lower())),
+            leaving=bool(answer.headers.get(DIALECT.leaving.lower())),
+        )
         return answer.status, answer.headers
 
 
@@ -280,7 +311,8 @@
             SimulatedHost(self, n, service, zones[n % len(zones)])
             for n, service in enumerate(names, 1)
         ]
-        self.caller = Caller()
+        self.statements = StatementCheck(clock=self.now)
+        self.caller = Caller(self.statements)
         self.recurring_requests = []
         self.answers = Counter()
         self._tasks = set()
@@ -324,6 +356,11 @@
         for host in self.hosts:
             await host.start_process()
 
+    def cut_from_control(self, host):
+        """Cut a host off from control hosts, and from hosts that relay calls."""
+        peers = [other.peer for other in self.hosts]
+        self.network.isolate(host.peer, [*self.cluster.addresses, *peers])
+
     async def set_evacuation(self, zone, *, active):
         """Evacuate a zone, or end that; return once that is acknowledged."""
         order = SetEvacuation(zone=zone, active=active)
