Hosts act on what servers say of themselves in answers

What callers saw: a server in need named 15 requests a second and got 325 in four seconds (95 allowed); a server that said in its answers that it leaves went on getting requests until a heartbeat or a departure told.

Cause: answers passed through the host beside the server unread. Its limiter knew only what heartbeats say (cold servers), its departures only heartbeats and calls, and the leader planned keys by latency alone: it moved ranges to the limited servers, which were as fast as before. Ruled out: hosts that keep the limit each for itself, and queues let in before, since the name occurred nowhere in the code and the rate at the servers did not change when they named their limits.

Change, one mechanism for all that limits a server: the limiter of cold servers keeps named limits as well (relay/rate_limits.py), counted over the same requests, checked again when a queued request is sent; refusals carry the time at which there is room, so that other hosts pass the server over or refuse at once. The leader takes the limit as the server's capacity. Departures are recorded in one place (relay/departures.py), whether a heartbeat, a call or an answer tells, by a clock that counts suspension; the host beside tells the leader, and each host that passed such an answer on remembers it past a restart of the one beside. A process that starts beside a server runs four requests at a time until the first answer. Large bodies of what would be refused are not received.

Why it holds: every request to a server passes the host beside it, so the limit is kept there for all hosts together; for n requests in n/limit seconds at most 5 times the limit fit in any four seconds, where 6 times and 5 are allowed, and a restart adds four.

--- a/guavastream/control/capacity.py
+++ b/guavastream/control/capacity.py
@@ -11,7 +11,7 @@
 
 
 class CapacityEstimator:
-    """Estimates capacities from reported latencies and from heartbeats.
+    """Estimates capacities from latencies, heartbeats and the limits of servers.
 
     Parameters
     ----------
@@ -32,12 +32,16 @@
     >>> estimator.note_cold("b", 3.0)
     >>> estimator.capacities([a, b], cold_rate=7.5)
     {'a': 50.0, 'b': 7.5}
+    >>> estimator.set_rate_limit("a", 15.2)
+    >>> estimator.capacities([a])
+    {'a': 15.2}
     """
 
     def __init__(self, *, clock):
         self._clock = clock
         self._latency = {}
         self._cold_until = {}
+        self._rate_limits = {}
 
     def note_latency(self, id, seconds):
         """Note the smoothed time that a server takes for a request."""
@@ -47,6 +51,12 @@
         """Note for how long a server stays cold."""
         self._cold_until[id] = self._clock() + seconds
 
+    def set_rate_limit(self, id, rate):
+        """Set the requests per second that a server says it takes; None lifts it."""
+        self._rate_limits.pop(id, None)
+        if rate is not None:
+            self._rate_limits[id] = rate
+
     def capacities(self, servers, cold_rate=0.0):
         """Return the requests per second that each server can process, by ID.
 
@@ -65,5 +75,6 @@
             rate = server.slots / self._latency.get(server.id, median)
             if self._cold_until.get(server.id, 0.0) > now:
                 rate = min(rate * COLD_CAPACITY_FACTOR, cold_rate or rate)
+            rate = min(rate, self._rate_limits.get(server.id, rate))
             capacities[server.id] = max(rate, MIN_CAPACITY)
         return capacities
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -419,6 +419,7 @@
         loads.note(report.keys, report.other_count)
         if report.latency:
             self._estimator.note_latency(report.id, report.latency)
+        self._estimator.set_rate_limit(report.id, report.rate_limit)
 
     # Plans
 
--- a/guavastream/emulator/dialect.py
+++ b/guavastream/emulator/dialect.py
@@ -41,8 +41,9 @@
         Loop time until which the server is cold; its work then takes twice as long.
     most_while_cold : int
         Largest number of requests that it got within a second while it was cold.
-    rate_limit : float or None
-        Requests per second that its answers say it takes; None if they name no limit.
+    rate_limit : float, bytes or None
+        Requests per second that its answers say it takes, or the text in its place;
+        None if they name no limit.
     leaving : bool
         Whether its answers say that it is about to stop.
     on_arrival : callable
@@ -94,11 +95,15 @@
         """Return the headers in which an answer says something of the server."""
         names, fields = self._dialect, []
         if self.rate_limit is not None:
-            fields.append((names.rate_limit, b"%.1f" % self.rate_limit))
+            fields.append((names.rate_limit, self._rate_limit_text()))
         if self.leaving:
             fields.append((names.leaving, b"1"))
         return fields
 
+    def _rate_limit_text(self):
+        is_text = isinstance(self.rate_limit, bytes)
+        return self.rate_limit if is_text else b"%.1f" % self.rate_limit
+
     async def start(self):
         """Begin to serve."""
         await self._server.start()
--- a/guavastream/fleet/messages.py
+++ b/guavastream/fleet/messages.py
@@ -170,7 +170,8 @@
 
     `keys` are pairs of key and count for the busiest keys, `other_count` is the
     number of requests for all other keys. `latency` is the smoothed time that the
-    server takes for a request, seconds, or 0 if unknown.
+    server takes for a request, seconds, or 0 if unknown. `rate_limit` is the number of
+    requests per second that the server says it takes, None if it names no limit.
     """
 
     id: str
@@ -178,6 +179,7 @@
     keys: tuple[tuple[int, int], ...]
     other_count: int
     latency: float
+    rate_limit: float | None = None
 
 
 @message
--- a/guavastream/hosts/end_reporter.py
+++ b/guavastream/hosts/end_reporter.py
@@ -1,9 +1,9 @@
-"""Reports to the leader that the local server ended, and what it was running."""
+"""Reports to the leader that the local server leaves, has ended, and what it ran."""
 
 import asyncio
 
 from guavastream.exception import GuavastreamError
-from guavastream.fleet import ReportAnswered, ReportEnd
+from guavastream.fleet import Depart, ReportAnswered, ReportEnd
 from guavastream.kernel import Signal, TimeLimit
 
 __all__ = ["EndReporter"]
@@ -17,7 +17,7 @@
 
 
 class EndReporter:
-    """Retries each report of an end until the leader has accepted it.
+    """Retries each report of a departure or an end until the leader has accepted it.
 
     Parameters
     ----------
@@ -38,6 +38,11 @@
         self._pending_answered = {}
         self._pending = Signal(loop=self._loop)
 
+    def record_departure(self, instance):
+        """Record that the answers of the server say that it is about to stop."""
+        self._pending_ends.setdefault(instance.id, Depart(id=instance.id))
+        self._pending.set()
+
     def record_end(self, instance, requests):
         """Record that an incarnation of the server ended while it ran `requests`."""
         self._count("servers_ended")
@@ -85,7 +90,9 @@
     async def _report_ends(self):
         for id, report in list(self._pending_ends.items()):
             if await self._send_report(report):
-                self._pending_ends.pop(id, None)
+                # An end may have been recorded after the departure that was reported.
+                if self._pending_ends.get(id) is report:
+                    del self._pending_ends[id]
             else:
                 await asyncio.sleep(RETRY_SECONDS)
 
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -25,12 +25,13 @@
 from guavastream.relay import (
     CLOSING_RESPONSE,
     HOP_IDLE_SECONDS,
-    ColdStartLimiter,
+    Departures,
     Guard,
     HopHandler,
     Ingress,
     Picker,
     ServerLists,
+    ServerRateLimiter,
 )
 from guavastream.replica import TableHolder
 from guavastream.routes import RouteIndex
@@ -160,13 +161,15 @@
             count=self.counters.count,
             on_ended=self._end_reporter.record_end,
             on_answered=self._end_reporter.record_answered,
+            on_leaving=self._end_reporter.record_departure,
             policy=settings.policy,
-            cold_limiter=ColdStartLimiter(
+            rate_limiter=ServerRateLimiter(
                 clock=clock,
                 heartbeat=settings.heartbeat,
                 overage=settings.cold_overage,
                 slack=settings.cold_slack,
             ),
+            departures=Departures(clock=clock),
             evacuation=settings.evacuation,
         )
         self._newest_heartbeats = {}
@@ -361,7 +364,7 @@
             )
             return None
         if heartbeat.leaving:
-            self._guard.note_departure_acknowledged(heartbeat.id)
+            self._guard.note_leaving(heartbeat.id)
         # While the leader is unknown, a delayed answer could not be told from a
         # lost one, and the short attempts leave time to try several hosts.
         attempt = UNKNOWN_LEADER_ATTEMPT_SECONDS
@@ -417,7 +420,7 @@
             If no leader answered in time.
         """
         id = self._incarnation_id(name, born)
-        self._guard.note_departure_acknowledged(id)
+        self._guard.note_leaving(id)
         await self._control.call(Depart(id=id), timeout=HEARTBEAT_TIMEOUT_SECONDS)
 
     def _incarnation_id(self, name, born):
@@ -461,6 +464,7 @@
         )
 
     async def _report_load(self):
+        was_limited = False
         while True:
             hosts = len(self._state_holder.table.instances)
             await asyncio.sleep(
@@ -472,7 +476,12 @@
                 for i in self._state_holder.table.instances.values()
                 if i.door == self._settings.inbound
             ]
-            if not counts or not local_instances:
+            if not local_instances:
+                continue
+            rate_limit = self._guard.named_rate(local_instances[-1].id)
+            # A server without keys gets no requests to count, and has to say that it is
+            # limited, and once that it no longer is.
+            if not counts and rate_limit is None and not was_limited:
                 continue
             busiest = sorted(counts.items(), key=lambda item: -item[1])
             keys = tuple(busiest[:MAX_REPORTED_KEYS])
@@ -482,9 +491,11 @@
                 keys=keys,
                 other_count=sum(count for _, count in busiest[MAX_REPORTED_KEYS:]),
                 latency=self._guard.report().seconds,
+                rate_limit=rate_limit,
             )
             with contextlib.suppress(GuavastreamError):
                 await self._control.call(report, timeout=MIN_REPORT_INTERVAL_SECONDS)
+                was_limited = rate_limit is not None
 
     # Stopping
 
--- a/guavastream/hosts/tests/rig.py
+++ b/guavastream/hosts/tests/rig.py
@@ -113,6 +113,8 @@
         self.version = "v1"
         self.incarnations = 0
         self.service_seconds = 0.05
+        # Time that the host was suspended, which the loop's clock does not count.
+        self.suspended_seconds = 0.0
         # Whether the heartbeats of a server that leaves say so, as its answers do.
         self.announces_departure = True
         self._fleet = fleet
@@ -147,7 +149,7 @@
             dialect=DIALECT,
             key_dialect=None,
             network=FakePeers(network=self._fleet.network, address=self.peer),
-            clock=asyncio.get_running_loop().time,
+            clock=lambda: self._fleet.now() + self.suspended_seconds,
         )
         await self.process.start()
 
--- a/guavastream/hosts/tests/test_statements.py
+++ b/guavastream/hosts/tests/test_statements.py
@@ -261,3 +261,23 @@
         assert fleet.statements.violations == []
 
     run_fleet(tmp_path, scenario, pages=3, orders=3)
+
+
+def test_a_host_that_was_suspended_sends_nothing_to_a_server_that_left(tmp_path):
+    """Guards against a time limit that does not count while the host is suspended."""
+
+    async def scenario(fleet):
+        log = ArrivalLog(fleet)
+        fleet.load(3 * LOAD)
+        host = next(host for host in fleet.hosts if host.service == "pages")
+        host.announces_departure = False
+        host.server.leaving = True
+        await asyncio.sleep(0.1)
+        host.suspended_seconds += 3.0
+        # What was on its way to the server arrives.
+        await asyncio.sleep(0.01)
+        since = fleet.now()
+        await asyncio.sleep(2.0)
+        assert log.rate(host.server, since) == 0.0
+
+    run_fleet(tmp_path, scenario, pages=2, orders=1)
--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -152,6 +152,12 @@
         self._cold_seconds = cold_seconds
         self._cold_rate = cold_rate
         self._last_fault_at = {}
+        # Called with the id of a request and the headers of its answer, and with a host
+        # whose process gets a fault.
+        self.on_answer = lambda id, headers: None
+        self.on_host_fault = lambda server_host: None
+        # Whether servers that leave say so in their answers.
+        self.states_departures = False
         self._seeds = [machine.address("control") for machine in self.control_hosts]
 
     # Processes
@@ -283,6 +289,7 @@
             exchange.send(method, f"/{name}/{path_suffix}".encode(), headers, body)
             answer = await exchange.answer()
             data, _ = await answer.body.read_up_to(1 << 24)
+            self.on_answer(id, answer.headers)
             return answer.status, data
 
     async def send_change(self, machine, body, base_version, *, method=b"PUT"):
@@ -358,6 +365,10 @@
             async def restart():
                 await self.start_host(server_host)
 
+            self.on_host_fault(server_host)
+            await self._inject_process_fault(machine, fault, restart)
+            self.on_host_fault(server_host)
+            return
         await self._inject_process_fault(machine, fault, restart)
 
     def _count_new_voters(self):
@@ -406,6 +417,7 @@
 
     async def _end_server(self, server_host, fault, server):
         server.state = "ending"
+        server.server.leaving = self.states_departures and fault.kind != "crash"
         if fault.kind == "drain":
             server.state = "draining"
             await asyncio.sleep(SERVE_AFTER_LEAVE_SECONDS + fault.seconds)
--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -18,6 +18,7 @@
     wait_until,
 )
 from guavastream.platform.soak_evacuations import EVACUATING_PLATFORM, EvacuationCheck
+from guavastream.platform.soak_statements import ServerStatements
 from guavastream.soak import Ledger, make_schedule
 
 __all__ = ["run_soak"]
@@ -79,6 +80,7 @@
         harmful,
         returning,
         evacuating,
+        limiting,
     ):
         self.ledger = Ledger()
         self.counts = {}
@@ -104,6 +106,11 @@
             self._evacuations = EvacuationCheck(
                 platform=self._platform, ledger=self.ledger, seed=seed
             )
+        self._statements = None
+        if limiting:
+            self._statements = ServerStatements(
+                platform=self._platform, ledger=self.ledger, seed=seed
+            )
         counts = {
             "control": len(self._platform.control_hosts),
             "host": len(self._platform.server_hosts),
@@ -138,6 +145,9 @@
                 )
             if self._evacuations is not None:
                 background_tasks.append(self._evacuations.start())
+            limits_task = None
+            if self._statements is not None:
+                limits_task = asyncio.ensure_future(self._statements.run())
             harmful_tasks = [
                 asyncio.ensure_future(self._repeat_harmful_request(route_name))
                 for route_name in self._harmful_routes
@@ -147,6 +157,10 @@
                 task.cancel()
             if self._evacuations is not None:
                 await self._evacuations.end()
+            if limits_task is not None:
+                limits_task.cancel()
+                await asyncio.gather(limits_task, return_exceptions=True)
+                self._statements.lift_all()
             await self._wait_for_recovery()
             for task in [*background_tasks, *harmful_tasks]:
                 task.cancel()
@@ -167,6 +181,8 @@
                     )
         if self._evacuations is not None:
             self._evacuations.check_cold_servers()
+        if self._statements is not None:
+            self._statements.report()
         return self.ledger.all_violations()
 
     async def _inject_faults(self):
@@ -232,6 +248,8 @@
         server.server.on_run = on_run
         if self._evacuations is not None:
             self._evacuations.note_start(server)
+        if self._statements is not None:
+            self._statements.note_start(server)
 
     # Callers
 
@@ -258,6 +276,8 @@
             self._harmful_request_hosts[id] = server_host
         target = f"/{route_name}/{path_suffix}".encode()
         self.ledger.record_request(id, method, target, body, idempotent=kind == "safe")
+        if self._statements is not None:
+            self._statements.note_sent(id, server_host)
         status = 0
         try:
             async with asyncio.timeout(CALLER_TIMEOUT_SECONDS):
@@ -403,6 +423,7 @@
     harmful=False,
     returning=False,
     evacuating=False,
+    limiting=False,
 ):
     """Run the soak test of one seed.
 
@@ -428,6 +449,8 @@
         a host is frozen.
     evacuating : bool
         Whether an operator evacuates availability zones, and servers start cold.
+    limiting : bool
+        Whether servers name limits, and say in their answers that they leave.
 
     Returns
     -------
@@ -454,6 +477,7 @@
             harmful=harmful,
             returning=returning,
             evacuating=evacuating,
+            limiting=limiting,
         )
         return await soak_run.run(), soak_run.counts, len(soak_run.schedule)
 
@@ -493,6 +517,11 @@
         action="store_true",
         help="with evacuations of availability zones and servers that start cold",
     )
+    parser.add_argument(
+        "--limiting",
+        action="store_true",
+        help="with servers that name limits, and say in their answers that they leave",
+    )
     parser.add_argument(
         "--returning",
         action="store_true",
@@ -520,6 +549,7 @@
                 harmful=arguments.harmful,
                 returning=arguments.returning,
                 evacuating=arguments.evacuating,
+                limiting=arguments.limiting,
             )
         except SoakFailure as error:
             print(f"seed {seed}: {error}")
--- a/guavastream/platform/tests/test_soak.py
+++ b/guavastream/platform/tests/test_soak.py
@@ -37,3 +37,9 @@
         seed=1, seconds=14, folder=tmp_path, evacuating=True
     )
     assert violations == [] and counts[200] > 50
+
+
+def test_servers_get_what_they_take_by_their_own_word(tmp_path):
+    """Guards against limits and departures in answers that hosts do not keep to."""
+    violations, counts, _ = run_soak(seed=1, seconds=14, folder=tmp_path, limiting=True)
+    assert violations == [] and counts[200] > 50
--- a/guavastream/relay/__init__.py
+++ b/guavastream/relay/__init__.py
@@ -2,7 +2,7 @@
 
 from guavastream.relay.admission import *
 from guavastream.relay.budget import *
-from guavastream.relay.cold import *
+from guavastream.relay.departures import *
 from guavastream.relay.dialect import *
 from guavastream.relay.fingerprint import *
 from guavastream.relay.guard import *
@@ -12,6 +12,7 @@
 from guavastream.relay.outcome import *
 from guavastream.relay.pick import *
 from guavastream.relay.quarantine import *
+from guavastream.relay.rate_limits import *
 from guavastream.relay.server_client import *
 from guavastream.relay.servers import *
 from guavastream.relay.shares import *
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -6,25 +6,25 @@
 
 from guavastream.kernel import TimeLimit, part_logger, record
 from guavastream.relay.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
-from guavastream.relay.cold import ColdStartLimiter
+from guavastream.relay.departures import Departures
 from guavastream.relay.outcome import NotRun
 from guavastream.relay.pick import Report
 from guavastream.relay.quarantine import Quarantine
+from guavastream.relay.rate_limits import ServerRateLimiter
 from guavastream.relay.server_client import ServerClient
-from guavastream.relay.statements import ServerStatement
 from guavastream.relay.turns import LifoLock
 
 __all__ = ["Attempt", "Guard", "HeldKeys"]
 
-# Requests still go to the server for this long after its departure was acknowledged;
-# operators allow 2 s.
-DEPARTURE_GRACE_SECONDS = 1.6
 # Longest wait for the server to be granted a key that the fleet state already assigns
 # to it.
 MAX_GRANT_WAIT_SECONDS = 0.4
 KEY_POLL_SECONDS = 0.02
 MIN_POLL_SECONDS = 0.001
 MIN_SERVER_ERROR_STATUS = 500
+# Requests that run at a time at a server that was there before this process, until an
+# answer says whether it is limited. A named limit leaves a margin of five requests.
+MAX_UNHEARD_RUNNING = 4
 # Share of the time allowed for an evacuation during which an evacuated server still
 # serves the keys that it owns, while they are moved.
 EVACUATION_SHARE = 0.5
@@ -132,10 +132,15 @@
     on_answered : callable, optional
         Called with the fingerprint of a suspect request and the instance that
         answered it.
+    on_leaving : callable, optional
+        Called with the local instance when its answers say that it is about to stop.
     policy : Policy, optional
         Mechanisms that are in force.
-    cold_limiter : ColdStartLimiter, optional
-        Limits the requests to the local server while it is cold.
+    rate_limiter : ServerRateLimiter, optional
+        Keeps the limits of the local server.
+    departures : Departures, optional
+        Records since when local servers are leaving, by a clock that includes time
+        while suspended.
     evacuation : float
         Time from the acknowledgement of a zone's evacuation until its servers must get
         no more requests, seconds.
@@ -152,8 +157,10 @@
         keeper=None,
         on_ended=lambda instance, requests: None,
         on_answered=lambda fingerprint, instance: None,
+        on_leaving=lambda instance: None,
         policy=None,
-        cold_limiter=None,
+        rate_limiter=None,
+        departures=None,
         evacuation=5.0,
     ):
         self._loop = loop
@@ -165,7 +172,8 @@
         self._count = count
         self._on_ended = on_ended
         self._on_answered = on_answered
-        self._cold_limiter = cold_limiter or ColdStartLimiter(clock=self._clock)
+        self._on_leaving = on_leaving
+        self._rate_limiter = rate_limiter or ServerRateLimiter(clock=self._clock)
         self._evacuation_grace = EVACUATION_SHARE * evacuation
         # Times at which evacuations of the local server's zone came into force here.
         self._evacuated_at = {}
@@ -174,11 +182,9 @@
             dialect=dialect,
             count=count,
             on_ended=self._note_ended,
-            on_resend=self._cold_limiter.note_sent,
+            on_resend=self._rate_limiter.note_sent,
             on_statement=self._note_statement,
         )
-        # The newest statement of each local instance that has answered.
-        self._statements = {}
         self.quarantine = Quarantine(
             clock=self._clock, fleet_holder=fleet_holder, count=count
         )
@@ -187,7 +193,10 @@
         self._admission_queue = AdmissionQueue(loop=loop, policy=policy)
         self._held_by = self._local_id = ""
         self._held = None
-        self._departure_acknowledged_at = {}
+        self._departures = departures or Departures(clock=self._clock)
+        # Local instances that were there before this process was, and whose answers it
+        # has not seen.
+        self._unheard = frozenset()
         self._key_counts = {}
         self._running_attempts = {}
 
@@ -218,15 +227,19 @@
             slots=admission_queue.slots,
             seconds=admission_queue.seconds,
             of_kind=admission_queue.mean_seconds_for(kind),
-            cold_wait=self._cold_wait(),
+            wait=self._limited_wait(),
         )
 
-    def _cold_wait(self):
-        """Return the time until the local server, if cold, may get a request."""
+    def _limited_wait(self):
+        """Return the time until the local server, if limited, may get a request."""
         instance = self.find_local(self._local_id)
         if instance is None:
             return None
-        return self._cold_limiter.wait_seconds(instance.id, self._cold_rate(instance))
+        return self._rate_limiter.wait_seconds(instance.id, self._cold_rate(instance))
+
+    def named_rate(self, id):
+        """Return the limit that an instance names, requests per second, or None."""
+        return self._rate_limiter.named_rate(id)
 
     def _cold_rate(self, instance):
         rules = self._fleet_holder.table.config.services.get(instance.service)
@@ -239,7 +252,7 @@
     def note_heard(self, heartbeat):
         """Note that an incarnation of the local server announced itself."""
         self._server.watch.note_heard(heartbeat.id)
-        self._cold_limiter.note_heartbeat(
+        self._rate_limiter.note_heartbeat(
             heartbeat.id, seq=heartbeat.seq, cold_seconds=heartbeat.cold_seconds
         )
 
@@ -248,6 +261,10 @@
         self.quarantine.follow(before, fleet_state)
         if fleet_state.instances is before.instances:
             return
+        if not before.index:
+            self._unheard = frozenset(
+                id for id, i in fleet_state.instances.items() if i.door == self._door
+            )
         for id, known in before.instances.items():
             if known.door != self._door:
                 continue
@@ -260,7 +277,7 @@
             elif known.evacuated and not instance.evacuated:
                 self._evacuated_at.pop(id, None)
                 # Servers may lose their caches during an evacuation.
-                self._cold_limiter.note_maybe_cold(id)
+                self._rate_limiter.note_maybe_cold(id)
 
     def _begin_evacuation(self, instance, fleet_state):
         self._evacuated_at[instance.id] = self._clock()
@@ -273,28 +290,39 @@
         self._server.watch.note_refused(instance)
 
     def _note_statement(self, instance, statement):
-        """Take note of what the local server says of itself in an answer."""
-        before = self._statements.get(instance.id, ServerStatement())
-        if statement == before:
-            return
-        self._statements[instance.id] = statement
+        """Act on what the local server says of itself in an answer."""
+        id = instance.id
+        known_before = (self.named_rate(id), id in self._departures)
+        if statement.is_unlimited or statement.rate_limit is not None:
+            self._rate_limiter.set_named_rate(id, statement.rate_limit)
+        if statement.leaving and id not in self._departures:
+            # A process that was started beside a leaving server does not know how long
+            # it has been leaving.
+            since = float("-inf") if id in self._unheard else None
+            self._departures.note(id, since=since)
+            self._on_leaving(instance)
+        self._unheard -= {id}
+        known = (self.named_rate(id), id in self._departures)
+        if known != known_before:
+            self._log_statement(id, rate_before=known_before[0])
+
+    def _log_statement(self, id, *, rate_before):
         self._count("server_statements")
         log.info(
             "The local server says something new of itself.",
             extra={
-                "server": instance.id,
-                "per_second": statement.rate_limit,
-                "limited": statement.is_limited,
-                "leaving": statement.leaving,
-                "before_per_second": before.rate_limit,
+                "server": id,
+                "per_second": self.named_rate(id),
+                "before_per_second": rate_before,
+                "leaving": id in self._departures,
                 "running": self._admission_queue.running,
                 "waiting": self._admission_queue.waiting,
-                "sent": self._cold_limiter.sent,
+                "sent": self._rate_limiter.count_sent(),
             },
         )
 
     def _note_ended(self, instance, requests):
-        if instance.leaving or instance.id in self._departure_acknowledged_at:
+        if instance.leaving or instance.id in self._departures:
             # After a planned end, the running requests are not suspected as its cause.
             requests = ()
         for fingerprint in requests:
@@ -306,9 +334,9 @@
         key_counts, self._key_counts = self._key_counts, {}
         return key_counts
 
-    def note_departure_acknowledged(self, id):
-        """Note that the departure of an instance was acknowledged."""
-        self._departure_acknowledged_at.setdefault(id, self._clock())
+    def note_leaving(self, id):
+        """Note that an instance has announced its departure to this process."""
+        self._departures.note(id)
 
     def narrow_held_keys(self, id, rows):
         """Reduce the held keys to those in `rows`, before the server is told to."""
@@ -362,7 +390,7 @@
         try:
             if attempt.key is not None:
                 await self._wait_for_key(attempt)
-            with self._reserve_cold_start(attempt, instance) as reservation:
+            with self._reserve_rate(attempt, instance) as reservation:
                 estimate = await self._wait_for_slot(attempt, instance)
                 began, seconds = self._clock(), None
                 self._running_attempts[attempt.id] = attempt
@@ -390,6 +418,24 @@
             if has_turn:
                 self._suspect_turn.release()
 
+    def refuse_early(self, attempt):
+        """Refuse an attempt that the server would not get, before its body is received.
+
+        Raises
+        ------
+        NotRun
+            If the server leaves, is evacuated, or gets as many requests as it takes.
+        """
+        instance = self.find_local(attempt.instance)
+        if instance is None:
+            return
+        self._refuse_without_work(attempt, instance)
+        try:
+            self._rate_limiter.check(instance.id, self._cold_rate(instance))
+        except NotRun as refused:
+            self._log_refusal(attempt, refused)
+            raise
+
     async def _wait_for_suspect_turn(self, attempt, instance):
         """Wait until no other suspect request runs, if this one is suspect.
 
@@ -415,10 +461,10 @@
             raise
         return True
 
-    def _reserve_cold_start(self, attempt, instance):
-        """Reserve one of the requests that a cold server may get in a second."""
+    def _reserve_rate(self, attempt, instance):
+        """Reserve one of the requests that a limited server may get."""
         try:
-            return self._cold_limiter.reserve(instance.id, self._cold_rate(instance))
+            return self._rate_limiter.reserve(instance.id, self._cold_rate(instance))
         except NotRun as refused:
             self._log_refusal(attempt, refused)
             raise
@@ -433,6 +479,8 @@
     async def _wait_for_slot(self, attempt, instance):
         """Wait for a slot; return the estimate to pass to `AdmissionQueue.leave`."""
         self._admission_queue.slots = instance.slots
+        if instance.id in self._unheard:
+            self._admission_queue.slots = min(instance.slots, MAX_UNHEARD_RUNNING)
         try:
             return await self._admission_queue.enter(
                 rank=attempt.rank,
@@ -491,13 +539,12 @@
             raise NotRun("evacuated")
 
     def _refuse_if_leaving(self, instance):
-        if not instance.leaving and instance.id not in self._departure_acknowledged_at:
+        if not instance.leaving and instance.id not in self._departures:
             return
-        # Requests that were on their way to this host when the departure was
-        # acknowledged still run; later ones go to another server. A process that was
-        # started after the acknowledgment does not know its time and refuses at once.
-        since = self._departure_acknowledged_at.get(instance.id, float("-inf"))
-        if self._clock() - since > DEPARTURE_GRACE_SECONDS:
+        # Requests that were on their way to this host when the server announced its
+        # departure still run; later ones go to another server. A process that was
+        # started after that does not know its time and refuses at once.
+        if self._departures.is_over(instance.id):
             raise NotRun("leaving")
 
     async def _wait_for_key(self, attempt):
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -1,5 +1,7 @@
 """Requests between hosts: from the ingress to the host of the chosen server."""
 
+import math
+
 import msgspec
 
 from guavastream.http1 import IncompleteMessage, format_head
@@ -207,6 +209,7 @@
         return replace(attempt, body=body, stream=stream)
 
     async def _receive_large_body(self, attempt, request, responder):
+        self._guard.refuse_early(attempt)
         self._limit_bodies(request.length)
         work = self._guard.usual_seconds(attempt.kind)
         usual = await self._body_queue.enter(
@@ -295,6 +298,6 @@
         headers = [
             (INTERNAL_PREFIX + b"code", code.encode()),
             (INTERNAL_PREFIX + b"report", format_report(self._guard.report(kind))),
-            (INTERNAL_PREFIX + b"retry-ms", b"%d" % int(retry_after * 1000)),
+            (INTERNAL_PREFIX + b"retry-ms", b"%d" % math.ceil(retry_after * 1000)),
         ]
         await responder.send(FAILURE_RULES[code].status, headers)
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -20,6 +20,7 @@
 from guavastream.relay.job import BadRequest, JobReader
 from guavastream.relay.outcome import FAILURE_RULES, NotRun, OutcomeUnknown
 from guavastream.relay.pick import LARGE_BYTES
+from guavastream.relay.statements import read_statement
 
 __all__ = ["Ingress"]
 
@@ -43,6 +44,8 @@
 # Number of servers that may refuse a request for lack of capacity before the caller is
 # refused. They are the servers with the shortest expected times.
 MAX_REFUSALS = 3
+# Codes of refusals by limited servers, which tell when there is room again.
+LIMITED_CODES = ("cold", "limited")
 # A request with less remaining time is refused. It could not reach a server, and would
 # time out with an unknown outcome if it were sent.
 MIN_REMAINING_SECONDS = 0.02
@@ -241,7 +244,7 @@
                 continue
             if job.keyed or not rule.try_elsewhere:
                 raise failure
-            refusals += code in ("overloaded", "cold")
+            refusals += code == "overloaded" or code in LIMITED_CODES
             if refusals >= MAX_REFUSALS:
                 raise failure
             if not self._has_untried_server(fleet_state, job, tried):
@@ -281,7 +284,7 @@
 
     def _has_untried_server(self, fleet_state, job, tried):
         choices = self._choices_for(fleet_state, job)
-        return any(server.id not in tried for server in choices.all)
+        return bool(self._picker.untried(choices, tried))
 
     def _choices_for(self, fleet_state, job):
         """Return the `Choices` of servers that may run a job, by their region."""
@@ -312,9 +315,11 @@
                 raise NotRun("no_owner", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
             if not self._lists.allows(owner, job.route.regions):
                 raise NotRun("wrong_region", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
+            if self._picker.has_left(owner):
+                raise NotRun("leaving", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
             wait = self._picker.seconds_until_room([owner])
             if wait:
-                raise NotRun("cold", retry_after=wait)
+                raise NotRun("limited", retry_after=wait)
             if self._picker.is_silent(owner, job.route.name):
                 # The request would time out there without an answer.
                 raise NotRun("silent", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
@@ -335,7 +340,7 @@
             return server
         wait = self._picker.seconds_until_room(job.considered_servers)
         if wait:
-            raise NotRun("cold", retry_after=wait)
+            raise NotRun("limited", retry_after=wait)
         raise NotRun("no_server", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
 
     async def _try(self, job, server, responder, *, last):
@@ -353,7 +358,7 @@
                 self._picker.note_unreachable(server)
             else:
                 self._picker.note_reached(server)
-            if refused.code == "cold":
+            if refused.code in LIMITED_CODES:
                 self._picker.note_full(server, refused.retry_after)
             if refused.code in ("server_refused", "leaving"):
                 self._picker.note_answer(server, failed=True)
@@ -461,6 +466,8 @@
 
     async def _send_answer(self, job, server, answer, read, responder):
         """Send an answer to the caller, buffered unless it is too large."""
+        if read_statement(answer.headers, self._dialect).leaving:
+            self._picker.note_leaving(server)
         failed = answer.status >= MIN_SERVER_ERROR_STATUS
         self._picker.note_answer(server, failed=failed)
         before = self._failure_rates.get(job.service, 0.0)
--- a/guavastream/relay/outcome.py
+++ b/guavastream/relay/outcome.py
@@ -37,7 +37,9 @@
     "moving": FailureRule(status=503, wait_for_owner=True),
     "leaving": FailureRule(status=503, wait_for_owner=True, try_elsewhere=True),
     "overloaded": FailureRule(status=503, try_elsewhere=True),
+    # The server takes no more requests for now: while it is cold, or by its own word.
     "cold": FailureRule(status=503, try_elsewhere=True),
+    "limited": FailureRule(status=503, try_elsewhere=True),
     # The owner of the key is in a region that the route does not allow.
     "wrong_region": FailureRule(status=503),
     "evacuated": FailureRule(status=503, wait_for_owner=True, try_elsewhere=True),
--- a/guavastream/relay/pick.py
+++ b/guavastream/relay/pick.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from guavastream.kernel import Policy, record
+from guavastream.relay.departures import Departures
 
 __all__ = ["Picker", "Report", "format_report", "parse_report"]
 
@@ -71,9 +72,8 @@
         Average time of all requests, 0 if unknown.
     of_kind : float
         Average time of the kind of request that was answered, 0 if unknown.
-    cold_wait : float or None
-        Time until the server, which is cold, may get another request; None if it is
-        not limited.
+    wait : float or None
+        Time until the server may get another request; None if it is not limited.
     """
 
     running: int = 0
@@ -81,7 +81,7 @@
     slots: int = 1
     seconds: float = 0.0
     of_kind: float = 0.0
-    cold_wait: float | None = None
+    wait: float | None = None
 
 
 def format_report(report):
@@ -91,7 +91,7 @@
     --------
     >>> format_report(Report(running=3, slots=8, seconds=0.25, of_kind=0.04))
     b'3,0,8,250,40'
-    >>> format_report(Report(running=3, slots=8, cold_wait=0.1))
+    >>> format_report(Report(running=3, slots=8, wait=0.1))
     b'3,0,8,0,0,100'
     """
     value = b"%d,%d,%d,%d,%d" % (
@@ -101,9 +101,9 @@
         int(report.seconds * 1000),
         int(report.of_kind * 1000),
     )
-    if report.cold_wait is None:
+    if report.wait is None:
         return value
-    return b"%s,%d" % (value, math.ceil(report.cold_wait * 1000))
+    return b"%s,%d" % (value, math.ceil(report.wait * 1000))
 
 
 def parse_report(value):
@@ -113,11 +113,11 @@
     --------
     >>> parse_report(b"3,0,8,250,40").seconds, parse_report(b"x")
     (0.25, None)
-    >>> parse_report(b"3,0,8,0,0,100").cold_wait
+    >>> parse_report(b"3,0,8,0,0,100").wait
     0.1
     """
     try:
-        running, waiting, slots, ms, kind_ms, *cold_ms = map(int, value.split(b","))
+        running, waiting, slots, ms, kind_ms, *wait_ms = map(int, value.split(b","))
     except ValueError:
         return None
     return Report(
@@ -126,7 +126,7 @@
         slots=max(1, slots),
         seconds=ms / 1000,
         of_kind=kind_ms / 1000,
-        cold_wait=cold_ms[0] / 1000 if cold_ms else None,
+        wait=wait_ms[0] / 1000 if wait_ms else None,
     )
 
 
@@ -145,7 +145,7 @@
     penalty: float = 0.0
     penalty_at: float = 0.0
     skip_until: float = float("-inf")
-    # Time until which the server, which is cold, gets as many requests as it tolerates.
+    # Time until which the server, which is limited, gets as many requests as it takes.
     full_until: float = float("-inf")
     # Current backoff, 0 if the server was reachable last.
     backoff: float = 0.0
@@ -174,6 +174,9 @@
         self._zone = zone
         self._states = {}
         self._kind_averages = {}
+        # Servers whose answers say that they are about to stop. The fleet state, which
+        # `keep_only` follows, may not tell that of a server that it lost and found.
+        self._departures = Departures(clock=clock)
 
     def candidates(self, choices, avoid=frozenset(), *, here=""):
         """Return the list of servers to choose among for one request.
@@ -192,26 +195,34 @@
         These are the reachable servers of this host's subset and the one on this host.
         If there are none, perhaps because a zone has failed, they are the reachable
         ones of a random sample of all servers. If there are none either, they are all
-        servers that have not been tried.
+        servers that have not been tried. Servers that say that they leave are not
+        among them.
         """
         if len(choices.subset) == len(choices.all):
-            return [server for server in choices.all if server.id not in avoid]
+            return self.untried(choices, avoid)
         found = self._reachable(choices.subset, avoid)
         local = choices.by_id.get(here)
-        if local is not None and here not in avoid and local not in found:
+        if local is not None and local not in found and self._is_untried(local, avoid):
             found.append(local)
         if not found:
             sampled = self._rng.sample(choices.all, SAMPLED_SERVERS)
             found = self._reachable(sampled, avoid)
-        return found or [s for s in choices.all if s.id not in avoid]
+        return found or self.untried(choices, avoid)
+
+    def untried(self, choices, avoid):
+        """Return all servers whose IDs are not in `avoid` and that do not leave."""
+        return [s for s in choices.all if self._is_untried(s, avoid)]
+
+    def _is_untried(self, server, avoid):
+        return server.id not in avoid and server.id not in self._departures
 
     def _reachable(self, servers, avoid):
-        """Return the untried servers that are neither skipped nor cold and full."""
+        """Return the untried servers that are neither skipped nor limited and full."""
         now = self._clock()
         return [
             server
             for server in servers
-            if server.id not in avoid and self._skipped_until(server) <= now
+            if self._is_untried(server, avoid) and self._skipped_until(server) <= now
         ]
 
     def _skipped_until(self, server):
@@ -231,8 +242,8 @@
     ):
         """Return the server with the least expected time, None if there is none.
 
-        A server on this host or in this zone is preferred if it is fast enough. Cold
-        servers that already get as many requests as they tolerate are left out.
+        A server on this host or in this zone is preferred if it is fast enough. Limited
+        servers that already get as many requests as they take are left out.
 
         Parameters
         ----------
@@ -275,7 +286,7 @@
         return best_in_zone if stays_in_zone else best
 
     def seconds_until_room(self, servers):
-        """Return the time until a cold server may get a request, 0 if one may now.
+        """Return the time until a limited server may get a request, 0 if one may now.
 
         Returns 0 as well if there are no servers.
         """
@@ -283,9 +294,17 @@
         return max(0.0, min(ends) - self._clock()) if ends else 0.0
 
     def note_full(self, server, seconds):
-        """Note that a server, which is cold, gets enough requests for some time."""
+        """Note that a server, which is limited, gets enough requests for some time."""
         self._state_of(server).full_until = self._clock() + seconds
 
+    def note_leaving(self, server):
+        """Note that an answer of a server says that it is about to stop."""
+        self._departures.note(server.id)
+
+    def has_left(self, server):
+        """Whether a server that is about to stop must get nothing more."""
+        return server.id in self._departures and self._departures.is_over(server.id)
+
     def _without_skipped(self, servers):
         """Return the servers that are not skipped, all if too many would be skipped."""
         now = self._clock()
@@ -405,7 +424,7 @@
         state.report = report
         state.reported_at = state.answered_at = self._clock()
         state.sent_since_report = 0
-        state.full_until = state.reported_at + (report.cold_wait or 0.0)
+        state.full_until = state.reported_at + (report.wait or 0.0)
 
     def note_answer(self, server, *, failed):
         """Update a server's penalty after an answer; health checks play no part."""
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -181,9 +181,9 @@
 
     def _note_statement(self, instance, answer):
         # Another instance at the same address speaks for itself only.
-        if answer.status != MISDIRECTED_STATUS:
-            statement = read_statement(answer.headers, self._dialect)
-            self._on_statement(instance, statement)
+        if answer.status == MISDIRECTED_STATUS:
+            return
+        self._on_statement(instance, read_statement(answer.headers, self._dialect))
 
     def _check_answer(self, answer):
         names = self._dialect
--- a/guavastream/relay/statements.py
+++ b/guavastream/relay/statements.py
@@ -15,17 +15,17 @@
 
     Attributes
     ----------
-    is_limited : bool
-        Whether the server limits the requests that it takes.
     rate_limit : float or None
         Requests per second that it takes from all hosts together; None if it names no
         limit, or one that cannot be read.
+    is_unlimited : bool
+        Whether it takes any number of requests.
     leaving : bool
         Whether it is about to stop and wants no new work.
     """
 
-    is_limited: bool = False
     rate_limit: float | None = None
+    is_unlimited: bool = True
     leaving: bool = False
 
 
@@ -45,11 +45,13 @@
     """
     limit = headers.get(dialect.rate_limit.lower())
     leaving = headers.get(dialect.leaving.lower())
-    if not limit and not leaving:
+    # A server may refuse a request before it adds anything to its answer.
+    refused = headers.get(dialect.not_run.lower())
+    if not limit and not leaving and not refused:
         return _NOTHING_SAID
     is_readable = _DECIMAL.fullmatch(limit) is not None
     return ServerStatement(
-        is_limited=bool(limit),
         rate_limit=float(limit) if is_readable else None,
+        is_unlimited=not limit and not refused,
         leaving=leaving not in (b"", b"0"),
     )
--- a/guavastream/relay/tests/test_hop.py
+++ b/guavastream/relay/tests/test_hop.py
@@ -84,6 +84,9 @@
     def report(self, kind):
         return Report()
 
+    def refuse_early(self, attempt):
+        pass
+
     def serve(self, attempt):
         raise NotRun("no_server")
 
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -6,9 +6,9 @@
 
 from guavastream.fleet import LeaveInstance, ReleaseKeys
 from guavastream.http1 import IncompleteMessage
+from guavastream.relay.departures import DEPARTURE_GRACE_SECONDS
 from guavastream.relay.dialect import INTERNAL_PREFIX
 from guavastream.relay.fingerprint import fingerprint
-from guavastream.relay.guard import DEPARTURE_GRACE_SECONDS
 from guavastream.relay.ingress import MAX_REFUSALS
 from guavastream.relay.outcome import NotRun
 from guavastream.relay.tests.rig import DIALECT, SERVER_SECONDS, run_scenario
@@ -254,7 +254,7 @@
     # requests.
     async def scenario(mesh):
         leaving = mesh.hosts[1]
-        leaving.guard.note_departure_acknowledged(leaving.id)
+        leaving.guard.note_leaving(leaving.id)
         await asyncio.sleep(DEPARTURE_GRACE_SECONDS + 0.1)
         for _ in range(5):
             assert (await mesh.ask(b"/pay/x", method=b"POST"))[0] == 200
@@ -611,7 +611,7 @@
         loop = asyncio.get_running_loop()
         near, far = mesh.hosts
         near.server.stop_listening()
-        near.guard.note_departure_acknowledged(near.id)
+        near.guard.note_leaving(near.id)
         mesh.apply(LeaveInstance(id=near.id))
         far.server.seconds, slots = 5.0, far.server.slots
         mesh.set_timeout("pay", 9.0)
@@ -639,7 +639,7 @@
     async def scenario(mesh):
         near, far, other = mesh.hosts
         near.server.stop_listening()
-        near.guard.note_departure_acknowledged(near.id)
+        near.guard.note_leaving(near.id)
         mesh.apply(LeaveInstance(id=near.id))
         reset = []
 
@@ -656,3 +656,41 @@
         assert reset and not far.server.ran
 
     run_scenario(scenario, hosts=3)
+
+
+def test_only_the_server_itself_lifts_its_limit():
+    """Guards against limits lifted by refusals, or by another instance's answers."""
+
+    async def scenario(mesh):
+        server, guard = mesh.hosts[0].server, mesh.hosts[0].guard
+        mesh.apply(LeaveInstance(id="i2"))
+        server.rate_limit = 50.0
+        await mesh.ask(b"/read/x")
+        assert guard.named_rate("i1") == 50.0
+        server.rate_limit, server.sheds = None, True
+        await mesh.ask(b"/read/x")
+        assert guard.named_rate("i1") == 50.0
+        server.sheds, server.id = False, "another"
+        await mesh.ask(b"/read/x")
+        assert guard.named_rate("i1") == 50.0
+        server.id = "i1"
+        await mesh.ask(b"/read/x")
+        assert guard.named_rate("i1") is None
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("value", [b"many", b"-1", b"nan", b"1e3", b"9" * 40])
+def test_a_limit_that_cannot_be_read_changes_nothing(value):
+    """Guards against a garbled limit that stops a server or lifts its limit."""
+
+    async def scenario(mesh):
+        server, guard = mesh.hosts[0].server, mesh.hosts[0].guard
+        mesh.apply(LeaveInstance(id="i2"))
+        server.rate_limit = 50.0
+        await mesh.ask(b"/read/x")
+        server.rate_limit = value
+        assert (await mesh.ask(b"/read/x"))[0] == 200
+        assert guard.named_rate("i1") == 50.0
+
+    run_scenario(scenario)
--- a/guavastream/relay/tests/test_cold.py
+++ b/guavastream/relay/tests/test_rate_limits.py
@@ -1,10 +1,11 @@
-"""No cold server gets more requests in a second than it tolerates."""
+"""No server gets more requests than it takes while it is cold, or names a limit."""
 
+import contextlib
 import random
 
 import pytest
 
-from guavastream.relay import ColdStartLimiter, NotRun
+from guavastream.relay import NotRun, ServerRateLimiter
 
 RATE = 7.5
 # Rate times 1.5, plus 8: what a cold server must never get in a second.
@@ -37,7 +38,7 @@
 def test_a_server_that_was_not_heard_of_is_taken_to_be_cold():
     # The process was restarted; the server beside it may have started as well.
     clock = Clock()
-    limiter = ColdStartLimiter(clock=clock)
+    limiter = ServerRateLimiter(clock=clock)
     assert [send(limiter, clock) for _ in range(9)] == [True] * 7 + [False] * 2
 
 
@@ -45,7 +46,7 @@
 def test_in_no_second_a_cold_server_gets_more_than_it_tolerates(seed):
     rng = random.Random(seed)
     clock = Clock()
-    limiter = ColdStartLimiter(clock=clock)
+    limiter = ServerRateLimiter(clock=clock)
     sent = []
     for _ in range(2000):
         clock.now += rng.expovariate(40.0)
@@ -61,12 +62,12 @@
     clock = Clock()
     sent = []
     for _ in range(2):
-        limiter = ColdStartLimiter(clock=clock)
+        limiter = ServerRateLimiter(clock=clock)
         sent += [clock.now for _ in range(30) if send(limiter, clock)]
         clock.now += 0.3
     assert most_in_a_second(sent) <= BOUND
     # A tolerated rate so high that twice of it exceeds the bound.
-    limiter = ColdStartLimiter(clock=clock)
+    limiter = ServerRateLimiter(clock=clock)
     admitted = 0
     while limiter.wait_seconds("a", 40.0) == 0.0:
         limiter.note_sent()
@@ -76,7 +77,7 @@
 
 def test_a_warm_server_is_not_limited():
     clock = Clock()
-    limiter = ColdStartLimiter(clock=clock)
+    limiter = ServerRateLimiter(clock=clock)
     limiter.note_heartbeat("a", seq=1, cold_seconds=0.0)
     assert all(send(limiter, clock) for _ in range(50))
 
@@ -84,7 +85,7 @@
 def test_a_server_that_becomes_cold_gets_nothing_beyond_its_rate():
     # Its requests of the last second count, and those that were admitted before.
     clock = Clock()
-    limiter = ColdStartLimiter(clock=clock)
+    limiter = ServerRateLimiter(clock=clock)
     limiter.note_heartbeat("a", seq=1, cold_seconds=0.0)
     admitted = [limiter.reserve("a", RATE) for _ in range(20)]
     limiter.note_heartbeat("a", seq=2, cold_seconds=3.0)
@@ -104,7 +105,7 @@
 
 def test_a_late_heartbeat_does_not_make_a_cold_server_warm():
     clock = Clock()
-    limiter = ColdStartLimiter(clock=clock)
+    limiter = ServerRateLimiter(clock=clock)
     limiter.note_heartbeat("a", seq=5, cold_seconds=3.0)
     limiter.note_heartbeat("a", seq=4, cold_seconds=0.0)
     assert limiter.is_cold("a")
@@ -113,7 +114,7 @@
 def test_a_server_that_stops_its_heartbeats_may_be_cold():
     # Its host was frozen, or the server was; what was known of it is out of date.
     clock = Clock()
-    limiter = ColdStartLimiter(clock=clock, heartbeat=1.0)
+    limiter = ServerRateLimiter(clock=clock, heartbeat=1.0)
     limiter.note_heartbeat("a", seq=1, cold_seconds=0.0)
     clock.now += 3.5
     assert limiter.is_cold("a")
@@ -121,7 +122,7 @@
 
 def test_refused_requests_are_told_when_there_is_room():
     clock = Clock()
-    limiter = ColdStartLimiter(clock=clock)
+    limiter = ServerRateLimiter(clock=clock)
     for _ in range(7):
         clock.now += 0.05
         send(limiter, clock)
@@ -133,8 +134,60 @@
 
 def test_an_unused_reservation_is_returned():
     clock = Clock()
-    limiter = ColdStartLimiter(clock=clock)
+    limiter = ServerRateLimiter(clock=clock)
     for _ in range(20):
         with limiter.reserve("a", RATE):
             pass
     assert send(limiter, clock)
+
+
+@pytest.mark.parametrize("rate", [0.2, 0.5, 1.9, 15.2, 80.0])
+def test_a_named_limit_is_kept_and_used(rate):
+    rng = random.Random(3)
+    clock = Clock()
+    limiter = ServerRateLimiter(clock=clock)
+    limiter.set_named_rate("a", rate)
+    followed = max(rate, 0.5)
+    sent = []
+    for _ in range(5000):
+        clock.now += rng.expovariate(20 * followed)
+        with contextlib.suppress(NotRun), limiter.reserve("a") as reservation:
+            reservation.use()
+            sent.append(clock.now)
+    for first in sent:
+        number = sum(first <= at < first + 4.0 for at in sent)
+        assert number <= 1.5 * rate * 4.0 + 5
+    allowed = followed * (clock.now - 100.0)
+    assert 0.9 * allowed <= len(sent) <= allowed + max(1.0, followed)
+
+
+def test_what_was_admitted_before_a_limit_was_lowered_is_refused():
+    clock = Clock()
+    limiter = ServerRateLimiter(clock=clock)
+    limiter.set_named_rate("a", 20.0)
+    admitted = [limiter.reserve("a") for _ in range(20)]
+    limiter.set_named_rate("a", 4.0)
+    sent = 0
+    for reservation in admitted:
+        with contextlib.suppress(NotRun), reservation:
+            reservation.use()
+            sent += 1
+    assert sent <= 4
+
+
+def test_a_limited_server_that_is_cold_keeps_both_limits():
+    clock = Clock()
+    limiter = ServerRateLimiter(clock=clock)
+    limiter.set_named_rate("a", 3.0)
+    assert sum(send(limiter, clock) for _ in range(9)) == 3
+    limiter.set_named_rate("a", 100.0)
+    assert sum(send(limiter, clock) for _ in range(9)) == 4
+
+
+def test_a_lifted_limit_and_that_of_another_instance_do_not_count():
+    clock = Clock()
+    limiter = ServerRateLimiter(clock=clock)
+    limiter.set_named_rate("a", 1.0)
+    assert limiter.wait_seconds("b") is None
+    limiter.set_named_rate("a", None)
+    assert limiter.wait_seconds("a") is None
