Keys leave a server that names a limit, by what callers ask for

Cause: hosts that know the owner to be full refuse without a hop, so the process beside it counts only what it lets in, and the leader took a server that is asked for five times its limit for one that is just used. Besides, a move waited up to a second for a moment at which both servers can be told, and ten moves at a time are planned.

Change: hosts count by key what they refuse for limited owners and report it to the leader as load; moves off a limited server begin at once, as from one that leaves, and up to forty are under way.

--- a/guavastream/control/capacity.py
+++ b/guavastream/control/capacity.py
@@ -57,6 +57,10 @@
         if rate is not None:
             self._rate_limits[id] = rate
 
+    def is_rate_limited(self, id):
+        """Whether a server says that it takes only so many requests per second."""
+        return id in self._rate_limits
+
     def capacities(self, servers, cold_rate=0.0):
         """Return the requests per second that each server can process, by ID.
 
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -339,6 +339,7 @@
                 ready
                 or source is None
                 or not source.accepts_work
+                or self._estimator.is_rate_limited(move.source)
                 or waited > 2 * MAX_MOVE_DELAY_SECONDS
             ):
                 move.is_active = True
@@ -417,6 +418,8 @@
                 clock=self._clock, policy=self._policy
             )
         loads.note(report.keys, report.other_count)
+        if not report.id:
+            return
         if report.latency:
             self._estimator.note_latency(report.id, report.latency)
         self._estimator.set_rate_limit(report.id, report.rate_limit)
@@ -524,6 +527,7 @@
             runs=self._state.runs_of(name),
             capacity=capacity,
             silent=silent,
+            limited=frozenset(filter(self._estimator.is_rate_limited, capacity)),
             load=loads.busy,
             areas=loads.areas,
             policy=self._policy,
--- a/guavastream/fleet/messages.py
+++ b/guavastream/fleet/messages.py
@@ -168,6 +168,8 @@
 class LoadReport:
     """Report the number of requests for each key since the last report.
 
+    `id` is the server that they were for. It is empty for requests that a host refused
+    since it knew the owners of their keys to be limited.
     `keys` are pairs of key and count for the busiest keys, `other_count` is the
     number of requests for all other keys. `latency` is the smoothed time that the
     server takes for a request, seconds, or 0 if unknown. `rate_limit` is the number of
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -230,6 +230,8 @@
         self._prober = Client()
         self._held_seq = {}
         self._leader_answered_at = float("-inf")
+        # Whether the last load report that arrived told of a limit of the server.
+        self._was_limited = False
         self._tasks = Tasks()
 
     @property
@@ -464,38 +466,47 @@
         )
 
     async def _report_load(self):
-        was_limited = False
         while True:
             hosts = len(self._state_holder.table.instances)
             await asyncio.sleep(
                 max(MIN_REPORT_INTERVAL_SECONDS, hosts / REPORTS_PER_SECOND)
             )
-            counts = self._guard.take_key_counts()
-            local_instances = [
-                i
-                for i in self._state_holder.table.instances.values()
-                if i.door == self._settings.inbound
-            ]
-            if not local_instances:
-                continue
-            rate_limit = self._guard.named_rate(local_instances[-1].id)
+            for report in self._load_reports():
+                with contextlib.suppress(GuavastreamError):
+                    await self._control.call(
+                        report, timeout=MIN_REPORT_INTERVAL_SECONDS
+                    )
+                    if report.id:
+                        self._was_limited = report.rate_limit is not None
+
+    def _load_reports(self):
+        """Yield the reports of requests by key since the last call.
+
+        The first is that of the local server. The others are of requests for limited
+        servers that were refused here, which the processes beside those do not see.
+        """
+        counts = self._guard.take_key_counts()
+        refused = self._ingress.take_refused_keys()
+        local_instances = [
+            i
+            for i in self._state_holder.table.instances.values()
+            if i.door == self._settings.inbound
+        ]
+        if local_instances:
+            local = local_instances[-1]
+            rate_limit = self._guard.named_rate(local.id)
             # A server without keys gets no requests to count, and has to say that it is
-            # limited, and once that it no longer is.
-            if not counts and rate_limit is None and not was_limited:
-                continue
-            busiest = sorted(counts.items(), key=lambda item: -item[1])
-            keys = tuple(busiest[:MAX_REPORTED_KEYS])
-            report = LoadReport(
-                id=local_instances[-1].id,
-                service=local_instances[-1].service,
-                keys=keys,
-                other_count=sum(count for _, count in busiest[MAX_REPORTED_KEYS:]),
-                latency=self._guard.report().seconds,
-                rate_limit=rate_limit,
-            )
-            with contextlib.suppress(GuavastreamError):
-                await self._control.call(report, timeout=MIN_REPORT_INTERVAL_SECONDS)
-                was_limited = rate_limit is not None
+            # limited, and once more that it no longer is.
+            if counts or rate_limit is not None or self._was_limited:
+                yield _load_report(
+                    counts,
+                    id=local.id,
+                    service=local.service,
+                    latency=self._guard.report().seconds,
+                    rate_limit=rate_limit,
+                )
+        for service, counts in refused.items():
+            yield _load_report(counts, id="", service=service)
 
     # Stopping
 
@@ -554,3 +565,16 @@
         await asyncio.gather(self._outbound.stop(), self._inbound.stop())
         self._relay_server.close()
         self._direct.close()
+
+
+def _load_report(counts, *, id, service, latency=0.0, rate_limit=None):
+    """Return the `LoadReport` of a number of requests by key."""
+    busiest = sorted(counts.items(), key=lambda item: -item[1])
+    return LoadReport(
+        id=id,
+        service=service,
+        keys=tuple(busiest[:MAX_REPORTED_KEYS]),
+        other_count=sum(count for _, count in busiest[MAX_REPORTED_KEYS:]),
+        latency=latency,
+        rate_limit=rate_limit,
+    )
--- a/guavastream/placement/runs.py
+++ b/guavastream/placement/runs.py
@@ -33,8 +33,10 @@
 # Utilization (fraction of busy slots) below which load is not moved: up to half
 # utilization hardly any request waits.
 LOW_UTILIZATION = 0.35
-# Maximum number of concurrent moves for one service.
+# Maximum number of concurrent moves for one service, and while its busiest server
+# refuses what exceeds its capacity: keys that wait for their move are hardly served.
 MAX_MOVES = 10
+MAX_MOVES_OFF_LIMITED = 40
 # A range is chosen if its load is within this factor of the wanted load. If none
 # is, the one with the largest smaller load is chosen, provided that it has at
 # least this fraction of the wanted load.
@@ -60,6 +62,8 @@
     silent : frozenset of str
         Servers that currently send no heartbeats. They neither receive nor give
         up keys.
+    limited : frozenset of str
+        Servers that get no more requests than their capacity; the others are refused.
     load : dict of int to float
         Requests per second for each busy key.
     other_load : float
@@ -76,6 +80,7 @@
     runs: tuple
     capacity: dict
     silent: frozenset = frozenset()
+    limited: frozenset = frozenset()
     load: dict = field(default_factory=dict)
     other_load: float = 0.0
     areas: tuple = ()
@@ -223,8 +228,12 @@
     capacity = view.capacity
     mean = loads.of(0, KEY_COUNT - 1) / sum(capacity.values())
     upper_bound = max(mean * HYSTERESIS, LOW_UTILIZATION)
-    while len(moves) + len(view.moving) < MAX_MOVES:
+    while True:
         busiest = max(utilization, key=utilization.get)
+        is_limited = busiest in view.limited
+        max_moves = MAX_MOVES_OFF_LIMITED if is_limited else MAX_MOVES
+        if len(moves) + len(view.moving) >= max_moves:
+            break
         idlest = min(
             utilization,
             key=lambda s: (range_counts[s] >= MAX_RANGES_PER_SERVER, utilization[s]),
--- a/guavastream/placement/tests/test_runs.py
+++ b/guavastream/placement/tests/test_runs.py
@@ -177,3 +177,17 @@
     shares = {name: found[name] / CAPACITY[name] for name in CAPACITY}
     mean = sum(areas) / sum(CAPACITY.values())
     assert max(shares.values()) < 1.3 * mean
+
+
+def test_keys_of_a_limited_server_are_moved_in_one_plan():
+    """Guards against keys that wait for their move at a server that refuses them."""
+    names = [f"s{number}" for number in range(6)]
+    usual = dict.fromkeys(names, 100.0)
+    granted = plan_key_ranges(KeyRangeView(runs=ALL_FREE, capacity=usual))
+    runs = apply_plan(ALL_FREE, granted)
+    capacity = usual | {"s0": 5.0}
+    limited = frozenset({"s0"})
+    view = KeyRangeView(runs=runs, capacity=capacity, limited=limited, other_load=300.0)
+    runs = apply_plan(runs, plan_key_ranges(view))
+    found = utilization(runs, capacity, {}, 300.0)
+    assert found["s0"] <= 1.2 and max(found.values()) <= 1.2
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -121,6 +121,9 @@
         self._client = Client(connect_seconds=0.3, idle_seconds=HOP_IDLE_SECONDS)
         self._rng = random.Random()
         self._retry_budgets = {}
+        # Requests that were refused here since their owner is limited, by service and
+        # key: the process beside the owner does not see them.
+        self._refused_keys = {}
         self._failure_rates = {}
         # Set at the end of a shutdown; all further requests are refused as not run.
         self.leaving = False
@@ -319,6 +322,7 @@
                 raise NotRun("leaving", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
             wait = self._picker.seconds_until_room([owner])
             if wait:
+                self._count_refused_key(job)
                 raise NotRun("limited", retry_after=wait)
             if self._picker.is_silent(owner, job.route.name):
                 # The request would time out there without an answer.
@@ -343,6 +347,22 @@
             raise NotRun("limited", retry_after=wait)
         raise NotRun("no_server", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
 
+    def _count_refused_key(self, job):
+        if not job.is_retry:
+            by_key = self._refused_keys.setdefault(job.service, {})
+            by_key[job.key] = by_key.get(job.key, 0) + 1
+
+    def take_refused_keys(self):
+        """Return the requests refused for limited owners since the last call.
+
+        Returns
+        -------
+        dict of str to dict
+            Number of requests by key, by service.
+        """
+        refused, self._refused_keys = self._refused_keys, {}
+        return refused
+
     async def _try(self, job, server, responder, *, last):
         """Make one attempt at a server, and update what the picker knows of it."""
         self._picker.begin(server)
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -711,3 +711,21 @@
         assert [answer[0] for answer in answers].count(503) == 6
 
     run_scenario(scenario)
+
+
+def test_requests_refused_for_a_limited_owner_are_counted_by_key():
+    """Guards against a leader that sees only what a limited owner lets in."""
+
+    async def scenario(mesh):
+        mesh.grant((0, 65535, "i2"))
+        owner, ingress = mesh.hosts[1], mesh.hosts[0].ingress
+        owner.server.rate_limit = 1.0
+        for key, target in ((7, b"/read/a"), (7, b"/read/b"), (9, b"/read/c")):
+            headers = [(DIALECT.key, b"%d" % key)]
+            await mesh.ask(target, headers=headers)
+        # The first was served, and told how long the others have to wait.
+        assert len(owner.server.ran) == 1
+        assert ingress.take_refused_keys() == {"s": {7: 1, 9: 1}}
+        assert ingress.take_refused_keys() == {}
+
+    run_scenario(scenario, keyed=True)
