--- /dev/null
+++ b/guavastream/hosts/load_reporter.py
@@ -0,0 +1,105 @@
+"""Reports to the leader how many requests each key gets, and what limits the server."""
+
+import asyncio
+import contextlib
+
+from guavastream.exception import GuavastreamError
+from guavastream.fleet import LoadReport
+
+__all__ = ["LoadReporter"]
+
+# Shortest interval of reports, and the timeout of each.
+MIN_INTERVAL_SECONDS = 0.25
+# Reports per second from all hosts together, which the leader handles easily.
+REPORTS_PER_SECOND = 150
+MAX_REPORTED_KEYS = 400
+
+
+class LoadReporter:
+    """Sends load reports of one host at regular intervals.
+
+    Parameters
+    ----------
+    control : ControlClient
+        Calls the leader.
+    holder : TableHolder
+        Holds the newest fleet state.
+    guard : Guard
+        Counts the requests for the local server.
+    ingress : Ingress
+        Counts the requests that it refuses for limited servers.
+    door : str
+        Address of this process, by which it knows the local server.
+    """
+
+    def __init__(self, *, control, holder, guard, ingress, door):
+        self._control = control
+        self._holder = holder
+        self._guard = guard
+        self._ingress = ingress
+        self._door = door
+        # Whether the last report that arrived told of a limit of the local server.
+        self._was_limited = False
+
+    async def run(self):
+        """Send reports until cancelled."""
+        while True:
+            hosts = len(self._holder.table.instances)
+            await asyncio.sleep(max(MIN_INTERVAL_SECONDS, hosts / REPORTS_PER_SECOND))
+            local = self._report_local()
+            if local is not None and await self._send(local):
+                self._was_limited = local.rate_limit is not None
+            for report in self._report_refused():
+                await self._send(report)
+
+    async def _send(self, report):
+        """Send a report; return whether it arrived. A lost one is not sent again."""
+        with contextlib.suppress(GuavastreamError):
+            await self._control.call(report, timeout=MIN_INTERVAL_SECONDS)
+            return True
+        return False
+
+    def _report_local(self):
+        """Return the report of the local server, or None if there is nothing to say."""
+        counts = self._guard.take_key_counts()
+        instances = self._holder.table.instances.values()
+        local = [instance for instance in instances if instance.door == self._door]
+        if not local:
+            return None
+        instance = local[-1]
+        rate_limit = self._guard.named_rate(instance.id)
+        # A server without keys gets no requests to count, and has to say that it is
+        # limited, and once more that it no longer is.
+        if not counts and rate_limit is None and not self._was_limited:
+            return None
+        return _make_report(
+            counts,
+            id=instance.id,
+            service=instance.service,
+            latency=self._guard.report().seconds,
+            rate_limit=rate_limit,
+        )
+
+    def _report_refused(self):
+        """Return reports of requests that were refused here for limited servers.
+
+        The processes beside those servers do not see them.
+        """
+        refused = self._ingress.take_refused_keys()
+        return [
+            _make_report(counts, id="", service=service)
+            for service, counts in refused.items()
+        ]
+
+
+def _make_report(counts, *, id, service, latency=0.0, rate_limit=None):
+    """Return the `LoadReport` of a number of requests by key."""
+    busiest = sorted(counts.items(), key=lambda item: -item[1])
+    return LoadReport(
+        id=id,
+        service=service,
+        keys=tuple(busiest[:MAX_REPORTED_KEYS]),
+        other_count=sum(count for _, count in busiest[MAX_REPORTED_KEYS:]),
+        latency=latency,
+        rate_limit=rate_limit,
+    )
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -1,14 +1,14 @@
 """The process beside a backend server: requests, heartbeats, readiness."""
 
 import asyncio
-import contextlib
 import random
 
 from guavastream.exception import GuavastreamError
-from guavastream.fleet import Depart, FleetStateCodec, LiftSuspects, LoadReport
+from guavastream.fleet import Depart, FleetStateCodec, LiftSuspects
 from guavastream.hosts.book_follower import FleetStateFollower
 from guavastream.hosts.end_reporter import EndReporter
 from guavastream.hosts.key_keeper import KeyManager, KeySender
+from guavastream.hosts.load_reporter import LoadReporter
 from guavastream.hosts.tasks import Tasks
 from guavastream.http1 import Client, IncompleteMessage, Limits, NotSent, Server
 from guavastream.kernel import (
@@ -50,11 +50,6 @@
 # Time within which the local server reads an answer. A request sent to it earlier
 # would find that it does not hold the key yet.
 GRANT_DELAY_SECONDS = 0.004
-# Shortest interval of load reports, and the timeout of each.
-MIN_REPORT_INTERVAL_SECONDS = 0.25
-# Load reports per second from all hosts together, which the leader handles easily.
-REPORTS_PER_SECOND = 150
-MAX_REPORTED_KEYS = 400
 PROBE_TIMEOUT_SECONDS = 0.5
 # Above this number, idle connections of callers are closed, longest idle first.
 # Each costs about 8 KB and a file descriptor, of which a host has some thousands.
@@ -192,6 +187,13 @@
             observe=self.counters.observe,
             policy=settings.policy,
         )
+        self._load_reporter = LoadReporter(
+            control=self._control,
+            holder=self._state_holder,
+            guard=self._guard,
+            ingress=self._ingress,
+            door=settings.inbound,
+        )
         self._hop_handler = HopHandler(
             loop=self._loop,
             dialect=dialect,
@@ -230,8 +232,6 @@
         self._prober = Client()
         self._held_seq = {}
         self._leader_answered_at = float("-inf")
-        # Whether the last load report that arrived told of a limit of the server.
-        self._was_limited = False
         self._tasks = Tasks()
 
     @property
@@ -268,7 +268,7 @@
         await self._outbound.start()
         self._tasks.spawn(self._state_follower.run())
         self._tasks.spawn(self._end_reporter.run())
-        self._tasks.spawn(self._report_load())
+        self._tasks.spawn(self._load_reporter.run())
 
     def update_seeds(self, seeds):
         """Set the seeds from changed settings."""
@@ -465,49 +465,6 @@
             not reported_id or reported_id == (heartbeat.name or heartbeat.id).encode()
         )
 
-    async def _report_load(self):
-        while True:
-            hosts = len(self._state_holder.table.instances)
-            await asyncio.sleep(
-                max(MIN_REPORT_INTERVAL_SECONDS, hosts / REPORTS_PER_SECOND)
-            )
-            for report in self._load_reports():
-                with contextlib.suppress(GuavastreamError):
-                    await self._control.call(
-                        report, timeout=MIN_REPORT_INTERVAL_SECONDS
-                    )
-                    if report.id:
-                        self._was_limited = report.rate_limit is not None
-
-    def _load_reports(self):
-        """Yield the reports of requests by key since the last call.
-
-        The first is that of the local server. The others are of requests for limited
-        servers that were refused here, which the processes beside those do not see.
-        """
-        counts = self._guard.take_key_counts()
-        refused = self._ingress.take_refused_keys()
-        local_instances = [
-            i
-            for i in self._state_holder.table.instances.values()
-            if i.door == self._settings.inbound
-        ]
-        if local_instances:
-            local = local_instances[-1]
-            rate_limit = self._guard.named_rate(local.id)
-            # A server without keys gets no requests to count, and has to say that it is
-            # limited, and once more that it no longer is.
-            if counts or rate_limit is not None or self._was_limited:
-                yield _load_report(
-                    counts,
-                    id=local.id,
-                    service=local.service,
-                    latency=self._guard.report().seconds,
-                    rate_limit=rate_limit,
-                )
-        for service, counts in refused.items():
-            yield _load_report(counts, id="", service=service)
-
     # Stopping
 
     async def drain(self):
@@ -565,16 +522,3 @@
         await asyncio.gather(self._outbound.stop(), self._inbound.stop())
         self._relay_server.close()
         self._direct.close()
-
-
-def _load_report(counts, *, id, service, latency=0.0, rate_limit=None):
-    """Return the `LoadReport` of a number of requests by key."""
-    busiest = sorted(counts.items(), key=lambda item: -item[1])
-    return LoadReport(
-        id=id,
-        service=service,
-        keys=tuple(busiest[:MAX_REPORTED_KEYS]),
-        other_count=sum(count for _, count in busiest[MAX_REPORTED_KEYS:]),
-        latency=latency,
-        rate_limit=rate_limit,
-    )
