--- a/guavastream/hosts/tests/test_statements.py
+++ b/guavastream/hosts/tests/test_statements.py
@@ -89,9 +89,9 @@
 
     async def scenario(fleet):
         log = ArrivalLog(fleet)
-        fleet.load(LOAD)
+        fleet.load(1.5 * LOAD)
         server = server_of(fleet, "orders")
-        for limit in (20.0, 4.0, 9.5):
+        for limit in (10.0, 4.0, 9.5):
             server.rate_limit = limit
             await asyncio.sleep(1.5)
             since = fleet.now()
