Routes of large answers are accepted, and may be retried

The new test failed before with the kind reported as a bad value. All control hosts are to be upgraded before the first configuration with such a route is sent; until then it is refused.

--- a/guavastream/platform/tests/test_wire.py
+++ b/guavastream/platform/tests/test_wire.py
@@ -72,6 +72,13 @@
     assert fleet_state.config.limits.idle_seconds == 15.0
 
 
+def test_a_route_of_large_answers_is_accepted_and_may_be_retried():
+    # Its refusal left hosts without any configuration, so that nothing was served.
+    command = decode_put(CONFIG | {"Routes": {"r": ROUTE | {"Kind": "download"}}})
+    (route,) = command.routes
+    assert route.retry_safety is RetrySafety.DOWNLOAD and route.idempotent
+
+
 def test_only_equal_changes_have_equal_digests():
     assert decode_put(CONFIG).digest == decode_put(CONFIG).digest
     assert decode_put(CONFIG).digest != decode_put(CONFIG, b"00000006").digest
--- a/guavastream/routes/model.py
+++ b/guavastream/routes/model.py
@@ -17,6 +17,8 @@
     UNSAFE = "unsafe"
     # With a large body; not safe to retry either.
     UPLOAD = "upload"
+    # With a large answer; safe to retry.
+    DOWNLOAD = "download"
 
 
 class Granting(StrEnum):
@@ -89,7 +91,7 @@
     @property
     def idempotent(self):
         """Whether a request may run more than once without harm."""
-        return self.retry_safety is RetrySafety.SAFE
+        return self.retry_safety in (RetrySafety.SAFE, RetrySafety.DOWNLOAD)
 
 
 @record(encoded_names={"raw_json": "origin"})
