Decisions under load are a package of their own, below the path of a request

Cause: relay held 4,500 lines in one flat folder, and decisions about admission, limits, retries and the choice of a server stood between sockets and parsers. Behaviour is unchanged.

--- a/guavastream/experiment/model.py
+++ b/guavastream/experiment/model.py
@@ -16,7 +16,6 @@
 from guavastream.fleet import KEY_COUNT, Instance, KeyRun, find_run, update_runs
 from guavastream.kernel import Policy, Signal, TimeLimit, replace
 from guavastream.placement import KeyRangeView, plan_key_ranges
-from guavastream.relay import AdmissionQueue, NotRun, Picker, Report, RetryBudget
 from guavastream.relay.ingress import (
     DEFAULT_RETRY_AFTER_SECONDS,
     FLEET_POLL_SECONDS,
@@ -26,9 +25,16 @@
     OWNER_WAIT_SHARE,
 )
 from guavastream.relay.job import LAST_HOP_MARGIN_SECONDS
-from guavastream.relay.outcome import FAILURE_RULES
-from guavastream.relay.returns import RetryTracker
-from guavastream.relay.servers import ServerLists
+from guavastream.scheduling import (
+    AdmissionQueue,
+    NotRun,
+    Picker,
+    Report,
+    RetryBudget,
+)
+from guavastream.scheduling.outcome import FAILURE_RULES
+from guavastream.scheduling.returns import RetryTracker
+from guavastream.scheduling.servers import ServerLists
 
 __all__ = ["Counts", "Model", "Tally"]
 
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -25,16 +25,18 @@
 from guavastream.relay import (
     CLOSING_RESPONSE,
     HOP_IDLE_SECONDS,
-    Departures,
     Guard,
     HopHandler,
     Ingress,
+)
+from guavastream.replica import TableHolder
+from guavastream.routes import RouteIndex
+from guavastream.scheduling import (
+    Departures,
     Picker,
     ServerLists,
     ServerRateLimiter,
 )
-from guavastream.replica import TableHolder
-from guavastream.routes import RouteIndex
 
 __all__ = ["ServerHost"]
 
--- a/guavastream/platform/keys.py
+++ b/guavastream/platform/keys.py
@@ -3,7 +3,11 @@
 import msgspec
 
 from guavastream.platform.units import format_time
-from guavastream.relay import KeyDialect, KeyOutcome, KeyResult
+from guavastream.relay import (
+    KeyDialect,
+    KeyOutcome,
+    KeyResult,
+)
 from guavastream.routes import Granting
 
 __all__ = ["GRANTING_BY_NAME", "PlatformKeyDialect"]
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass, field
 
 from guavastream.kernel import TimeLimit, part_logger, record
-from guavastream.relay.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
-from guavastream.relay.departures import Departures
-from guavastream.relay.outcome import NotRun
-from guavastream.relay.pick import Report
 from guavastream.relay.quarantine import Quarantine
-from guavastream.relay.rate_limits import ServerRateLimiter
 from guavastream.relay.server_client import ServerClient
-from guavastream.relay.turns import LifoLock
+from guavastream.scheduling.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
+from guavastream.scheduling.departures import Departures
+from guavastream.scheduling.outcome import NotRun
+from guavastream.scheduling.pick import Report
+from guavastream.scheduling.rate_limits import ServerRateLimiter
+from guavastream.scheduling.turns import LifoLock
 
 __all__ = ["Attempt", "Guard", "HeldKeys"]
 
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -6,12 +6,12 @@
 
 from guavastream.http1 import IncompleteMessage, format_head
 from guavastream.kernel import TimeLimit, TimeLimitGroup, replace
-from guavastream.relay.admission import AdmissionQueue
 from guavastream.relay.dialect import INTERNAL_PREFIX
 from guavastream.relay.guard import Attempt
 from guavastream.relay.job import read_body
-from guavastream.relay.outcome import FAILURE_RULES, NotRun, OutcomeUnknown
-from guavastream.relay.pick import LARGE_BYTES, format_report, parse_report
+from guavastream.scheduling.admission import AdmissionQueue
+from guavastream.scheduling.outcome import FAILURE_RULES, NotRun, OutcomeUnknown
+from guavastream.scheduling.pick import LARGE_BYTES, format_report, parse_report
 
 __all__ = [
     "CLOSING_RESPONSE",
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -7,7 +7,6 @@
 
 from guavastream.http1 import Client, IncompleteMessage, NotSent
 from guavastream.kernel import Policy, TimeLimitGroup, part_logger, replace
-from guavastream.relay.budget import RetryBudget
 from guavastream.relay.dialect import INTERNAL_PREFIX
 from guavastream.relay.fingerprint import fingerprint
 from guavastream.relay.guard import Attempt
@@ -18,9 +17,10 @@
     read_report,
 )
 from guavastream.relay.job import BadRequest, JobReader
-from guavastream.relay.outcome import FAILURE_RULES, NotRun, OutcomeUnknown
-from guavastream.relay.pick import LARGE_BYTES
 from guavastream.relay.statements import read_statement
+from guavastream.scheduling.budget import RetryBudget
+from guavastream.scheduling.outcome import FAILURE_RULES, NotRun, OutcomeUnknown
+from guavastream.scheduling.pick import LARGE_BYTES
 
 __all__ = ["Ingress"]
 
--- a/guavastream/relay/job.py
+++ b/guavastream/relay/job.py
@@ -7,8 +7,8 @@
 from guavastream.fleet import KEY_COUNT
 from guavastream.kernel import Policy, TimeLimit, record
 from guavastream.relay.dialect import INTERNAL_PREFIX
-from guavastream.relay.outcome import NotRun
-from guavastream.relay.returns import RetryTracker
+from guavastream.scheduling.outcome import NotRun
+from guavastream.scheduling.returns import RetryTracker
 
 __all__ = ["BadRequest", "Job", "JobReader", "read_body"]
 
--- a/guavastream/relay/quarantine.py
+++ b/guavastream/relay/quarantine.py
@@ -9,7 +9,7 @@
     body_fingerprint,
     head_fingerprint,
 )
-from guavastream.relay.outcome import NotRun
+from guavastream.scheduling.outcome import NotRun
 
 __all__ = ["Quarantine", "SuspectStatus"]
 
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -3,9 +3,9 @@
 from guavastream.http1 import Client, IncompleteMessage, NotSent
 from guavastream.kernel import part_logger
 from guavastream.relay.fingerprint import fingerprint
-from guavastream.relay.outcome import NotRun, OutcomeUnknown
 from guavastream.relay.server_watch import ServerWatch
 from guavastream.relay.statements import read_statement
+from guavastream.scheduling.outcome import NotRun, OutcomeUnknown
 
 __all__ = ["ServerAnswer", "ServerClient"]
 
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -8,7 +8,12 @@
 from guavastream.fleet import FleetState, FleetStateCodec, GrantKeys, JoinInstance
 from guavastream.http1 import Client, Limits, Server
 from guavastream.kernel import replace
-from guavastream.relay import Dialect, Guard, HopHandler, Ingress, Picker, ServerLists
+from guavastream.relay import (
+    Dialect,
+    Guard,
+    HopHandler,
+    Ingress,
+)
 from guavastream.replica import TableHolder
 from guavastream.routes import (
     RetrySafety,
@@ -18,6 +23,7 @@
     ServiceRules,
     WeightedService,
 )
+from guavastream.scheduling import Picker, ServerLists
 
 __all__ = ["DIALECT", "Host", "Mesh", "run_scenario", "route"]
 
--- a/guavastream/relay/tests/test_hop.py
+++ b/guavastream/relay/tests/test_hop.py
@@ -7,13 +7,14 @@
 
 from guavastream.emulator import run_paused
 from guavastream.http1.message import Headers
-from guavastream.relay import HopHandler, NotRun, Report
+from guavastream.relay import HopHandler
 from guavastream.relay.hop import (
     MAX_CONCURRENT_BODIES,
     MAX_LINK_BUSY_SECONDS,
     HopHeader,
 )
 from guavastream.relay.tests.rig import DIALECT
+from guavastream.scheduling import NotRun, Report
 
 BODY_SECONDS = 0.1
 BODY_BYTES = 60_000
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -6,12 +6,12 @@
 
 from guavastream.fleet import FleetState, LeaveInstance, ReleaseKeys
 from guavastream.http1 import IncompleteMessage
-from guavastream.relay.departures import DEPARTURE_GRACE_SECONDS
 from guavastream.relay.dialect import INTERNAL_PREFIX
 from guavastream.relay.fingerprint import fingerprint
 from guavastream.relay.ingress import MAX_REFUSALS
-from guavastream.relay.outcome import NotRun
 from guavastream.relay.tests.rig import DIALECT, SERVER_SECONDS, run_scenario
+from guavastream.scheduling.departures import DEPARTURE_GRACE_SECONDS
+from guavastream.scheduling.outcome import NotRun
 
 
 def test_answers_are_passed_on_unchanged_by_every_host():
--- a/guavastream/relay/admission.py
+++ b/guavastream/scheduling/admission.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 
 from guavastream.kernel import Policy, TimeLimit
-from guavastream.relay.outcome import NotRun
-from guavastream.relay.reserve import time_reserve
-from guavastream.relay.shares import FairShares
+from guavastream.scheduling.outcome import NotRun
+from guavastream.scheduling.reserve import time_reserve
+from guavastream.scheduling.shares import FairShares
 
 __all__ = ["AdmissionQueue"]
 
--- a/guavastream/relay/pick.py
+++ b/guavastream/scheduling/pick.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from guavastream.kernel import Policy, record
-from guavastream.relay.departures import Departures
+from guavastream.scheduling.departures import Departures
 
 __all__ = ["Picker", "Report", "format_report", "parse_report"]
 
--- a/guavastream/relay/rate_limits.py
+++ b/guavastream/scheduling/rate_limits.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from guavastream.kernel import record
-from guavastream.relay.outcome import NotRun
+from guavastream.scheduling.outcome import NotRun
 
 __all__ = ["ServerRateLimiter"]
 
@@ -123,7 +123,7 @@
     ...         reservation.use()
     >>> limiter.reserve("a", cold_rate=2.5)
     Traceback (most recent call last):
-    guavastream.relay.outcome.NotRun: cold
+    guavastream.scheduling.outcome.NotRun: cold
     >>> limiter.note_heartbeat("a", seq=1, cold_seconds=0.0)
     >>> limiter.wait_seconds("a", cold_rate=2.5) is None
     True
--- a/guavastream/relay/tests/tandem.py
+++ b/guavastream/scheduling/tests/tandem.py
@@ -6,7 +6,12 @@
 
 from guavastream.emulator import run_paused
 from guavastream.fleet import Instance
-from guavastream.relay import AdmissionQueue, NotRun, Picker, Report
+from guavastream.scheduling import (
+    AdmissionQueue,
+    NotRun,
+    Picker,
+    Report,
+)
 
 __all__ = ["Kind", "TwoServiceSimulation"]
 
--- a/guavastream/relay/tests/test_admission.py
+++ b/guavastream/scheduling/tests/test_admission.py
@@ -4,7 +4,7 @@
 import random
 
 from guavastream.emulator import run_paused
-from guavastream.relay import AdmissionQueue, NotRun
+from guavastream.scheduling import AdmissionQueue, NotRun
 
 SLOTS = 8
 WORK = 0.16
--- a/guavastream/relay/tests/test_pick.py
+++ b/guavastream/scheduling/tests/test_pick.py
@@ -5,9 +5,9 @@
 
 from guavastream.fleet import Instance
 from guavastream.kernel import replace
-from guavastream.relay import Picker
-from guavastream.relay.pick import Report
-from guavastream.relay.servers import (
+from guavastream.scheduling import Picker
+from guavastream.scheduling.pick import Report
+from guavastream.scheduling.servers import (
     FAR_SERVERS,
     MAX_COMPARED,
     NEAR_SERVERS,
--- a/guavastream/relay/tests/test_rate_limits.py
+++ b/guavastream/scheduling/tests/test_rate_limits.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from guavastream.relay import NotRun, ServerRateLimiter
+from guavastream.scheduling import NotRun, ServerRateLimiter
 
 RATE = 7.5
 # Rate times 1.5, plus 8: what a cold server must never get in a second.
--- a/guavastream/relay/tests/test_returns.py
+++ b/guavastream/scheduling/tests/test_returns.py
@@ -1,6 +1,6 @@
 """Tests that retries are distinguished from other requests for the same thing."""
 
-from guavastream.relay.returns import MAX_REMEMBERED, RetryTracker
+from guavastream.scheduling.returns import MAX_REMEMBERED, RetryTracker
 
 WHAT = ("read", b"/x")
 
--- a/guavastream/relay/tests/test_shares.py
+++ b/guavastream/scheduling/tests/test_shares.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from guavastream.emulator import run_paused
-from guavastream.relay import AdmissionQueue, NotRun
+from guavastream.scheduling import AdmissionQueue, NotRun
 
 SLOTS = 17
 SECONDS = 30.0
--- a/guavastream/relay/tests/test_tandem.py
+++ b/guavastream/scheduling/tests/test_tandem.py
@@ -5,8 +5,8 @@
 requests that are answered within their target.
 """
 
-from guavastream.relay.tests.tandem import Kind, TwoServiceSimulation
-from guavastream.relay.tests.test_admission import PlainQueue
+from guavastream.scheduling.tests.tandem import Kind, TwoServiceSimulation
+from guavastream.scheduling.tests.test_admission import PlainQueue
 
 CALL = Kind(
     name="check", service="desk", rate=0, work=0.04, target=0.15, deadline=0.5, rank=1
--- a/guavastream/relay/tests/test_turns.py
+++ b/guavastream/scheduling/tests/test_turns.py
@@ -5,7 +5,7 @@
 import pytest
 
 from guavastream.emulator import run_paused
-from guavastream.relay.turns import LifoLock
+from guavastream.scheduling.turns import LifoLock
 
 
 def run_scenario(scenario):
