Keys are first granted once no more servers join, not at a fixed time after the first

Cause: servers of a service are started one after another (33 ms apart here), and keys were granted 1.1 s after the first had joined. Change: the first grant waits for a pause of half the initial wait between joins, at most four times the initial wait (control/settling.py).

--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -7,6 +7,7 @@
 from guavastream.control.holds import HoldTracker
 from guavastream.control.loads import KeyLoads, Loads
 from guavastream.control.moves import KeyMoves
+from guavastream.control.settling import SettlingTimer
 from guavastream.exception import NotLeader
 from guavastream.fleet import (
     EndInstance,
@@ -95,7 +96,9 @@
         self._moves = KeyMoves(clock=clock)
         self._loads = {}
         self._estimator = CapacityEstimator(clock=clock)
-        self._joined_at = {}
+        self._settling = SettlingTimer(
+            clock=clock, initial_wait=self._timing.initial_wait
+        )
         self._balanced_at = 0.0
         self._removing = set()
 
@@ -113,7 +116,7 @@
         self._latest = {}
         self._waiting_until = {}
         self._moves.clear()
-        self._joined_at = {}
+        self._settling.clear()
         self._removing = set()
 
     # The latest message of each type by server: heartbeats, and renewal requests of
@@ -263,7 +266,7 @@
                 heartbeat.service,
                 heartbeat.door,
             )
-            self._joined_at.setdefault(heartbeat.service, self._clock())
+            self._settling.note_join(heartbeat.service)
         if heartbeat.leaving and not self._state.instances[heartbeat.id].leaving:
             await self._propose(LeaveInstance(id=heartbeat.id))
             log.info("Server %s is leaving.", heartbeat.id)
@@ -646,10 +649,7 @@
 
     def _is_settling(self, name):
         """Whether the first servers of a service are still joining."""
-        if name in self._state.runs:
-            return False
-        joined = self._joined_at.setdefault(name, self._clock())
-        return self._clock() - joined < self._timing.initial_wait
+        return name not in self._state.runs and self._settling.is_settling(name)
 
     def _notify(self, ids):
         """Wake the messages of servers that wait for an answer."""
