Pipelined requests of a connection may run at the same time

Cause: a connection handled its requests one after another, so the last of four requests of 0.3 s that were sent at once was answered after 4.0 times 0.3 s on the paused clock. Change: Server takes may_overlap, which says which requests may run beside others of their connection; by default none. Up to eight run at a time, and responses are written in request order. Finished responses are buffered until they are due; above 256 KiB their handlers wait and no further request starts. Others run alone. Whether the connection closes is decided when a response is due. "100 Continue" is sent in its turn instead of when the head is parsed, where it could fall into an earlier response. Reading stays paused for a large body when an earlier request ends, and pauses at eight waiting requests.

--- a/guavastream/http1/connection.py
+++ b/guavastream/http1/connection.py
@@ -1,4 +1,4 @@
-"""Server side of a connection, whose requests are handled one after another."""
+"""Server side of a connection: its requests are answered in their order."""
 
 import asyncio
 import contextlib
@@ -14,15 +14,16 @@
     IncompleteMessage,
     format_head,
 )
+from guavastream.http1.pipeline import Pipeline
 from guavastream.http1.responder import AbortedRequest, Request, Responder
-from guavastream.kernel import TimeLimit, part_logger
+from guavastream.kernel import Signal, TimeLimit, part_logger
 
 __all__ = ["ServerConnection"]
 
 log = part_logger("http")
 
-# Pipelined requests on a connection beyond which reading from it pauses.
-MAX_PIPELINED_REQUESTS = 4
+# Requests of a connection that wait to be started at which reading from it pauses.
+MAX_WAITING_REQUESTS = 8
 # Wait for the event loop to read data that is in the receive buffer already.
 UNREAD_WAIT_SECONDS = 0.01
 # Time for which a connection still reads after its last response, before it closes.
@@ -41,9 +42,15 @@
         super().__init__()
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
+        # Requests that have not started. Those that have are the one of `_responder`,
+        # whose response is due, and those of `_pipeline` after it.
         self._requests = deque()
+        self._pipeline = Pipeline(
+            loop=self._loop, may_overlap=server.may_overlap, count=server.count
+        )
         self._task = None
         self._responder = None
+        self._handling = False
         self._lost = False
         self._closing_when_idle = self._lingering = False
         self._linger_timer = None
@@ -56,7 +63,6 @@
         self._head_started_at = None
         self._idle_started_at = self._idle_limit_at_start = 0.0
         self._in_head = True
-        self.busy = False
 
     # Callbacks of the transport
 
@@ -82,6 +88,8 @@
             # Wakes the task, which applies the time limit of the head from now on
             # instead of the idle limit.
             self._progress.set()
+        if self._requests and self._responder is not None:
+            self._start_overlapping()
 
     def eof_received(self):
         return False
@@ -95,6 +103,7 @@
         self._server.connection_closed(self)
         if self._task is not None:
             self._task.cancel()
+        self._pipeline.cancel()
 
     # Callbacks of the parser
 
@@ -130,7 +139,9 @@
         size = len(self._target) + sum([len(k) + len(v) + 4 for k, v in headers])
         if size > self._server.limits.head_bytes:
             self._reject(431)
-        body = BodyStream(loop=self._loop, pause=self._pause, resume=self._resume)
+        body = BodyStream(
+            loop=self._loop, pause=self._pause, resume=self._update_reading
+        )
         self._receiving = Request(
             method=self._parser.get_method(),
             target=self._target,
@@ -145,10 +156,10 @@
         self._receiving.expects_continue = (
             headers.get(b"expect").lower() == b"100-continue"
         )
-        if self._receiving.expects_continue and not self._server.delays_continue:
-            self.send_continue(self._receiving)
+        if self._responder is None and not self._requests:
+            self._send_prompt_continue(self._receiving)
         self._requests.append(self._receiving)
-        if len(self._requests) > MAX_PIPELINED_REQUESTS:
+        if len(self._requests) >= MAX_WAITING_REQUESTS:
             self._pause()
         self._progress.set()
 
@@ -168,15 +179,13 @@
         if self._receiving is not None:
             self._receiving.body.feed_end()
 
-    # The task that handles the requests
+    # The task that handles the requests, and those that run before their turn
 
     async def _run(self):
         cause = "ended"
         try:
             while await self._wait_for_request():
-                request = self._requests.popleft()
-                self._resume()
-                if not await self._serve(request):
+                if not await self._serve_next():
                     break
             else:
                 if not self._rejection_status:
@@ -213,7 +222,7 @@
         """Wait for a request; return False if the connection should be closed."""
         self._idle_started_at = self._loop.time()
         self._idle_limit_at_start = self._server.limits.idle_seconds
-        while not self._requests:
+        while not self._requests and not self._pipeline:
             if self._rejection_status:
                 await self._send_rejection()
                 return False
@@ -250,32 +259,71 @@
             self._idle_limit_at_start, limits.idle_seconds
         )
 
-    async def _serve(self, request):
-        self.busy = True
+    async def _serve_next(self):
+        """Answer the oldest request; return whether the connection stays open."""
+        self._handling = True
         self._server.connection_used(self)
-        responder = self._responder = Responder(connection=self, request=request)
         try:
-            await self._server.handler(request, responder)
+            if self._pipeline:
+                self._responder, task = self._pipeline.pop()
+                self._responder.release()
+                self._start_overlapping()
+                received = await task
+            else:
+                request = self._requests.popleft()
+                self._responder = Responder(connection=self, request=request)
+                self._update_reading()
+                self._start_overlapping()
+                self._send_prompt_continue(request)
+                received = await self._handle(self._responder)
+        finally:
+            self._handling = False
+        return await self._end_response(received)
+
+    async def _handle(self, responder):
+        """Run the handler; return whether the request was received completely."""
+        try:
+            await self._server.handler(responder.request, responder)
         except IncompleteMessage:
-            # The request was not received completely.
-            if not responder.started and self._rejection_status:
-                self._responder = None
-                await self._send_rejection()
-                return False
+            return False
         except Exception:
             log.exception("The handler of a request failed.")
             if not responder.started:
                 await responder.send(500)
-        finally:
-            self.busy = False
+        return True
+
+    def _start_overlapping(self):
+        """Start the requests that may run while earlier ones do."""
+        while self._requests and self._pipeline.may_start(
+            self._requests[0], current=self._responder
+        ):
+            responder = Responder(
+                connection=self,
+                request=self._requests.popleft(),
+                turn=Signal(loop=self._loop),
+            )
+            self._pipeline.start(responder, self._handle(responder))
+            self._update_reading()
+
+    async def _end_response(self, received):
+        """Flush the response that is due; return whether the connection stays open."""
+        responder = self._responder
+        if responder is None:
+            # The connection was aborted and its requests were reported.
+            return False
+        if not received and not responder.started and self._rejection_status:
+            self._responder = None
+            await self._send_rejection()
+            return False
         if not responder.complete:
             self.abort_requests(
-                "request_cut" if not request.body.ended else "unanswered"
+                "request_cut" if not responder.request.body.ended else "unanswered"
             )
             return False
         with contextlib.suppress(TimeoutError):
             with TimeLimit.within(self._server.limits.idle_seconds, loop=self._loop):
                 await self.drain()
+                self._responder = None
                 return not responder.closes
         # The caller did not read the response in time.
         self.abort()
@@ -293,6 +341,11 @@
 
     # Used by the responder and the server
 
+    def _send_prompt_continue(self, request):
+        """Send "100 Continue", unless its time is the handler's decision."""
+        if not self._server.delays_continue:
+            self.send_continue(request)
+
     def send_continue(self, request):
         """Send "100 Continue" if the caller waits for it before sending the body."""
         if request.expects_continue:
@@ -307,9 +360,21 @@
         # Pipelined requests are still handled, and a rejection has a response of its
         # own that closes the connection.
         return (
-            self._server.closing and not self._requests and not self._rejection_status
+            self._server.closing
+            and not self._requests
+            and not self._pipeline
+            and not self._rejection_status
         )
 
+    @property
+    def buffer_full(self):
+        """Whether responses wait until they are due, instead of being buffered."""
+        return self._pipeline.full
+
+    def note_buffered(self):
+        """Count a response that is buffered until it is due."""
+        self._server.count("pipelined.buffered")
+
     @property
     def announced_idle_seconds(self):
         """Idle time announced to callers in whole seconds, 0 for no announcement."""
@@ -317,6 +382,11 @@
             return 0
         return int(self._server.limits.idle_seconds * ANNOUNCED_IDLE_SHARE)
 
+    @property
+    def busy(self):
+        """Number of requests that have started and are not answered yet."""
+        return self._handling + len(self._pipeline)
+
     @property
     def idle(self):
         """Whether no request is in progress, queued or partly received."""
@@ -347,6 +417,7 @@
     def _report_aborted(self, cause):
         """Report the requests left without a complete response."""
         responder, self._responder = self._responder, None
+        started = self._pipeline.cancel()
         waiting = list(self._requests)
         self._requests.clear()
         if self._lost:
@@ -360,6 +431,10 @@
                 handler_called=True,
                 response_sent=response_sent,
             )
+        for later in started:
+            self._report_aborted_request(
+                later.request, cause, handler_called=True, response_sent="none"
+            )
         for request in waiting:
             self._report_aborted_request(
                 request, cause, handler_called=False, response_sent="none"
@@ -375,6 +450,14 @@
         )
         self._server.note_aborted(aborted)
 
+    def _update_reading(self):
+        """Read from the connection, unless enough has been received for now."""
+        body_full = self._receiving is not None and self._receiving.body.full
+        if body_full or len(self._requests) >= MAX_WAITING_REQUESTS:
+            self._pause()
+        else:
+            self._resume()
+
     def _reject(self, status):
         self._rejection_status = self._rejection_status or status
         self._fail_incomplete_bodies()
--- a/guavastream/http1/message.py
+++ b/guavastream/http1/message.py
@@ -142,6 +142,11 @@
         """Whether the complete body has been received."""
         return self._ended
 
+    @property
+    def full(self):
+        """Whether no more of the body may be read from the connection for now."""
+        return self._paused and not self._ended
+
     def feed(self, data):
         """Buffer data received from the connection, and pause reading if needed."""
         self._pieces.append(data)
--- a/guavastream/http1/responder.py
+++ b/guavastream/http1/responder.py
@@ -36,6 +36,7 @@
         "keep_alive",
         "length",
         "method",
+        "overlaps",
         "target",
     )
 
@@ -50,6 +51,9 @@
         # Whether the client waits for "100 Continue" before it sends the body
         # (RFC 9110, 10.1.1).
         self.expects_continue = False
+        # Whether it may run while others of its connection run; None until that is
+        # needed.
+        self.overlaps = None
 
     @property
     def path(self):
@@ -66,11 +70,18 @@
         Connection on which the response is sent.
     request : Request
         The request to respond to.
+    turn : Signal, optional
+        Set once all earlier requests of the connection have been answered, which
+        `release` reports; by default the response is due at once.
     """
 
-    def __init__(self, *, connection, request):
+    def __init__(self, *, connection, request, turn=None):
         self._connection = connection
         self._request = request
+        self._turn = turn
+        # Status, fields, reason and body of a response that is not due yet.
+        self._buffered = None
+        self._abort_cause = None
         self._chunked = False
         self._unsent_bytes = 0
         self.started = False
@@ -81,48 +92,90 @@
 
     @property
     def complete(self):
-        """Whether the whole response was written."""
+        """Whether the whole response was written, or is buffered until it is due."""
         if self._chunked:
             return self._finished
         return self.started and self._unsent_bytes == 0
 
+    @property
+    def buffered_bytes(self):
+        """Size of the body that is buffered until the response is due."""
+        return 0 if self._buffered is None else len(self._buffered[-1])
+
     @property
     def request(self):
         """The request to respond to."""
         return self._request
 
+    def release(self):
+        """Send what is buffered; from now on the response is written directly."""
+        turn, self._turn = self._turn, None
+        turn.set()
+        if self._abort_cause is not None:
+            self._connection.abort_requests(self._abort_cause)
+        elif self._buffered is not None:
+            status, fields, reason, body = self._buffered
+            self._buffered = None
+            self._write_head(status, fields, reason, body)
+
     def send_continue(self):
         """Send "100 Continue" if the client waits for it before sending the body."""
         self._connection.send_continue(self._request)
 
     async def send(self, status, headers=(), body=b"", *, reason=b""):
-        """Write a whole response; the connection waits for its buffer to drain."""
+        """Write a whole response; the connection waits for its buffer to drain.
+
+        A response that is not due yet is buffered. It is complete then, also if the
+        buffer is full and this method is interrupted while it waits for the turn.
+        """
+        turn = self._turn
+        waits = turn is not None and self._connection.buffer_full
         self._begin(status, headers, length=len(body), reason=reason, first=body)
         self.finish()
+        if waits:
+            await turn.wait()
 
     async def start(self, status, headers, *, length=None, reason=b"", first=b""):
-        """Send the head and `first`; without `length` the body is sent in chunks."""
+        """Send the head and `first`; without `length` the body is sent in chunks.
+
+        Waits until the response is due: the rest of the body is not buffered, and an
+        interrupted response that has begun would end the connection.
+        """
+        if self._turn is not None:
+            await self._turn.wait()
         self._begin(status, headers, length=length, reason=reason, first=first)
         await self._connection.drain()
 
     def _begin(self, status, headers, *, length, reason, first):
         self.started = True
         self.status = status
-        connection = self._connection
-        reason = reason or REASONS.get(status, b"")
         fields = list(headers)
         self._chunked = length is None
         if self._chunked:
             fields.append((b"Transfer-Encoding", b"chunked"))
         elif status not in (204, 304):
             fields.append((b"Content-Length", b"%d" % length))
+        self._unsent_bytes = (length or 0) - len(first)
+        if self._turn is not None:
+            self._buffered = status, fields, reason, first
+            self._connection.note_buffered()
+            return
+        self._write_head(status, fields, reason, first)
+
+    def _write_head(self, status, fields, reason, first):
+        """Write the head and `first`.
+
+        Whether the connection closes is decided here, when the response is due: by
+        then further requests may have arrived.
+        """
+        connection = self._connection
+        reason = reason or REASONS.get(status, b"")
         self.closes = connection.closes_after(self._request)
         if self.closes:
             fields.append((b"Connection", b"close"))
         elif connection.announced_idle_seconds:
             value = b"timeout=%d" % connection.announced_idle_seconds
             fields.append((b"Keep-Alive", value))
-        self._unsent_bytes = (length or 0) - len(first)
         line = b"HTTP/1.1 %d %s" % (status, reason)
         connection.write(format_head(line, fields) + first)
 
@@ -143,5 +196,11 @@
         self._finished = True
 
     def abort(self, cause="handler"):
-        """Reset the connection, so that a partial response does not look complete."""
+        """Reset the connection, so that a partial response does not look complete.
+
+        If the response is not due yet, earlier requests are answered before.
+        """
+        if self._turn is not None:
+            self._abort_cause = cause
+            return
         self._connection.abort_requests(cause)
--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -57,6 +57,12 @@
     delays_continue : bool
         Whether the handler decides when "100 Continue" is sent to a caller that
         waits for it; otherwise it is sent at once.
+    may_overlap : callable, optional
+        Returns whether a `Request` may run while others of its connection run. It is
+        called only for requests that are pipelined. By default the requests of a
+        connection run one after another.
+    count : callable, optional
+        Counts an event of pipelined requests by name.
     """
 
     def __init__(
@@ -71,6 +77,8 @@
         closing_response=b"",
         announces_idle_timeout=True,
         delays_continue=False,
+        may_overlap=None,
+        count=None,
     ):
         self._address = address
         self._listener = None
@@ -83,6 +91,8 @@
         self.closing = False
         self.closing_idle = False
         self.delays_continue = delays_continue
+        self.may_overlap = may_overlap
+        self.count = count or (lambda name: None)
         self.announces_idle_timeout = announces_idle_timeout
         self.closing_response = closing_response
         self.note_refused = note_refused or (lambda status: None)
