A connection reads on after a large body that its handler did not read

Cause: reading paused at 256 KiB of a body that nobody read. If the body had ended by then, the request was answered and the connection stayed open, but nothing more was read from it: the caller's next request got no response, and the connection was closed at the idle limit (5.01 s with a limit of 5 s). Change: whether to read is checked again after each response.

--- a/guavastream/http1/connection.py
+++ b/guavastream/http1/connection.py
@@ -324,6 +324,8 @@
             with TimeLimit.within(self._server.limits.idle_seconds, loop=self._loop):
                 await self.drain()
                 self._responder = None
+                # The handler may not have read a body for which reading has paused.
+                self._update_reading()
                 return not responder.closes
         # The caller did not read the response in time.
         self.abort()
--- a/guavastream/http1/tests/test_pipelining.py
+++ b/guavastream/http1/tests/test_pipelining.py
@@ -10,6 +10,7 @@
 from guavastream.http1 import Limits, Server
 from guavastream.http1.connection import MAX_WAITING_REQUESTS
 from guavastream.http1.flow import READ_BYTES
+from guavastream.http1.message import BUFFER_HIGH_WATER_BYTES
 from guavastream.http1.pipeline import MAX_BUFFERED_BYTES, MAX_CONCURRENT_REQUESTS
 
 ADDRESS = ("10.0.0.1", 80)
@@ -608,6 +609,24 @@
     run_scenario(scenario)
 
 
+def test_next_request_is_read_after_a_large_body_that_was_not():
+    """Guards against reading that stays paused for the body of an answered request."""
+
+    async def scenario(backend, server, caller):
+        async def refuse(request, responder):
+            while not request.body.ended:
+                await asyncio.sleep(SETTLE_SECONDS)
+            await responder.send(200, (), b"a")
+
+        backend.behavior[b"a"] = refuse
+        caller.writer.write(post(b"/a/0", bytes(BUFFER_HIGH_WATER_BYTES + 1)))
+        assert await caller.names(1) == [b"a"]
+        caller.writer.write(get(b"/b/0"))
+        assert await caller.names(1) == [b"b"]
+
+    run_scenario(scenario)
+
+
 def test_reading_stays_paused_for_a_large_body_when_an_earlier_request_ends():
     """Guards against a whole upload in memory that nobody reads yet."""
 
