The ingress lets idempotent requests of a connection overlap

Cause: callers that pipeline waited for the sum of their requests' times. Change: the listener for callers asks the ingress whether a request may run beside others: if it has no body and its route is idempotent. The listener for other hosts is unchanged. Counters tell how many requests overlapped, were finished before their turn, or lost their connection before it. The emulator has a caller that pipelines.

--- a/guavastream/emulator/__init__.py
+++ b/guavastream/emulator/__init__.py
@@ -1,6 +1,7 @@
 """What stands outside the system, and a network between: small, for tests and runs."""
 
 from guavastream.emulator.backend import *
+from guavastream.emulator.callers import *
 from guavastream.emulator.dialect import *
 from guavastream.emulator.members import *
 from guavastream.emulator.network import *
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -208,6 +208,8 @@
             max_connections=MAX_CALLER_CONNECTIONS,
             note_refused=lambda status: self.counters.count(f"rejected.{status}"),
             note_aborted=lambda cut: self._log_cut("caller", cut),
+            may_overlap=self._ingress.may_overlap,
+            count=self.counters.count,
         )
         self._inbound = Server(
             address=parse_address(settings.inbound),
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -175,6 +175,10 @@
             raise
         self._observe("request", self._clock() - started)
 
+    def may_overlap(self, request):
+        """Whether a request may run while others of its connection run."""
+        return self._reader.may_overlap(request)
+
     def end_by(self, when):
         """Answer every request by the clock's time `when` at the latest.
 
--- a/guavastream/relay/job.py
+++ b/guavastream/relay/job.py
@@ -243,6 +243,18 @@
             deadline=deadline,
         )
 
+    def may_overlap(self, request):
+        """Whether a request may run while others of its connection run.
+
+        That holds for idempotent requests without a body. Others must not run behind
+        a response that closes the connection, since their callers repeat them then.
+        """
+        index = self._routes()
+        if request.length or index is None:
+            return False
+        route = index.find(request.headers.get(b"host"), request.path)
+        return route is not None and route.idempotent
+
     def _find_parent(self, id):
         """Return the attempt that a call belongs to, or None if this is not a call.
 
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -87,6 +87,8 @@
             address=(self.ip, 1),
             handler=self.ingress.handle,
             limits=Limits(head_bytes=2000, body_bytes=4 << 20, head_seconds=1.0),
+            may_overlap=self.ingress.may_overlap,
+            count=self._count,
         )
         self.hop_handler = HopHandler(loop=loop, dialect=DIALECT, guard=self.guard)
         self.hop_requests = 0
--- a/guavastream/relay/tests/test_job.py
+++ b/guavastream/relay/tests/test_job.py
@@ -8,7 +8,7 @@
 from guavastream.http1.message import Headers
 from guavastream.relay.job import LAST_HOP_MARGIN_SECONDS, JobReader
 from guavastream.relay.tests.rig import DIALECT, route
-from guavastream.routes import RouteConfig, RouteIndex
+from guavastream.routes import RetrySafety, RouteConfig, RouteIndex
 
 RUNNING = b"q1"
 # The request that the local server runs: it has priority 7 and is a retry.
@@ -28,20 +28,55 @@
     return run_paused(reader.read(request, started=started))
 
 
-@pytest.fixture
-def reader():
-    routes = {"read": route("read", timeout=1.0, target=0.5)}
-    index = RouteIndex(RouteConfig(version=1, routes=routes))
+def make_index(*routes):
+    return RouteIndex(RouteConfig(version=1, routes={r.name: r for r in routes}))
+
+
+def make_reader(routes):
     return JobReader(
         # These requests have no bodies to wait for.
         loop=None,
         dialect=DIALECT,
-        routes=lambda: index,
+        routes=routes,
         service="s",
         running_attempt=lambda id: PARENT if id == RUNNING else None,
     )
 
 
+@pytest.fixture
+def reader():
+    index = make_index(route("read", timeout=1.0, target=0.5))
+    return make_reader(lambda: index)
+
+
+@pytest.mark.parametrize(
+    ("path", "length", "overlaps"),
+    [
+        (b"/read/x", 0, True),
+        (b"/download/x", 0, True),
+        # A chunked body and one of known length.
+        (b"/read/x", -1, False),
+        (b"/read/x", 3, False),
+        (b"/pay/x", 0, False),
+        (b"/load/x", 0, False),
+        (b"/none/x", 0, False),
+    ],
+)
+def test_only_idempotent_requests_without_a_body_may_overlap(path, length, overlaps):
+    # An unsafe request could run behind a response that closes the connection, and its
+    # caller would repeat it. A body would have to be received first.
+    index = make_index(
+        route("read"),
+        route("download", RetrySafety.DOWNLOAD),
+        route("pay", RetrySafety.UNSAFE),
+        route("load", RetrySafety.UPLOAD),
+    )
+    headers = Headers([(b"Host", b"a.example")])
+    request = SimpleNamespace(headers=headers, path=path, length=length)
+    assert make_reader(lambda: index).may_overlap(request) is overlaps
+    assert not make_reader(lambda: None).may_overlap(request)
+
+
 def test_calls_are_distinguished_from_callers_by_their_id(reader):
     # Callers and the local server send from the same address. If a caller's request
     # is taken for a call, it may wait for 0.75 s where its target is 0.5 s, and most
