Requests that were not sent before a time limit are reported as not run

Cause: the ingress counted a request as sent as soon as it had chosen a server, and the hop handler answered each time limit with 504. A request that only waited (in the queue, for a key, for a suspect turn, for a connection, or for 100 Continue) when its time limit passed or its host stopped was therefore reported as possibly run.

Change: an Attempt records when it may have begun to be written to the server (sent_at), and a Job records a server only once the whole request may have been sent. Time limits before that end as 503: leaving if the host stops, else no_time. An earlier attempt that may have run still gives 502 or 504.

--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -245,6 +245,8 @@
         self._sender = None
         self._response = None
         self.reused = reused
+        # Whether `send_after_continue` has begun to send the body.
+        self.body_begun = False
 
     async def __aenter__(self):
         return self
@@ -307,7 +309,9 @@
         connection.write(format_head(method + b" " + target + b" HTTP/1.1", fields))
         if not await connection.wait_for_continue():
             connection.reusable = False
-        elif stream is None:
+            return
+        self.body_begun = True
+        if stream is None:
             connection.write(body)
         else:
             self._sender = asyncio.ensure_future(self._send_stream(body, stream))
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -4,6 +4,8 @@
 import contextlib
 from dataclasses import dataclass, field
 
+import msgspec
+
 from guavastream.kernel import TimeLimit, part_logger, record
 from guavastream.relay.quarantine import Quarantine
 from guavastream.relay.server_client import ServerClient
@@ -75,6 +77,9 @@
         Time until which an answer counts as in time.
     deadline : float
         Time at which the request is given up.
+    sent_at : list of float
+        Times at which it may have begun to be written to the server. While it is
+        empty, the request has surely not run.
     """
 
     id: bytes
@@ -95,6 +100,7 @@
     kind: str
     target_time: float
     deadline: float
+    sent_at: list = msgspec.field(default_factory=list)
 
 
 @dataclass(kw_only=True, slots=True)
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -181,10 +181,18 @@
         except OutcomeUnknown as unknown:
             await self._send_failure(responder, attempt.kind, unknown.code)
         except TimeoutError:
-            await self._send_failure(responder, attempt.kind, "no_answer")
+            code = self._code_after_timeout(attempt)
+            await self._send_failure(responder, attempt.kind, code)
         except IncompleteMessage:
             await responder.send(400)
 
+    def _code_after_timeout(self, attempt):
+        """Return the code for an attempt that was ended by a time limit."""
+        if attempt.sent_at:
+            return "no_answer"
+        # It only waited, and does not wait any more.
+        return "leaving" if self._clock() >= self._limits.end else "no_time"
+
     async def _receive_body(self, attempt, request, responder):
         """Return the attempt with its body, received once the link has capacity.
 
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -161,10 +161,12 @@
         except OutcomeUnknown as unknown:
             await self._answer_failure(responder, job, unknown.code)
         except TimeoutError:
-            if job is None or not job.sent_to:
-                await self._answer_refusal(responder, job, NotRun("no_time"))
-            else:
+            if job is not None and (job.sent_to or job.unknown_outcomes):
                 await self._answer_failure(responder, job, "no_answer")
+            else:
+                is_stopping = self._clock() >= self._limits.end
+                refused = NotRun("leaving" if is_stopping else "no_time")
+                await self._answer_refusal(responder, job, refused)
         except BadRequest as bad:
             self._count(f"rejected.{bad.status}")
             await responder.send(bad.status)
@@ -366,14 +368,14 @@
     async def _try(self, job, server, responder, *, last):
         """Make one attempt at a server, and update what the picker knows of it."""
         self._picker.begin(server)
-        job.sent_to.append(server.id)
+        sent_before = len(job.sent_to)
         try:
             if self._guard.find_local(server.id) is not None:
                 await self._try_local(job, server, responder, last=last)
             else:
                 await self._try_remote(job, server, responder, last=last)
         except NotRun as refused:
-            job.sent_to.remove(server.id)
+            del job.sent_to[sent_before:]
             if refused.code == "unreachable":
                 self._picker.note_unreachable(server)
             else:
@@ -410,8 +412,12 @@
             target_time=job.target_time,
             deadline=job.deadline,
         )
-        async with self._guard.serve(attempt) as answer:
-            await self._send_answer(job, server, answer, answer.read, responder)
+        try:
+            async with self._guard.serve(attempt) as answer:
+                await self._send_answer(job, server, answer, answer.read, responder)
+        finally:
+            if attempt.sent_at:
+                job.sent_to.append(server.id)
         self._note_report(job, server, self._guard.report(job.route.name))
 
     async def _try_remote(self, job, server, responder, *, last):
@@ -469,6 +475,7 @@
         may_be_reset = bool(job.body) and not job.idempotent and not exchange.reused
         if job.stream is None and len(job.body) < LARGE_BYTES and not may_be_reset:
             exchange.send(job.method, job.target, headers, job.body)
+            job.sent_to.append(server.id)
             return
         try:
             await exchange.send_after_continue(
@@ -480,6 +487,8 @@
             raise NotRun(
                 "unreachable", retry_after=DEFAULT_RETRY_AFTER_SECONDS
             ) from None
+        if exchange.body_begun:
+            job.sent_to.append(server.id)
 
     def _note_report(self, job, server, report):
         self._picker.note_report(server, report, kind=job.route.name)
--- a/guavastream/relay/job.py
+++ b/guavastream/relay/job.py
@@ -80,8 +80,8 @@
     failed_statuses : list of int
         Statuses of server failures after which it was retried.
     sent_to : list of str
-        Ids of the servers it was sent to, without those that reported that it
-        has not run.
+        Ids of the servers that may have been sent the whole request, without those
+        that reported that it has not run.
     unknown_outcomes : list of str
         Codes of the attempts that may have run.
     considered_servers : list
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -171,6 +171,7 @@
         exchange.send(
             attempt.method, attempt.target, headers, attempt.body, attempt.stream
         )
+        attempt.sent_at.append(self._clock())
         self._count("sent_to_server")
 
         def is_for_attempt(answer):
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -729,3 +729,101 @@
         assert ingress.take_refused_keys() == {}
 
     run_scenario(scenario, keyed=True)
+
+
+@pytest.mark.parametrize("path, method", [(b"/read/x", b"GET"), (b"/pay/x", b"POST")])
+def test_request_that_waits_on_a_stopping_host_is_reported_as_not_run(path, method):
+    """Guards against a 504 for a request that only waited when the host stopped."""
+
+    async def scenario(mesh):
+        loop = asyncio.get_running_loop()
+        near, far = mesh.hosts
+        mesh.apply(LeaveInstance(id=near.id))
+        mesh.set_timeout("read", 9.0)
+        mesh.set_timeout("pay", 9.0)
+        far.server.seconds, slots = 20.0, far.server.slots
+        for stopping, at in ((far.hop_handler, 0), (far.ingress, 1)):
+            ran = len(far.server.ran)
+            pending = [
+                asyncio.ensure_future(
+                    mesh.ask(path, method=method, at=at, deadline=9000)
+                )
+                for _ in range(slots + 2)
+            ]
+            await asyncio.sleep(0.1)
+            stopping.end_by(loop.time() + 0.5)
+            answers = [await one for one in pending]
+            assert [answer[0] for answer in answers] == [*[504] * slots, 503, 503]
+            assert len(far.server.ran) == ran + slots
+            await asyncio.sleep(0.1)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("path, method", [(b"/read/x", b"GET"), (b"/pay/x", b"POST")])
+def test_request_that_times_out_while_connecting_is_reported_as_not_run(path, method):
+    """Guards against a 504 for a request of which no host has received a byte."""
+
+    async def scenario(mesh):
+        near, far = mesh.hosts
+        mesh.apply(LeaveInstance(id=near.id))
+
+        async def never(address, **unused):
+            await asyncio.sleep(60.0)
+
+        near.ingress._client.open = never
+        assert (await mesh.ask(path, method=method, deadline=200))[0] == 503
+        far.guard._server._client.open = never
+        for at in (0, 1):
+            assert (await mesh.ask(path, method=method, at=at, deadline=200))[0] == 503
+        assert not mesh.ran()
+
+    run_scenario(scenario)
+
+
+def test_request_that_times_out_before_its_body_is_sent_is_reported_as_not_run():
+    """Guards against a 504 for an upload whose body no host has asked for."""
+
+    async def scenario(mesh):
+        near, far = mesh.hosts
+        mesh.apply(LeaveInstance(id=near.id))
+
+        async def wait(request, responder):
+            await asyncio.sleep(60.0)
+
+        far.hop_listener.handler = wait
+        for size in (1, 50_000):
+            status, *_ = await mesh.ask(
+                b"/load/x", method=b"POST", body=b"x" * size, deadline=300
+            )
+            assert status == 503
+        assert not mesh.ran()
+
+    run_scenario(scenario)
+
+
+def test_earlier_attempt_that_may_have_run_is_not_hidden_by_a_time_limit():
+    """Guards against a 503 for a request whose first attempt had run."""
+
+    async def scenario(mesh):
+        near, far = mesh.hosts
+
+        async def cut(request, responder):
+            responder.abort()
+            return True
+
+        async def never(*unused, **unused_too):
+            await asyncio.sleep(60.0)
+
+        for host in mesh.hosts:
+            host.server.behave = cut
+        near.ingress._client.open = never
+        near.guard._server._client.open = never
+        status, *_ = await mesh.ask(b"/read/x", deadline=300)
+        assert status == 503 and not mesh.ran()
+        # Now the first attempt runs at the local server, and the second goes nowhere.
+        del near.guard._server._client.open
+        status, *_ = await mesh.ask(b"/read/x", deadline=600)
+        assert status in (502, 504) and len(mesh.ran()) == 1
+
+    run_scenario(scenario)
