Answers that arrive together with a time limit are handled

The limit cancelled the task although the answer had been read, so that a complete answer was dropped, and a refusal (not run) was reported as 504.

Change: limits of a TimeLimitGroup, which the ingress and the hop handler use, let the tasks run first that the data of this iteration wakes. Other limits are as before.

Result: the new test in kernel/tests/test_waiting.py failed before (TimeoutError) and passes, as do the tests of relay.

--- a/guavastream/kernel/tests/test_waiting.py
+++ b/guavastream/kernel/tests/test_waiting.py
@@ -5,7 +5,7 @@
 import pytest
 
 from guavastream.emulator import run_paused
-from guavastream.kernel import Signal, TimeLimit
+from guavastream.kernel import Signal, TimeLimit, TimeLimitGroup
 
 
 def run(main):
@@ -129,3 +129,43 @@
         assert await task == "handled"
 
     run(main)
+
+
+def test_data_that_arrived_before_the_time_limit_is_handled():
+    """Guards against answers that are dropped after a pause of the process."""
+
+    async def main(loop):
+        writers = []
+        server = await asyncio.start_server(
+            lambda reader, writer: writers.append(writer), "10.0.0.1", 1
+        )
+        reader, writer = await asyncio.open_connection("10.0.0.1", 1)
+        await asyncio.sleep(0.1)
+        with TimeLimitGroup(loop=loop).until(loop.time()):
+            # The loop finds the data and the expired limit in its next iteration.
+            writers[0].write(b"data")
+            assert await reader.readexactly(4) == b"data"
+        with pytest.raises(TimeoutError):
+            with TimeLimitGroup(loop=loop).until(loop.time()):
+                await reader.readexactly(4)
+        for opened in (writer, *writers):
+            opened.close()
+        server.close()
+
+    run(main)
+
+
+def test_common_limit_ends_a_block_whose_own_limit_has_just_passed():
+    """Guards against two interruptions of a block, one of them after its end."""
+
+    async def main(loop):
+        limits = TimeLimitGroup(loop=loop)
+        loop.call_later(1.0, lambda: limits.end_by(loop.time()))
+        with pytest.raises(TimeoutError):
+            with limits.until(loop.time() + 1.0):
+                await asyncio.sleep(5.0)
+        assert loop.time() == pytest.approx(1.0)
+        assert not asyncio.current_task().cancelling()
+        await asyncio.sleep(1.0)
+
+    run(main)
--- a/guavastream/kernel/waiting.py
+++ b/guavastream/kernel/waiting.py
@@ -73,6 +73,10 @@
         The running loop.
     when : float
         Loop time at which the block is interrupted.
+    yields : bool
+        Whether the block first handles data that had arrived by that time. After a
+        pause of the process, the data and the time limit are due in the same loop
+        iteration.
 
     Notes
     -----
@@ -80,11 +84,20 @@
     if it happens at the same time as the timeout.
     """
 
-    __slots__ = ("_cancelling", "_expired", "_handle", "_loop", "_task", "_when")
-
-    def __init__(self, *, loop, when):
+    __slots__ = (
+        "_cancelling",
+        "_expired",
+        "_handle",
+        "_loop",
+        "_task",
+        "_when",
+        "_yields",
+    )
+
+    def __init__(self, *, loop, when, yields=False):
         self._loop = loop
         self._when = when
+        self._yields = yields
         self._expired = False
 
     @classmethod
@@ -120,6 +133,13 @@
                 raise TimeoutError from error
 
     def _expire(self):
+        if self._yields:
+            # Tasks that the data of this iteration wakes run before this callback.
+            self._handle = self._loop.call_soon(self._interrupt)
+        else:
+            self._interrupt()
+
+    def _interrupt(self):
         self._expired = True
         self._task.cancel()
 
@@ -127,6 +147,8 @@
 class TimeLimitGroup:
     """Time limits of many blocks, with a common limit that can be set later.
 
+    A block first handles data that had arrived by its time limit.
+
     Parameters
     ----------
     loop : asyncio.AbstractEventLoop
@@ -146,7 +168,8 @@
     @contextlib.contextmanager
     def until(self, when):
         """Limit a `with` block to the loop time `when`, or to `end` if earlier."""
-        with TimeLimit(loop=self._loop, when=min(when, self._end)) as limit:
+        when = min(when, self._end)
+        with TimeLimit(loop=self._loop, when=when, yields=True) as limit:
             self._active.add(limit)
             try:
                 yield
