Ends of waits at a busy host reach the ingress in time

Cause: a host ended the wait of a request at most 30 ms before its own time limit, which is 20 ms before that of the ingress, and counts from the arrival of the request there. A host with 0.43 cores may be paused for 57 ms of each 100 ms, and the request, the decision and the statement can each meet such a pause. The statement (not run) then arrived after the ingress had answered 504.

Change: requests of other hosts stop waiting 150 ms before their deadline, at most 30 % of the time left on arrival: in the queue, for a key, for a suspect turn and for the body. Requests that run keep the margin of 20 ms. Requests of the own host are as before.

--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -80,6 +80,9 @@
     sent_at : list of float
         Times at which it may have begun to be written to the server. While it is
         empty, the request has surely not run.
+    margin : float
+        Seconds before `deadline` at which it stops waiting, so that a refusal arrives
+        in time.
     """
 
     id: bytes
@@ -101,6 +104,7 @@
     target_time: float
     deadline: float
     sent_at: list = msgspec.field(default_factory=list)
+    margin: float = ANSWER_MARGIN_SECONDS
 
 
 @dataclass(kw_only=True, slots=True)
@@ -454,7 +458,7 @@
         if suspect_status is None or not suspect_status.must_run_alone:
             return False
         needed = max(
-            ANSWER_MARGIN_SECONDS, self._admission_queue.estimated_seconds(attempt.kind)
+            attempt.margin, self._admission_queue.estimated_seconds(attempt.kind)
         )
         try:
             await self._suspect_turn.acquire(until=attempt.deadline - needed)
@@ -499,6 +503,7 @@
                 urgency=attempt.urgency,
                 again=attempt.is_retry,
                 last=attempt.is_last,
+                margin=attempt.margin,
             )
         except NotRun as refused:
             self._log_refusal(attempt, refused)
@@ -556,7 +561,7 @@
 
     async def _wait_for_key(self, attempt):
         until = min(
-            attempt.deadline - ANSWER_MARGIN_SECONDS,
+            attempt.deadline - attempt.margin,
             self._clock() + MAX_GRANT_WAIT_SECONDS,
         )
         while not self._holds_key(attempt):
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -9,7 +9,7 @@
 from guavastream.relay.dialect import INTERNAL_PREFIX
 from guavastream.relay.guard import Attempt
 from guavastream.relay.job import read_body
-from guavastream.scheduling.admission import AdmissionQueue
+from guavastream.scheduling.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
 from guavastream.scheduling.outcome import FAILURE_RULES, NotRun, OutcomeUnknown
 from guavastream.scheduling.pick import LARGE_BYTES, format_report, parse_report
 
@@ -25,6 +25,13 @@
 # The remote host answers this much before the sending host gives up, so that its
 # statement on whether the request ran arrives in time.
 HOP_MARGIN_SECONDS = 0.02
+# Requests of other hosts stop waiting this long before their deadline, so that the
+# statement that they have not run arrives. A host with 0.43 cores may be paused for
+# 57 ms of each 100 ms. The request, the decision to refuse and the statement can each
+# meet such a pause, and the deadline counts from the arrival of the request here.
+REFUSAL_MARGIN_SECONDS = 0.15
+# At most this share of the time that is left on arrival, so that short requests wait.
+MAX_REFUSAL_MARGIN_SHARE = 0.3
 # Idle time of connections between hosts. With hundreds of servers a host sends each
 # of them only a few requests a minute, and a new connection costs as much as the
 # request itself.
@@ -120,6 +127,12 @@
     return NotRun(code, retry_after=int(ms) / 1000 if ms.isdigit() else 0.0)
 
 
+def _refusal_margin(left):
+    """Return the margin of a request that has `left` seconds on its arrival."""
+    share = MAX_REFUSAL_MARGIN_SHARE * left
+    return max(ANSWER_MARGIN_SECONDS, min(REFUSAL_MARGIN_SECONDS, share))
+
+
 class HopHandler:
     """Handles requests that other hosts send for the local server.
 
@@ -204,7 +217,8 @@
         in time is refused before its body is transferred.
         """
         try:
-            with TimeLimit(loop=self._loop, when=attempt.deadline):
+            until = attempt.deadline - attempt.margin
+            with TimeLimit(loop=self._loop, when=until):
                 if request.expects_continue and not 0 <= request.length < LARGE_BYTES:
                     body, stream = await self._receive_large_body(
                         attempt, request, responder
@@ -225,6 +239,7 @@
             kind=attempt.kind,
             wanted_by=attempt.target_time - work,
             deadline=attempt.deadline - work,
+            margin=attempt.margin,
         )
         began, seconds = self._clock(), None
         try:
@@ -274,6 +289,7 @@
             kind=hop.route,
             target_time=now + hop.target_ms / 1000,
             deadline=min(now + hop.remaining_ms / 1000, self._limits.end),
+            margin=_refusal_margin(hop.remaining_ms / 1000),
         )
 
     async def _send_answer(self, answer, responder, kind):
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -13,6 +13,9 @@
 from guavastream.scheduling.departures import DEPARTURE_GRACE_SECONDS
 from guavastream.scheduling.outcome import NotRun
 
+# Longest pause of a process with 0.43 cores within a period of 100 ms.
+PAUSE_SECONDS = 0.057
+
 
 def test_answers_are_passed_on_unchanged_by_every_host():
     async def scenario(mesh):
@@ -739,8 +742,7 @@
         loop = asyncio.get_running_loop()
         near, far = mesh.hosts
         mesh.apply(LeaveInstance(id=near.id))
-        mesh.set_timeout("read", 9.0)
-        mesh.set_timeout("pay", 9.0)
+        mesh.set_timeout(path[1:-2].decode(), 9.0)
         far.server.seconds, slots = 20.0, far.server.slots
         for stopping, at in ((far.hop_handler, 0), (far.ingress, 1)):
             ran = len(far.server.ran)
@@ -827,3 +829,40 @@
         assert status in (502, 504) and len(mesh.ran()) == 1
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("path, method", [(b"/read/x", b"GET"), (b"/pay/x", b"POST")])
+def test_end_of_a_wait_at_a_busy_host_is_reported_as_not_run(path, method):
+    """Guards against a statement that arrives when the ingress has given up."""
+
+    async def scenario(mesh):
+        near, far = mesh.hosts
+        mesh.apply(LeaveInstance(id=near.id))
+        far.server.seconds, slots = 20.0, far.server.slots
+        mesh.set_timeout(path[1:-2].decode(), 9.0)
+        running = [
+            asyncio.ensure_future(mesh.ask(path, method=method, deadline=9000))
+            for _ in range(slots)
+        ]
+        await asyncio.sleep(0.1)
+        handle = far.hop_handler.handle
+
+        async def handle_with_pauses(request, responder):
+            await asyncio.sleep(PAUSE_SECONDS)
+            send = responder.send
+
+            async def send_later(*args, **kwargs):
+                await asyncio.sleep(PAUSE_SECONDS)
+                await send(*args, **kwargs)
+
+            responder.send = send_later
+            await handle(request, responder)
+
+        far.hop_listener.handler = handle_with_pauses
+        for _ in range(2):
+            status, *_ = await mesh.ask(path, method=method, deadline=900)
+            assert status == 503
+        assert len(far.server.ran) == slots
+        await asyncio.gather(*running)
+
+    run_scenario(scenario)
--- a/guavastream/scheduling/admission.py
+++ b/guavastream/scheduling/admission.py
@@ -55,6 +55,7 @@
 # Lower bound of predicted waits in the ratio; shorter ones are mostly noise.
 MIN_WAIT_SECONDS = 0.005
 # Requests stop waiting this long before their deadline, so that the answer arrives.
+# This is the default, for requests of the same process.
 ANSWER_MARGIN_SECONDS = 0.03
 
 
@@ -187,6 +188,7 @@
         urgency=None,
         again=False,
         last=True,
+        margin=ANSWER_MARGIN_SECONDS,
     ):
         """Wait for a slot and return the estimated time to pass to `leave`.
 
@@ -212,6 +214,8 @@
         last : bool
             Whether a refusal is returned to the caller; if not, the request is then
             sent to another server.
+        margin : float
+            Seconds before `deadline` at which it stops waiting at the latest.
 
         Raises
         ------
@@ -236,7 +240,9 @@
             now = self._clock()
             if not self._queue:
                 self._empty_at = now
-            waiter = self._make_waiter(rank, estimate, wanted_by, deadline, call, now)
+            waiter = self._make_waiter(
+                rank, estimate, wanted_by, deadline, call, now, margin
+            )
             if not admitted and self._policy.shares:
                 self._refuse_over_share(waiter, kind, now)
             predicted = self._check_on_time(waiter, kind, now, call)
@@ -255,11 +261,9 @@
         retry_after = waiter.retry_after(now, MAX_RETRY_SECONDS)
         raise NotRun("overloaded", retry_after=retry_after, reasons=reasons)
 
-    def _make_waiter(self, rank, estimate, wanted_by, deadline, call, now):
+    def _make_waiter(self, rank, estimate, wanted_by, deadline, call, now, margin):
         """Return the queue entry of a request with its latest start times."""
-        latest_start = deadline - max(
-            ANSWER_MARGIN_SECONDS, estimate * MIN_TIME_LEFT_SHARE
-        )
+        latest_start = deadline - max(margin, estimate * MIN_TIME_LEFT_SHARE)
         slack = wanted_by - now - estimate
         late = slack <= 0 and not call and self._policy.late_last
         if call:
