A request of which no byte was written is reported as not run, or sent anew

Cause: a connection may end between its opening (or its last use) and the write of a request, in particular on a busy host that has not read the end yet. The write was dropped or failed, and the request was answered 502 like one that may have run.

Change: the client uses no kept connection with an unread event, and no new one that is closed already (NotSent). FlowProtocol.write returns whether a byte may have been sent, Exchange.written and body_written keep that. The ingress and the client of the server raise NotRun if nothing was written; on a kept connection to the server the request, also one that is not idempotent, goes to a new connection instead. After a written request the outcome stays unknown.

--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -33,7 +33,7 @@
 
 
 class NotSent(Exception):
-    """No connection was made, so no byte of the request has reached the peer.
+    """No connection could be used, so no byte of the request has reached the peer.
 
     Parameters
     ----------
@@ -245,8 +245,9 @@
         self._sender = None
         self._response = None
         self.reused = reused
-        # Whether `send_after_continue` has begun to send the body.
-        self.body_begun = False
+        # Whether a byte of the request, or of its body after "100 Continue", may have
+        # been written.
+        self.written = self.body_written = False
 
     async def __aenter__(self):
         return self
@@ -284,9 +285,11 @@
             fields.append((b"Content-Length", b"%d" % len(body)))
         head = format_head(method + b" " + target + b" HTTP/1.1", fields)
         if stream is None:
-            connection.write(head + body)
+            self.written = connection.write(head + body)
+            return
+        self.written = connection.write(head)
+        if not self.written:
             return
-        connection.write(head)
         self._sender = asyncio.ensure_future(self._send_stream(body, stream))
 
     async def send_after_continue(self, method, target, headers, body, stream=None):
@@ -306,14 +309,15 @@
         if stream is not None:
             framing = (b"Transfer-Encoding", b"chunked")
         fields = [*headers, framing, (b"Expect", b"100-continue")]
-        connection.write(format_head(method + b" " + target + b" HTTP/1.1", fields))
+        head = format_head(method + b" " + target + b" HTTP/1.1", fields)
+        self.written = connection.write(head)
         if not await connection.wait_for_continue():
             connection.reusable = False
             return
-        self.body_begun = True
         if stream is None:
-            connection.write(body)
+            self.body_written = connection.write(body)
         else:
+            self.body_written = True
             self._sender = asyncio.ensure_future(self._send_stream(body, stream))
 
     async def _send_stream(self, first, stream):
@@ -417,6 +421,9 @@
         reused = connection is not None
         if connection is None:
             connection = await self._connect(address)
+            if not connection.usable:
+                connection.abort()
+                raise NotSent(f"{address}: the peer closed the new connection")
         connection.begin()
         return Exchange(client=self, connection=connection, reused=reused)
 
@@ -429,7 +436,14 @@
             allowed = connection.idle_seconds * USABLE_IDLE_SHARE
             if idle_seconds is not None:
                 allowed = min(allowed, idle_seconds)
-            if connection.usable and now - connection.idle_since < allowed:
+            is_fresh_enough = now - connection.idle_since < allowed
+            # A request that is sent after the peer has closed the connection ends
+            # without an answer, although it has not run.
+            if (
+                connection.usable
+                and is_fresh_enough
+                and not connection.has_pending_event()
+            ):
                 return connection
             connection.abort()
         return None
--- a/guavastream/http1/flow.py
+++ b/guavastream/http1/flow.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -46,9 +47,18 @@
         self._writable.set()
 
     def write(self, data):
-        """Queue bytes for sending, unless the connection is closing."""
-        if not self._transport.is_closing():
-            self._transport.write(data)
+        """Queue bytes for sending, unless the connection is closing.
+
+        Return False if surely none of them was or will be sent. That is so if the
+        buffer was empty, since the transport then writes at once, and closes if that
+        fails.
+        """
+        transport = self._transport
+        if transport.is_closing():
+            return False
+        was_empty = not transport.get_write_buffer_size()
+        transport.write(data)
+        return not (was_empty and transport.is_closing())
 
     def has_unread(self):
         """Whether the socket's receive buffer holds data that was not read yet."""
@@ -58,6 +68,16 @@
         unread = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(_INT.size))
         return _INT.unpack(unread)[0] > 0
 
+    def has_pending_event(self):
+        """Whether the socket has data, its end or an error that was not read yet."""
+        sock = self._transport.get_extra_info("socket")
+        number = sock.fileno() if sock is not None else None
+        if not isinstance(number, int) or number < 0:
+            return False
+        poll = select.poll()
+        poll.register(number, select.POLLIN)
+        return bool(poll.poll(0))
+
     async def drain(self):
         """Wait until the write buffer has room again."""
         await self._writable.wait()
--- a/guavastream/http1/tests/test_no_answer_missing.py
+++ b/guavastream/http1/tests/test_no_answer_missing.py
@@ -6,7 +6,14 @@
 import pytest
 
 from guavastream.emulator import run_stalling
-from guavastream.http1 import BodyStream, Client, IncompleteMessage, Limits, Server
+from guavastream.http1 import (
+    BodyStream,
+    Client,
+    IncompleteMessage,
+    Limits,
+    NotSent,
+    Server,
+)
 from guavastream.kernel import ThrottledSelector
 
 IDLE_SECONDS = 5.0
@@ -412,6 +419,8 @@
             async with await client.open(server.address) as exchange:
                 exchange.send(b"GET", b"/x", [])
                 assert (await exchange.answer()).status == 200
+            if crosses_close:
+                crossing = await client.open(server.address)
             server.closing_idle = True
             for connection in list(server._connections):
                 connection.recheck_closing()
@@ -421,7 +430,7 @@
                 while client.count_usable(server.address):
                     await asyncio.sleep(0)
                 server.closing_idle = False
-        async with await client.open(server.address) as exchange:
+        async with crossing as exchange:
             assert exchange.reused
             exchange.send(b"GET", b"/x", [])
             assert (await exchange.answer()).status == 503
@@ -429,3 +438,84 @@
         await server.stop()
 
     run_stalling(scenario())
+
+
+def test_kept_connection_that_its_peer_has_closed_is_not_used():
+    """Guards against requests that are lost although they were never received."""
+
+    async def respond(request, responder):
+        await responder.send(200)
+
+    async def scenario():
+        server = Server(address=("127.0.0.1", 0), handler=respond)
+        await server.start()
+        client = Client()
+        async with await client.open(server.address) as exchange:
+            exchange.send(b"GET", b"/x", [])
+            assert (await exchange.answer()).status == 200
+        [connection] = server._connections
+        connection.close()
+        # The transport closes its socket in the next iteration of the loop, in which
+        # the client does not read the end of the connection yet.
+        await asyncio.sleep(0)
+        assert client.count_usable(server.address) == 1
+        async with await client.open(server.address) as exchange:
+            assert not exchange.reused
+            exchange.send(b"GET", b"/x", [])
+            assert (await exchange.answer()).status == 200
+        await server.stop()
+
+    run_stalling(scenario())
+
+
+def test_request_on_a_broken_connection_is_known_as_not_written():
+    """Guards against a request of which no byte was sent that may seem to have run."""
+
+    async def respond(request, responder):
+        await responder.send(200)
+
+    async def scenario():
+        server = Server(address=("127.0.0.1", 0), handler=respond)
+        await server.start()
+        client = Client()
+        for breaks in (False, True):
+            exchange = await client.open(server.address)
+            if breaks:
+                list(server._connections)[-1].reset()
+                await asyncio.sleep(0)
+            async with exchange:
+                exchange.send(b"GET", b"/x", [])
+                assert exchange.written is not breaks
+                if breaks:
+                    with pytest.raises(IncompleteMessage):
+                        await exchange.answer()
+                else:
+                    assert (await exchange.answer()).status == 200
+        await server.stop()
+
+    run_stalling(scenario())
+
+
+def test_new_connection_that_its_peer_closes_at_once_is_not_used():
+    """Guards against a request that is written to a closed connection."""
+
+    async def scenario():
+        server = await asyncio.start_server(
+            lambda reader, writer: writer.close(), "127.0.0.1", 0
+        )
+        host, port = server.sockets[0].getsockname()
+        client = Client()
+        connect = client._connect
+
+        async def connect_and_wait(address):
+            connection = await connect(address)
+            while connection.usable:
+                await asyncio.sleep(0)
+            return connection
+
+        client._connect = connect_and_wait
+        with pytest.raises(NotSent):
+            await client.open(f"{host}:{port}")
+        server.close()
+
+    run_stalling(scenario())
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -427,6 +427,7 @@
             raise NotRun(
                 "unreachable", retry_after=DEFAULT_RETRY_AFTER_SECONDS
             ) from None
+        sent_before = len(job.sent_to)
         async with exchange:
             hop = HopHeader.of(job, server, now=self._clock(), last=last)
             headers = [*job.headers, hop.header()]
@@ -435,8 +436,10 @@
             try:
                 answer = await exchange.answer()
             except IncompleteMessage as cut:
-                self._client.close_idle(server.door)
                 self._log_cut(job, server, exchange, cut, sent_at)
+                unreachable = self._unreachable(server)
+                if server.id not in job.sent_to[sent_before:]:
+                    raise unreachable from None
                 raise OutcomeUnknown("answer_lost") from None
             report = read_report(answer)
             if report is not None:
@@ -475,6 +478,8 @@
         may_be_reset = bool(job.body) and not job.idempotent and not exchange.reused
         if job.stream is None and len(job.body) < LARGE_BYTES and not may_be_reset:
             exchange.send(job.method, job.target, headers, job.body)
+            if not exchange.written:
+                raise self._unreachable(server)
             job.sent_to.append(server.id)
             return
         try:
@@ -483,13 +488,15 @@
             )
         except IncompleteMessage:
             # No byte of the body was sent, and a server runs no request without it.
-            self._client.close_idle(server.door)
-            raise NotRun(
-                "unreachable", retry_after=DEFAULT_RETRY_AFTER_SECONDS
-            ) from None
-        if exchange.body_begun:
+            raise self._unreachable(server) from None
+        if exchange.body_written:
             job.sent_to.append(server.id)
 
+    def _unreachable(self, server):
+        """Close the idle connections to a server's host; return the `NotRun`."""
+        self._client.close_idle(server.door)
+        return NotRun("unreachable", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
+
     def _note_report(self, job, server, report):
         self._picker.note_report(server, report, kind=job.route.name)
 
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -18,7 +18,17 @@
 
 
 class _StaleConnection(Exception):
-    """A kept connection was closed; the request may be sent on a new one."""
+    """A kept connection was closed; the request may be sent on a new one.
+
+    Parameters
+    ----------
+    written : bool
+        Whether a byte of the request may have been written.
+    """
+
+    def __init__(self, *, written):
+        super().__init__()
+        self.written = written
 
 
 class ServerAnswer:
@@ -102,7 +112,9 @@
         """
         try:
             return await self._exchange(instance, attempt, fresh=False)
-        except _StaleConnection:
+        except _StaleConnection as stale:
+            if not stale.written:
+                return await self._exchange(instance, attempt, fresh=True)
             # Most likely the server closed the connection while it was idle, but it
             # may also have ended while it ran the request.
             self._on_resend()
@@ -128,9 +140,13 @@
             stale = exchange.reused and self._may_repeat(exchange, attempt)
             self._log_cut(instance, attempt, exchange, cut, sent_at, stale)
             if stale:
-                raise _StaleConnection from None
+                raise _StaleConnection(written=True) from None
             gone = await self.watch.is_gone(instance)
             raise OutcomeUnknown("server_ended" if gone else "answer_lost") from None
+        except _StaleConnection:
+            self.watch.forget(exchange)
+            exchange.close()
+            raise
         except NotRun:
             # The refusal may come from a newer incarnation than the expected one, so
             # it says nothing about that one.
@@ -171,6 +187,11 @@
         exchange.send(
             attempt.method, attempt.target, headers, attempt.body, attempt.stream
         )
+        if not exchange.written:
+            if exchange.reused:
+                raise _StaleConnection(written=False)
+            self._count("server_unreachable")
+            raise NotRun("unreachable")
         attempt.sent_at.append(self._clock())
         self._count("sent_to_server")
 
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -866,3 +866,45 @@
         await asyncio.gather(*running)
 
     run_scenario(scenario)
+
+
+def break_before_next_write(client):
+    """Let a client's next connection break before a byte of its request is written."""
+    open_connection = client.open
+
+    async def open_broken(*args, **kwargs):
+        exchange = await open_connection(*args, **kwargs)
+        exchange._connection.abort()
+        client.open = open_connection
+        return exchange
+
+    client.open = open_broken
+
+
+@pytest.mark.parametrize("path, method", [(b"/read/x", b"GET"), (b"/pay/x", b"POST")])
+def test_connection_that_breaks_before_the_request_is_written_is_not_unknown(
+    path, method
+):
+    """Guards against a 502 for a request of which no server received a byte."""
+
+    async def scenario(mesh):
+        near, far = mesh.hosts
+        mesh.apply(LeaveInstance(id=near.id))
+        near_client, server_client = near.ingress._client, far.guard._server._client
+        # On new connections, to the host and to the server.
+        for client, at in ((near_client, 0), (server_client, 0), (server_client, 1)):
+            for address in (far.inbound, far.server.address):
+                client.close_idle(address)
+            break_before_next_write(client)
+            ran = len(mesh.ran())
+            assert (await mesh.ask(path, method=method, at=at))[0] == 503
+            assert len(mesh.ran()) == ran
+            await asyncio.sleep(1.0)
+            assert (await mesh.ask(path, method=method, at=at))[0] == 200
+        # On a kept connection to the server, in whose place a new one is opened.
+        break_before_next_write(server_client)
+        ran = len(mesh.ran())
+        assert (await mesh.ask(path, method=method, at=1))[0] == 200
+        assert len(mesh.ran()) == ran + 1
+
+    run_scenario(scenario)
