Unknown refusals of newer hosts are understood by their status

Cause: the ingress took each code that it did not know for an unknown outcome (502), also with status 503, which hosts send only for requests that have not run. While a fleet runs two versions, new reasons for a refusal became 502.

Change: the status decides for unknown codes; such a refusal counts as overloaded.

Result: the new case in relay/tests/test_hop.py failed before and passes.

--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -121,8 +121,12 @@
     if not code:
         return None
     rule = FAILURE_RULES.get(code)
-    if rule is None or rule.status != FAILURE_RULES["no_server"].status:
+    status = rule.status if rule else answer.status
+    if status != FAILURE_RULES["no_server"].status:
         return OutcomeUnknown(code if rule else "answer_lost")
+    if rule is None:
+        # A process of a newer version refuses for a reason that is unknown here.
+        code = "overloaded"
     ms = answer.headers.get(INTERNAL_PREFIX + b"retry-ms")
     return NotRun(code, retry_after=int(ms) / 1000 if ms.isdigit() else 0.0)
 
--- a/guavastream/relay/tests/test_hop.py
+++ b/guavastream/relay/tests/test_hop.py
@@ -8,13 +8,16 @@
 from guavastream.emulator import run_paused
 from guavastream.http1.message import Headers
 from guavastream.relay import HopHandler
+from guavastream.relay.dialect import INTERNAL_PREFIX
 from guavastream.relay.hop import (
     MAX_CONCURRENT_BODIES,
     MAX_LINK_BUSY_SECONDS,
     HopHeader,
+    read_failure,
 )
 from guavastream.relay.tests.rig import DIALECT
 from guavastream.scheduling import NotRun, Report
+from guavastream.scheduling.outcome import FAILURE_RULES, OutcomeUnknown
 
 BODY_SECONDS = 0.1
 BODY_BYTES = 60_000
@@ -142,3 +145,11 @@
         link.received == 30 - len(refused)
         and link.max_concurrent == MAX_CONCURRENT_BODIES
     )
+
+
+@pytest.mark.parametrize("status, error", [(503, NotRun), (504, OutcomeUnknown)])
+def test_unknown_code_of_a_newer_version_is_understood_by_its_status(status, error):
+    """Guards against refusals that become 502 while a fleet runs two versions."""
+    headers = Headers([(INTERNAL_PREFIX + b"code", b"a_newer_code")])
+    failure = read_failure(SimpleNamespace(headers=headers, status=status))
+    assert type(failure) is error and failure.code in FAILURE_RULES
