Requests whose time has passed are sent to no server

Cause: only the arrival of a request was checked for enough time left. After a refusal that came late, or a pause of the process during a wait, it was sent all the same, and ended as 504 although it could have been refused as not run.

Change: the ingress checks the time left before each attempt, and the guard checks the deadline just before a request is sent to the server.

--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -412,6 +412,9 @@
                     # The key may have moved to another server during the wait.
                     if attempt.key is not None and not self._holds_key(attempt):
                         raise NotRun("moving")
+                    if self._clock() >= attempt.deadline:
+                        # Its time passed while this process was paused.
+                        raise NotRun("no_time")
                     self._use_reservation(reservation, attempt)
                     answer = await self._server.send(instance, attempt)
                     try:
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -146,8 +146,7 @@
             if self.leaving:
                 raise NotRun("leaving", retry_after=MIN_RETRY_AFTER_SECONDS)
             job = await self._reader.read(request, started=started)
-            if job.deadline - self._clock() < MIN_REMAINING_SECONDS:
-                raise NotRun("no_time")
+            self._refuse_if_out_of_time(job)
             if self._limits.end < job.deadline:
                 job = replace(job, deadline=self._limits.end)
             with self._limits.until(job.deadline):
@@ -204,6 +203,7 @@
             fleet_state = self._fleet_holder.table
             server = None
             try:
+                self._refuse_if_out_of_time(job)
                 server = self._choose(fleet_state, job, tried)
                 self._guard.quarantine.check(job, server)
                 last = self._is_last_attempt(fleet_state, job, server, tried, refusals)
@@ -255,6 +255,10 @@
             if not self._has_untried_server(fleet_state, job, tried):
                 raise failure
 
+    def _refuse_if_out_of_time(self, job):
+        if job.deadline - self._clock() < MIN_REMAINING_SECONDS:
+            raise NotRun("no_time")
+
     def _note_server_end(self, job, server):
         """Record that a server ended while it ran a job; return whether to give up.
 
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -6,6 +6,7 @@
 
 from guavastream.fleet import FleetState, LeaveInstance, ReleaseKeys
 from guavastream.http1 import IncompleteMessage
+from guavastream.relay import Attempt
 from guavastream.relay.dialect import INTERNAL_PREFIX
 from guavastream.relay.fingerprint import fingerprint
 from guavastream.relay.ingress import MAX_REFUSALS
@@ -908,3 +909,60 @@
         assert len(mesh.ran()) == ran + 1
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("path, method", [(b"/read/x", b"GET"), (b"/pay/x", b"POST")])
+def test_request_refused_at_the_end_of_its_time_goes_to_no_other_server(path, method):
+    """Guards against a 504 for a request that no server can answer in time."""
+
+    async def scenario(mesh):
+        tries = []
+        for host in mesh.hosts:
+            enter = host.guard._admission_queue.enter
+
+            async def refuse_late(enter=enter, **fields):
+                tries.append(fields)
+                if len(tries) > 1:
+                    return await enter(**fields)
+                loop = asyncio.get_running_loop()
+                await asyncio.sleep(fields["deadline"] - loop.time() - 0.005)
+                raise NotRun("overloaded", retry_after=0.1)
+
+            host.guard._admission_queue.enter = refuse_late
+        status, *_ = await mesh.ask(path, method=method, deadline=500)
+        assert status == 503 and not mesh.ran()
+
+    run_scenario(scenario)
+
+
+def test_request_whose_time_passed_during_a_pause_is_not_sent():
+    """Guards against requests that run although their callers have given up."""
+
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        attempt = Attempt(
+            id=b"q",
+            service="s",
+            instance=host.id,
+            method=b"POST",
+            target=b"/pay/x",
+            headers=[],
+            body=b"",
+            stream=None,
+            key=None,
+            idempotent=False,
+            rank=1,
+            urgency=1,
+            is_call=False,
+            is_retry=False,
+            is_last=True,
+            kind="pay",
+            target_time=-1.0,
+            deadline=-0.5,
+        )
+        with pytest.raises(NotRun):
+            async with host.guard.serve(attempt):
+                pass
+        assert not mesh.ran() and not attempt.sent_at
+
+    run_scenario(scenario, hosts=1)
