Emulated servers can hang when they are full, and drop single requests

DialectServer gets hangs_when_full, drops, hung and finishes_cut: a request without a free slot, or one that drops selects, is never answered, nor is anything later on its connection; a request may run on after its caller has left. All are off by default.

--- a/guavastream/emulator/dialect.py
+++ b/guavastream/emulator/dialect.py
@@ -48,6 +48,16 @@
         Whether its answers say that it is about to stop.
     on_arrival : callable
         Called with the id of each request that it gets and does not misdirect.
+    hangs_when_full : bool
+        Whether it never responds to a request for which it has no free slot, health
+        checks included, nor to anything later on that connection.
+    drops : callable
+        Whether it never responds to the request with this id, nor to anything later on
+        that connection. Such a request does not run.
+    hung : list of bytes
+        Ids of the requests to which it never responds.
+    finishes_cut : bool
+        Whether a request runs on, and occupies its slot, after its caller has left.
     """
 
     def __init__(self, *, id, dialect, address, slots=8, seconds=0.1):
@@ -66,6 +76,10 @@
         self.rate_limit = None
         self.leaving = False
         self.on_arrival = lambda id: None
+        self.hangs_when_full = False
+        self.drops = lambda id: False
+        self.hung = []
+        self.finishes_cut = False
         self._arrivals = deque()
         self.running = 0
         # Keys of the requests that run, as often as each runs.
@@ -78,6 +92,10 @@
         """IP:PORT of the server."""
         return self._server.address
 
+    @property
+    def _is_full(self):
+        return self.running >= self.slots
+
     @property
     def cold_seconds(self):
         """Time for which the server stays cold."""
@@ -116,12 +134,23 @@
         """End, as a crash does."""
         await self._server.stop()
 
+    async def _hang(self, id):
+        """Never return: requests of a connection are handled one after the other."""
+        self.hung.append(id)
+        await asyncio.get_running_loop().create_future()
+
+    def _end_run(self, number):
+        self.running -= 1
+        self.running_keys.remove(number)
+
     async def _handle(self, request, responder):
         names, headers = self._dialect, request.headers
         id = headers.get(names.request_id.lower())
         echo = [(names.request_id, id)]
         refused = [*echo, (names.not_run, b"1")]
         if request.path == b"/health":
+            if self.hangs_when_full and self._is_full:
+                await self._hang(id)
             fields = [(names.instance, self.id.encode())]
             await responder.send(200, fields)
             return
@@ -136,7 +165,9 @@
             return
         self._note_arrival()
         self.on_arrival(id)
-        if self.sheds or self.running >= self.slots:
+        if self.drops(id) or (self.hangs_when_full and self._is_full):
+            await self._hang(id)
+        if self.sheds or self._is_full:
             await responder.send(503, refused + self._statement())
             return
         self.running += 1
@@ -145,14 +176,18 @@
         self.on_run(self.ran[-1], int(key) if key else None)
         number = int(key) if key else -1
         self.running_keys.append(number)
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + self.seconds * (2 if self.cold_seconds else 1)
         try:
-            await asyncio.sleep(self.seconds * (2 if self.cold_seconds else 1))
+            await asyncio.sleep(ends_at - loop.time())
         except asyncio.CancelledError:
             self.cut.append(id)
+            if self.finishes_cut:
+                loop.call_at(ends_at, self._end_run, number)
+            else:
+                self._end_run(number)
             raise
-        finally:
-            self.running -= 1
-            self.running_keys.remove(number)
+        self._end_run(number)
         if self.behave is not None and await self.behave(request, responder):
             return
         sealed = [*echo, (names.seal, b"seal-" + id)] if names.seal else echo
