Requests that a hanging server has dropped are given up early

Cause: some servers respond neither to a request beyond their slots nor to anything later on that connection. Callers of such requests waited until their deadline, and the slot of a request whose caller had left was used while the server still ran it, which made the server drop the next one.

Change: scheduling/hangs.py tells dropped requests from requests at a slow server: six times the usual time of their kind, at least 0.25 s, and three later requests answered. It is active once a request has run into its deadline that way. From then on a dropped request ends as dropped (504); an idempotent one is sent again within the retry budget, for a key to the owner on another connection. The connection is reset. Slots of requests that were given up are held for three times their usual time. New counters hanging_servers, dropped_by_server and slots_held, and a log line with the figures.

Result: three of the new tests in relay/tests/test_hanging_servers.py failed before (504 after the whole deadline, requests dropped by the server) and pass; without held slots one of them fails. Tests of scheduling, relay, http1 and emulator pass.

--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from dataclasses import dataclass, field
 
 import msgspec
@@ -425,13 +426,22 @@
                         seconds = self._clock() - began
                 finally:
                     self._running_attempts.pop(attempt.id, None)
-                    self._admission_queue.leave(
-                        estimate, kind=attempt.kind, seconds=seconds
-                    )
+                    self._leave_slot(attempt, estimate, seconds)
         finally:
             if has_turn:
                 self._suspect_turn.release()
 
+    def _leave_slot(self, attempt, estimate, seconds):
+        """Free the slot of an attempt as soon as the server does not run it."""
+        leave = functools.partial(
+            self._admission_queue.leave, estimate, kind=attempt.kind, seconds=seconds
+        )
+        runs_on = self._server.pop_seconds_running_on(attempt)
+        if runs_on:
+            self._loop.call_later(runs_on, leave)
+        else:
+            leave()
+
     def refuse_early(self, attempt):
         """Refuse an attempt that the server would not get, before its body is received.
 
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -237,7 +237,8 @@
                     raise failure
                 if reached_attempts >= job.route.attempts or not retry_budget.spend():
                     raise failure
-            if code == "server_failed":
+            if code in ("server_failed", "dropped"):
+                # The owner of a key is tried again, on another connection.
                 continue
             if rule.wait_for_owner and (job.keyed or code == "no_server"):
                 if self._is_evacuated(fleet_state, job):
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -5,6 +5,7 @@
 from guavastream.relay.fingerprint import fingerprint
 from guavastream.relay.server_watch import ServerWatch
 from guavastream.relay.statements import read_statement
+from guavastream.scheduling.hangs import HangDetector
 from guavastream.scheduling.outcome import NotRun, OutcomeUnknown
 
 __all__ = ["ServerAnswer", "ServerClient"]
@@ -13,6 +14,7 @@
 # server may close it at any moment, and a reset does not tell whether they ran.
 MAX_UNSAFE_IDLE_SECONDS = 1.0
 MISDIRECTED_STATUS = 421
+MIN_SERVER_ERROR_STATUS = 500
 
 log = part_logger("guard")
 
@@ -98,8 +100,18 @@
         self._count = count
         self._on_resend = on_resend
         self._client = Client()
+        self._hangs = HangDetector(clock=loop.time)
+        # Exchanges that were ended since the server has dropped their requests.
+        self._dropped = set()
+        # Seconds for which the server may still run attempts that were given up, by id.
+        self._runs_on = {}
+        self._loop = loop
         self.watch = ServerWatch(loop=loop, client=self._client, on_ended=on_ended)
 
+    def pop_seconds_running_on(self, attempt):
+        """Return the time for which the server may still run an ended attempt."""
+        return self._runs_on.pop(attempt.id, 0.0)
+
     async def send(self, instance, attempt):
         """Send an attempt and return its `ServerAnswer`.
 
@@ -130,11 +142,21 @@
         exchange = await self._open(instance, attempt, fresh=fresh)
         sent_at = self._clock()
         self.watch.begin(instance.id, exchange, attempt)
+        late_check = None
         try:
-            answer = await self._send_request(exchange, instance, attempt)
+            self._write_request(exchange, instance, attempt)
+            late_check = self._schedule_late_check(exchange)
+            answer = await self._receive_answer(exchange, attempt)
+            self._note_response(exchange, answer)
             self._note_statement(instance, answer)
             self._check_answer(answer)
         except IncompleteMessage as cut:
+            self._hangs.forget(exchange)
+            if exchange in self._dropped:
+                self._dropped.discard(exchange)
+                self.watch.forget(exchange)
+                exchange.close()
+                raise OutcomeUnknown("dropped") from None
             self.watch.note_unanswered(exchange)
             exchange.close()
             stale = exchange.reused and self._may_repeat(exchange, attempt)
@@ -154,9 +176,13 @@
             exchange.close()
             raise
         except BaseException:
+            self._note_given_up(exchange, attempt)
             self.watch.note_unanswered(exchange)
             exchange.close()
             raise
+        finally:
+            if late_check is not None:
+                late_check.cancel()
         return ServerAnswer(exchange=exchange, answer=answer, watch=self.watch)
 
     def _may_repeat(self, exchange, attempt):
@@ -178,7 +204,7 @@
                 self.watch.note_refused(instance)
             raise NotRun("unreachable") from None
 
-    async def _send_request(self, exchange, instance, attempt):
+    def _write_request(self, exchange, instance, attempt):
         names = self._dialect
         left = max(1, int((attempt.deadline - self._clock()) * 1000))
         headers = list(attempt.headers)
@@ -193,14 +219,64 @@
             self._count("server_unreachable")
             raise NotRun("unreachable")
         attempt.sent_at.append(self._clock())
+        self._hangs.note_sent(exchange, kind=attempt.kind, deadline=attempt.deadline)
         self._count("sent_to_server")
 
+    async def _receive_answer(self, exchange, attempt):
+        id_header = self._dialect.request_id.lower()
+
         def is_for_attempt(answer):
-            echoed = answer.headers.get(names.request_id.lower())
+            echoed = answer.headers.get(id_header)
             return not echoed or echoed == attempt.id
 
         return await exchange.answer(is_for_attempt)
 
+    def _schedule_late_check(self, exchange):
+        """Check later whether the server has dropped a request; return the timer."""
+        seconds = self._hangs.seconds_until_late(exchange)
+        if seconds is None:
+            return None
+        return self._loop.call_later(seconds, self._end_dropped)
+
+    def _note_response(self, exchange, answer):
+        refused = answer.headers.get(self._dialect.not_run.lower())
+        if refused or answer.status >= MIN_SERVER_ERROR_STATUS:
+            # It says nothing about the time that a request takes.
+            self._hangs.forget(exchange)
+            return
+        self._hangs.note_answered(exchange)
+        self._end_dropped()
+
+    def _end_dropped(self):
+        """End the exchanges of the requests that the server has dropped."""
+        for exchange in self._hangs.dropped():
+            if exchange in self._dropped or exchange.has_received_bytes:
+                continue
+            self._dropped.add(exchange)
+            self._count("dropped_by_server")
+            log.warning(
+                "The server has dropped a request.",
+                extra=self.watch.describe(exchange) | self._hangs.describe(exchange),
+            )
+            exchange.reset()
+
+    def _note_given_up(self, exchange, attempt):
+        """Note that an attempt is given up before the server has responded."""
+        if exchange.has_received_bytes:
+            self._hangs.forget(exchange)
+        hung_before = self._hangs.hangs
+        seconds = self._hangs.note_given_up(exchange)
+        self._dropped.discard(exchange)
+        if seconds:
+            self._count("slots_held")
+            self._runs_on[attempt.id] = seconds
+        if self._hangs.hangs and not hung_before:
+            self._count("hanging_servers")
+            log.warning(
+                "The server left a request unanswered while it answered later ones.",
+                extra=self.watch.describe(exchange),
+            )
+
     def _note_statement(self, instance, answer):
         # Another instance at the same address speaks for itself only.
         if answer.status == MISDIRECTED_STATUS:
--- a/guavastream/relay/server_watch.py
+++ b/guavastream/relay/server_watch.py
@@ -113,6 +113,19 @@
         """Drop a finished request that says nothing about the server."""
         self._runs.pop(exchange, None)
 
+    def describe(self, exchange):
+        """Return the request on a connection and its server, for the log."""
+        run = self._runs.get(exchange)
+        if run is None:
+            return {}
+        return {
+            "request": run.request.id.decode("latin-1"),
+            "server": run.instance_id,
+            "kind": run.request.kind,
+            "key": run.request.key,
+            "others": len(self._runs) - 1,
+        }
+
     def _unanswered_by(self, run):
         request = run.request
         request_fingerprint = fingerprint(
--- a/guavastream/relay/tests/test_hanging_servers.py
+++ b/guavastream/relay/tests/test_hanging_servers.py
@@ -60,3 +60,127 @@
             assert server.running == 0
 
     run_scenario(scenario, hosts=1)
+
+
+async def read_often(mesh, count, *, at=0):
+    """Send safe requests one after the other; all of them are answered."""
+    for _ in range(count):
+        assert (await mesh.ask(b"/read/x", at=at))[0] == 200
+
+
+async def see_hang(mesh, host, *, at=0):
+    """Let a server leave one request unanswered while it answers others."""
+    await read_often(mesh, 3, at=at)
+    # The usual time of the kind of request has to be known.
+    assert (await mesh.ask(b"/pay/x", method=b"POST", at=at))[0] == 200
+    before = len(host.server.hung)
+    host.server.drops = lambda id: len(host.server.hung) == before
+    hung = asyncio.ensure_future(
+        mesh.ask(b"/pay/x", method=b"POST", deadline=2000, at=at)
+    )
+    await asyncio.sleep(0.01)
+    assert len(host.server.hung) == before + 1
+    host.server.drops = lambda id: False
+    await read_often(mesh, 8, at=at)
+    return (await hung)[3]
+
+
+def test_dropped_requests_are_given_up_early_where_the_server_hangs():
+    """Guards against callers that wait until their deadline for a lost request."""
+
+    async def scenario(mesh):
+        host, other = mesh.hosts
+        mesh.set_timeout("read", 9.0)
+        # Only the first server gets requests until it has been seen to hang.
+        other.server.sheds = True
+        host.server.seconds = 0.02
+        assert await see_hang(mesh, host) > 0.9
+        assert host.counts["hanging_servers"] == 1
+        opened = host.guard._server._client.opened_count
+        host.server.drops = lambda id: len(host.server.hung) < 3
+        unsafe, safe = (
+            asyncio.ensure_future(mesh.ask(path, method=method, deadline=8000))
+            for path, method in ((b"/pay/y", b"POST"), (b"/read/y", b"GET"))
+        )
+        await asyncio.sleep(0.01)
+        assert len(host.server.hung) == 3
+        other.server.sheds = False
+        await read_often(mesh, 20)
+        status, _, _, seconds = await unsafe
+        assert status == 504 and seconds < 0.5
+        assert len([run for run in mesh.ran() if run[2] == b"/pay/y"]) == 0
+        status, _, _, seconds = await safe
+        assert status == 200 and seconds < 0.5
+        assert len(other.server.ran) == 1
+        assert host.counts["dropped_by_server"] == 2
+        # Their connections were not used again.
+        assert host.guard.running == 0
+        assert host.guard._server._client.opened_count >= opened
+
+    run_scenario(scenario)
+
+
+def test_dropped_request_for_a_key_goes_to_its_owner_again():
+    """Guards against a safe request that no other server may run and is given up."""
+
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        mesh.grant((0, 99, host.id))
+        mesh.set_timeout("read", 9.0)
+        host.server.seconds = 0.02
+        await see_hang(mesh, host)
+        key = [(DIALECT.key, b"5")]
+        host.server.drops = lambda id: len(host.server.hung) < 2
+        safe = asyncio.ensure_future(mesh.ask(b"/read/y", headers=key, deadline=8000))
+        await asyncio.sleep(0.01)
+        await read_often(mesh, 30)
+        status, _, _, seconds = await safe
+        assert status == 200 and seconds < 0.5
+        assert len(host.server.hung) == 2
+
+    run_scenario(scenario, hosts=1, keyed=True)
+
+
+def test_slots_of_requests_that_run_on_without_a_caller_are_not_used():
+    """Guards against requests beyond a server's slots, which it drops."""
+
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        mesh.set_timeout("read", 9.0)
+        server = host.server
+        server.finishes_cut, server.slots = True, 8
+        await see_hang(mesh, host)
+        server.hangs_when_full, server.hung = True, []
+        for _ in range(5):
+            asked = [
+                asyncio.ensure_future(mesh.ask(b"/read/x", deadline=8000))
+                for _ in range(8)
+            ]
+            await asyncio.sleep(0.05)
+            for one in asked[:6]:
+                one.cancel()
+            for status, *_ in await asyncio.gather(
+                *(mesh.ask(b"/read/z", deadline=4000) for _ in range(8))
+            ):
+                assert status in (200, 503)
+            await asyncio.gather(*asked, return_exceptions=True)
+        assert server.hung == [] and host.counts["slots_held"] >= 6
+
+    run_scenario(scenario, hosts=1)
+
+
+def test_server_that_refuses_when_full_is_used_as_before():
+    """Guards against held slots at servers that have never been seen to hang."""
+
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        await read_often(mesh, 3)
+        asked = [asyncio.ensure_future(mesh.ask(b"/read/x")) for _ in range(8)]
+        await asyncio.sleep(0.05)
+        assert host.guard.running == 8
+        for one in asked:
+            one.cancel()
+        await asyncio.sleep(0.01)
+        assert host.guard.running == 0 and "slots_held" not in host.counts
+
+    run_scenario(scenario, hosts=1)
--- a/guavastream/scheduling/__init__.py
+++ b/guavastream/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from guavastream.scheduling.admission import *
 from guavastream.scheduling.budget import *
 from guavastream.scheduling.departures import *
+from guavastream.scheduling.hangs import *
 from guavastream.scheduling.outcome import *
 from guavastream.scheduling.pick import *
 from guavastream.scheduling.rate_limits import *
--- a/guavastream/scheduling/outcome.py
+++ b/guavastream/scheduling/outcome.py
@@ -58,6 +58,8 @@
     ),
     "server_failed": FailureRule(status=500, try_elsewhere=True, reached_server=True),
     "no_answer": FailureRule(status=504, reached_server=True),
+    # The server answers later requests, but will never answer this one.
+    "dropped": FailureRule(status=504, try_elsewhere=True, reached_server=True),
 }
 
 
