A new process beside a server uses its slots one after the other

Cause: a process that was restarted beside a server sent two requests until the first answer, and then as many as the server has slots, while requests of the process before it may still have occupied some. A server that hangs when it is full dropped four of them in the new test.

Change: SlowStart allows one request more each time that as many requests as the limit have been answered, until all slots are used. It applies to servers that were there before the process; whether they hang is not known yet then. Five slots are used again after about three times the time of a request.

Result: test_new_process_leaves_room_for_requests_of_the_process_before_it failed before (four requests hung) and passes, as do the tests of relay and scheduling.

--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -12,6 +12,7 @@
 from guavastream.relay.server_client import ServerClient
 from guavastream.scheduling.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
 from guavastream.scheduling.departures import Departures
+from guavastream.scheduling.hangs import SlowStart
 from guavastream.scheduling.outcome import NotRun
 from guavastream.scheduling.pick import Report
 from guavastream.scheduling.rate_limits import ServerRateLimiter
@@ -27,7 +28,8 @@
 MIN_SERVER_ERROR_STATUS = 500
 # Requests that run at a time at a server that was there before this process, until an
 # answer says whether it is limited. The margin beyond a limit is five requests, and the
-# process may restart twice within the time over which they are counted.
+# process may restart twice within the time over which they are counted. `SlowStart`
+# then increases the number.
 MAX_UNHEARD_RUNNING = 2
 # Share of the time allowed for an evacuation during which an evacuated server still
 # serves the keys that it owns, while they are moved.
@@ -209,6 +211,8 @@
         # Local instances that were there before this process was, and whose answers it
         # has not seen.
         self._unheard = frozenset()
+        # Their `SlowStart` by id, until all of their slots are used.
+        self._starts = {}
         self._key_counts = {}
         self._running_attempts = {}
 
@@ -277,6 +281,9 @@
             self._unheard = frozenset(
                 id for id, i in fleet_state.instances.items() if i.door == self._door
             )
+            self._starts = {
+                id: SlowStart(limit=MAX_UNHEARD_RUNNING) for id in self._unheard
+            }
         for id, known in before.instances.items():
             if known.door != self._door:
                 continue
@@ -314,6 +321,12 @@
             self._departures.note(id, since=since)
             self._on_leaving(instance)
         self._unheard -= {id}
+        start = self._starts.get(id)
+        if start is not None:
+            start.note_answer()
+            self._admission_queue.slots = self._usable_slots(instance)
+            if start.limit >= instance.slots:
+                del self._starts[id]
         known = (self.named_rate(id), id in self._departures)
         if known != known_before:
             self._log_statement(id, rate_before=known_before[0])
@@ -502,9 +515,7 @@
 
     async def _wait_for_slot(self, attempt, instance):
         """Wait for a slot; return the estimate to pass to `AdmissionQueue.leave`."""
-        self._admission_queue.slots = instance.slots
-        if instance.id in self._unheard:
-            self._admission_queue.slots = min(instance.slots, MAX_UNHEARD_RUNNING)
+        self._admission_queue.slots = self._usable_slots(instance)
         try:
             return await self._admission_queue.enter(
                 rank=attempt.rank,
@@ -522,6 +533,11 @@
             self._log_refusal(attempt, refused)
             raise
 
+    def _usable_slots(self, instance):
+        """Return the slots that may be used now, fewer just after a restart."""
+        start = self._starts.get(instance.id)
+        return min(instance.slots, start.limit) if start else instance.slots
+
     def _clear_if_answered(self, answer, attempt, instance):
         # An error does not clear the request: the server may have failed before it
         # reached the harmful part.
--- a/guavastream/relay/tests/test_hanging_servers.py
+++ b/guavastream/relay/tests/test_hanging_servers.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from guavastream.relay.tests.rig import DIALECT, run_scenario
+from guavastream.fleet import FleetState
+from guavastream.relay.tests.rig import DIALECT, SERVER_SECONDS, run_scenario
 
 
 async def send(server, connections, id):
@@ -184,3 +185,38 @@
         assert host.guard.running == 0 and "slots_held" not in host.counts
 
     run_scenario(scenario, hosts=1)
+
+
+def test_new_process_leaves_room_for_requests_of_the_process_before_it():
+    """Guards against requests beyond a server's slots just after a restart."""
+
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        mesh.set_timeout("read", 9.0)
+        server = host.server
+        server.slots, server.hangs_when_full, server.finishes_cut = 8, True, True
+        # Four requests of the process before still run.
+        opened = []
+        server.seconds = 3 * SERVER_SECONDS
+        for number in range(4):
+            await send(server, opened, b"old%d" % number)
+        await asyncio.sleep(0.01)
+        assert server.running == 4
+        server.seconds = SERVER_SECONDS
+        host.guard.follow(FleetState(), mesh.fleet_state)
+        most = []
+        server.on_run = lambda run, key: most.append(server.running)
+        asked = []
+        for _ in range(80):
+            request = mesh.ask(b"/read/x", deadline=8000)
+            asked.append(asyncio.ensure_future(request))
+            await asyncio.sleep(SERVER_SECONDS / 8)
+        answers = await asyncio.gather(*asked)
+        assert server.hung == []
+        # All slots are used in the end.
+        assert max(most) == 8 and host.guard.report().slots == 8
+        assert [status for status, *_ in answers].count(200) >= 60
+        for writer in opened:
+            writer.close()
+
+    run_scenario(scenario, hosts=1)
--- a/guavastream/scheduling/hangs.py
+++ b/guavastream/scheduling/hangs.py
@@ -1,8 +1,8 @@
-"""Tells requests that a server has dropped from requests at a slow server."""
+"""Servers that never respond to requests beyond their slots."""
 
 from dataclasses import dataclass
 
-__all__ = ["HangDetector"]
+__all__ = ["HangDetector", "SlowStart"]
 
 # A request has been dropped if it has taken this many times its usual time. Servers may
 # be three times slower than usual for a while; twice that leaves room for the variation
@@ -137,3 +137,42 @@
             return None
         limit = max(MIN_DROPPED_SECONDS, DROPPED_TIMES * usual)
         return request.sent_at + limit - self._clock()
+
+
+class SlowStart:
+    """Limits the requests at a server beside which this process has just started.
+
+    Requests of the process before may still occupy slots, and their number is not
+    known. One more request is allowed each time that as many requests as the limit have
+    been answered, which takes about the time of one request. All slots are used after a
+    few of these times, when the requests of the process before have ended.
+
+    Parameters
+    ----------
+    limit : int
+        Number of requests that may run at first.
+
+    Examples
+    --------
+    >>> start = SlowStart(limit=2)
+    >>> for _ in range(2):
+    ...     start.note_answer()
+    >>> start.limit
+    3
+    """
+
+    def __init__(self, *, limit):
+        self._limit = limit
+        self._answers_left = limit
+
+    @property
+    def limit(self):
+        """Number of requests that may run now."""
+        return self._limit
+
+    def note_answer(self):
+        """Note that the server has answered a request of this process."""
+        self._answers_left -= 1
+        if self._answers_left <= 0:
+            self._limit += 1
+            self._answers_left = self._limit
