Health checks count as requests at a server that hangs

Cause: the check of the sender of an unknown heartbeat was sent in addition to the requests in the slots. At a full server that hangs it gets no response for 0.5 s, and may make the server full for a request that arrives at the same time.

Result: the new test in relay/tests/test_hanging_servers.py passes; it could not run before, for lack of Guard.health_check. hosts/tests/test_server_ends.py and test_in_force.py pass.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -449,6 +449,13 @@
         rules = self._state_holder.table.config.services.get(heartbeat.service)
         path = rules.health if rules else "/health"
         name = self._dialect.instance.lower()
+        with self._guard.health_check() as may_check:
+            if not may_check:
+                # It would not respond, which counts as being there, as below.
+                return True
+            return await self._reports_its_name(heartbeat, path, name)
+
+    async def _reports_its_name(self, heartbeat, path, name):
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
                 async with await self._prober.open(
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -304,6 +304,23 @@
         if rules is None or not rules.keyed:
             self._admission_queue.refuse_waiting("evacuated")
 
+    @contextlib.contextmanager
+    def health_check(self):
+        """Occupy a slot for a health check; yield whether the server may get it.
+
+        A server that has been seen to hang would not respond if it were full, and the
+        check would make it so for a request that arrives at the same time.
+        """
+        if not self._server.hangs:
+            yield True
+            return
+        has_slot = self._admission_queue.take_free_slot()
+        try:
+            yield has_slot
+        finally:
+            if has_slot:
+                self._admission_queue.leave(0.0, kind="")
+
     def note_refused(self, instance):
         """Note that the local server's address refused a connection."""
         self._server.watch.note_refused(instance)
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -108,6 +108,11 @@
         self._loop = loop
         self.watch = ServerWatch(loop=loop, client=self._client, on_ended=on_ended)
 
+    @property
+    def hangs(self):
+        """Whether the server has been seen to leave requests unanswered."""
+        return self._hangs.hangs
+
     def pop_seconds_running_on(self, attempt):
         """Return the time for which the server may still run an ended attempt."""
         return self._runs_on.pop(attempt.id, 0.0)
--- a/guavastream/relay/tests/test_hanging_servers.py
+++ b/guavastream/relay/tests/test_hanging_servers.py
@@ -220,3 +220,31 @@
             writer.close()
 
     run_scenario(scenario, hosts=1)
+
+
+def test_health_checks_count_as_requests_at_a_server_that_hangs():
+    """Guards against a health check that makes a server full, or gets no response."""
+
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        guard, server = host.guard, host.server
+        with guard.health_check() as may_check:
+            assert may_check and guard.running == 0
+        await see_hang(mesh, host)
+        mesh.set_timeout("read", 9.0)
+        with guard.health_check() as may_check:
+            assert may_check and guard.running == 1
+            server.hangs_when_full, server.hung = True, []
+            asked = [
+                asyncio.ensure_future(mesh.ask(b"/read/x", deadline=8000))
+                for _ in range(8)
+            ]
+            await asyncio.sleep(SERVER_SECONDS / 2)
+            assert server.running == 7
+            with guard.health_check() as may_check:
+                assert not may_check
+        for status, *_ in await asyncio.gather(*asked):
+            assert status == 200
+        assert server.hung == [] and guard.running == 0
+
+    run_scenario(scenario, hosts=1)
--- a/guavastream/scheduling/admission.py
+++ b/guavastream/scheduling/admission.py
@@ -399,6 +399,18 @@
         if future.done() and not future.cancelled() and not future.exception():
             self._free_slot()
 
+    def take_free_slot(self):
+        """Occupy a slot if one is free, without waiting; return whether one was.
+
+        It is freed by `leave` with an estimate of 0.
+        """
+        if self._running >= self.slots:
+            return False
+        if not self._running:
+            self._answered_at = self._clock()
+        self._running += 1
+        return True
+
     def refuse_waiting(self, code="leaving"):
         """Refuse all queued requests, whose callers can still use another server."""
         for waiter in self._queue:
