--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import contextlib
+import functools
 from dataclasses import dataclass, field
 
+import msgspec
+
 from guavastream.kernel import TimeLimit, part_logger, record
 from guavastream.relay.quarantine import Quarantine
 from guavastream.relay.server_client import ServerClient
 from guavastream.scheduling.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
 from guavastream.scheduling.departures import Departures
+from guavastream.scheduling.hangs import SlowStart
 from guavastream.scheduling.outcome import NotRun
 from guavastream.scheduling.pick import Report
 from guavastream.scheduling.rate_limits import ServerRateLimiter
@@ -24,7 +28,8 @@
 MIN_SERVER_ERROR_STATUS = 500
 # Requests that run at a time at a server that was there before this process, until an
 # answer says whether it is limited. The margin beyond a limit is five requests, and the
-# process may restart twice within the time over which they are counted.
+# process may restart twice within the time over which they are counted. `SlowStart`
+# then increases the number.
 MAX_UNHEARD_RUNNING = 2
 # Share of the time allowed for an evacuation during which an evacuated server still
 # serves the keys that it owns, while they are moved.
@@ -75,6 +80,12 @@
         Time until which an answer counts as in time.
     deadline : float
         Time at which the request is given up.
+    sent_at : list of float
+        Times at which it may have begun to be written to the server. While it is
+        empty, the request has surely not run.
+    margin : float
+        Seconds before `deadline` at which it stops waiting, so that a refusal arrives
+        in time.
     """
 
     id: bytes
@@ -95,6 +106,8 @@
     kind: str
     target_time: float
     deadline: float
+    sent_at: list = msgspec.field(default_factory=list)
+    margin: float = ANSWER_MARGIN_SECONDS
 
 
 @dataclass(kw_only=True, slots=True)
@@ -198,6 +211,8 @@
         # Local instances that were there before this process was, and whose answers it
         # has not seen.
         self._unheard = frozenset()
+        # Their `SlowStart` by id, until all of their slots are used.
+        self._starts = {}
         self._key_counts = {}
         self._running_attempts = {}
 
@@ -266,6 +281,9 @@
             self._unheard = frozenset(
                 id for id, i in fleet_state.instances.items() if i.door == self._door
             )
+            self._starts = {
+                id: SlowStart(limit=MAX_UNHEARD_RUNNING) for id in self._unheard
+            }
         for id, known in before.instances.items():
             if known.door != self._door:
                 continue
@@ -286,6 +304,23 @@
         if rules is None or not rules.keyed:
             self._admission_queue.refuse_waiting("evacuated")
 
+    @contextlib.contextmanager
+    def health_check(self):
+        """Occupy a slot for a health check; yield whether the server may get it.
+
+        A server that has been seen to hang would not respond if it were full, and the
+        check would make it so for a request that arrives at the same time.
+        """
+        if not self._server.hangs:
+            yield True
+            return
+        has_slot = self._admission_queue.take_free_slot()
+        try:
+            yield has_slot
+        finally:
+            if has_slot:
+                self._admission_queue.leave(0.0, kind="")
+
     def note_refused(self, instance):
         """Note that the local server's address refused a connection."""
         self._server.watch.note_refused(instance)
@@ -303,6 +338,12 @@
             self._departures.note(id, since=since)
             self._on_leaving(instance)
         self._unheard -= {id}
+        start = self._starts.get(id)
+        if start is not None:
+            start.note_answer()
+            self._admission_queue.slots = self._usable_slots(instance)
+            if start.limit >= instance.slots:
+                del self._starts[id]
         known = (self.named_rate(id), id in self._departures)
         if known != known_before:
             self._log_statement(id, rate_before=known_before[0])
@@ -402,6 +443,9 @@
                     # The key may have moved to another server during the wait.
                     if attempt.key is not None and not self._holds_key(attempt):
                         raise NotRun("moving")
+                    if self._clock() >= attempt.deadline:
+                        # Its time passed while this process was paused.
+                        raise NotRun("no_time")
                     self._use_reservation(reservation, attempt)
                     answer = await self._server.send(instance, attempt)
                     try:
@@ -412,13 +456,22 @@
                         seconds = self._clock() - began
                 finally:
                     self._running_attempts.pop(attempt.id, None)
-                    self._admission_queue.leave(
-                        estimate, kind=attempt.kind, seconds=seconds
-                    )
+                    self._leave_slot(attempt, estimate, seconds)
         finally:
             if has_turn:
                 self._suspect_turn.release()
 
+    def _leave_slot(self, attempt, estimate, seconds):
+        """Free the slot of an attempt as soon as the server does not run it."""
+        leave = functools.partial(
+            self._admission_queue.leave, estimate, kind=attempt.kind, seconds=seconds
+        )
+        runs_on = self._server.pop_seconds_running_on(attempt)
+        if runs_on:
+            self._loop.call_later(runs_on, leave)
+        else:
+            leave()
+
     def refuse_early(self, attempt):
         """Refuse an attempt that the server would not get, before its body is received.
 
@@ -448,7 +501,7 @@
         if suspect_status is None or not suspect_status.must_run_alone:
             return False
         needed = max(
-            ANSWER_MARGIN_SECONDS, self._admission_queue.estimated_seconds(attempt.kind)
+            attempt.margin, self._admission_queue.estimated_seconds(attempt.kind)
         )
         try:
             await self._suspect_turn.acquire(until=attempt.deadline - needed)
@@ -479,9 +532,7 @@
 
     async def _wait_for_slot(self, attempt, instance):
         """Wait for a slot; return the estimate to pass to `AdmissionQueue.leave`."""
-        self._admission_queue.slots = instance.slots
-        if instance.id in self._unheard:
-            self._admission_queue.slots = min(instance.slots, MAX_UNHEARD_RUNNING)
+        self._admission_queue.slots = self._usable_slots(instance)
         try:
             return await self._admission_queue.enter(
                 rank=attempt.rank,
@@ -493,11 +544,17 @@
                 urgency=attempt.urgency,
                 again=attempt.is_retry,
                 last=attempt.is_last,
+                margin=attempt.margin,
             )
         except NotRun as refused:
             self._log_refusal(attempt, refused)
             raise
 
+    def _usable_slots(self, instance):
+        """Return the slots that may be used now, fewer just after a restart."""
+        start = self._starts.get(instance.id)
+        return min(instance.slots, start.limit) if start else instance.slots
+
     def _clear_if_answered(self, answer, attempt, instance):
         # An error does not clear the request: the server may have failed before it
         # reached the harmful part.
@@ -550,7 +607,7 @@
 
     async def _wait_for_key(self, attempt):
         until = min(
-            attempt.deadline - ANSWER_MARGIN_SECONDS,
+            attempt.deadline - attempt.margin,
             self._clock() + MAX_GRANT_WAIT_SECONDS,
         )
         while not self._holds_key(attempt):
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -146,8 +146,7 @@
             if self.leaving:
                 raise NotRun("leaving", retry_after=MIN_RETRY_AFTER_SECONDS)
             job = await self._reader.read(request, started=started)
-            if job.deadline - self._clock() < MIN_REMAINING_SECONDS:
-                raise NotRun("no_time")
+            self._refuse_if_out_of_time(job)
             if self._limits.end < job.deadline:
                 job = replace(job, deadline=self._limits.end)
             with self._limits.until(job.deadline):
@@ -161,10 +160,12 @@
         except OutcomeUnknown as unknown:
             await self._answer_failure(responder, job, unknown.code)
         except TimeoutError:
-            if job is None or not job.sent_to:
-                await self._answer_refusal(responder, job, NotRun("no_time"))
-            else:
+            if job is not None and (job.sent_to or job.unknown_outcomes):
                 await self._answer_failure(responder, job, "no_answer")
+            else:
+                is_stopping = self._clock() >= self._limits.end
+                refused = NotRun("leaving" if is_stopping else "no_time")
+                await self._answer_refusal(responder, job, refused)
         except BadRequest as bad:
             self._count(f"rejected.{bad.status}")
             await responder.send(bad.status)
@@ -206,6 +207,7 @@
             fleet_state = self._fleet_holder.table
             server = None
             try:
+                self._refuse_if_out_of_time(job)
                 server = self._choose(fleet_state, job, tried)
                 self._guard.quarantine.check(job, server)
                 last = self._is_last_attempt(fleet_state, job, server, tried, refusals)
@@ -239,7 +241,8 @@
                     raise failure
                 if reached_attempts >= job.route.attempts or not retry_budget.spend():
                     raise failure
-            if code == "server_failed":
+            if code in ("server_failed", "dropped"):
+                # The owner of a key is tried again, on another connection.
                 continue
             if rule.wait_for_owner and (job.keyed or code == "no_server"):
                 if self._is_evacuated(fleet_state, job):
@@ -257,6 +260,10 @@
             if not self._has_untried_server(fleet_state, job, tried):
                 raise failure
 
+    def _refuse_if_out_of_time(self, job):
+        if job.deadline - self._clock() < MIN_REMAINING_SECONDS:
+            raise NotRun("no_time")
+
     def _note_server_end(self, job, server):
         """Record that a server ended while it ran a job; return whether to give up.
 
@@ -370,14 +377,14 @@
     async def _try(self, job, server, responder, *, last):
         """Make one attempt at a server, and update what the picker knows of it."""
         self._picker.begin(server)
-        job.sent_to.append(server.id)
+        sent_before = len(job.sent_to)
         try:
             if self._guard.find_local(server.id) is not None:
                 await self._try_local(job, server, responder, last=last)
             else:
                 await self._try_remote(job, server, responder, last=last)
         except NotRun as refused:
-            job.sent_to.remove(server.id)
+            del job.sent_to[sent_before:]
             if refused.code == "unreachable":
                 self._picker.note_unreachable(server)
             else:
@@ -414,8 +421,12 @@
             target_time=job.target_time,
             deadline=job.deadline,
         )
-        async with self._guard.serve(attempt) as answer:
-            await self._send_answer(job, server, answer, answer.read, responder)
+        try:
+            async with self._guard.serve(attempt) as answer:
+                await self._send_answer(job, server, answer, answer.read, responder)
+        finally:
+            if attempt.sent_at:
+                job.sent_to.append(server.id)
         self._note_report(job, server, self._guard.report(job.route.name))
 
     async def _try_remote(self, job, server, responder, *, last):
@@ -425,6 +436,7 @@
             raise NotRun(
                 "unreachable", retry_after=DEFAULT_RETRY_AFTER_SECONDS
             ) from None
+        sent_before = len(job.sent_to)
         async with exchange:
             hop = HopHeader.of(job, server, now=self._clock(), last=last)
             headers = [*job.headers, hop.header()]
@@ -433,8 +445,10 @@
             try:
                 answer = await exchange.answer()
             except IncompleteMessage as cut:
-                self._client.close_idle(server.door)
                 self._log_cut(job, server, exchange, cut, sent_at)
+                unreachable = self._unreachable(server)
+                if server.id not in job.sent_to[sent_before:]:
+                    raise unreachable from None
                 raise OutcomeUnknown("answer_lost") from None
             report = read_report(answer)
             if report is not None:
@@ -473,6 +487,9 @@
         may_be_reset = bool(job.body) and not job.idempotent and not exchange.reused
         if job.stream is None and len(job.body) < LARGE_BYTES and not may_be_reset:
             exchange.send(job.method, job.target, headers, job.body)
+            if not exchange.written:
+                raise self._unreachable(server)
+            job.sent_to.append(server.id)
             return
         try:
             await exchange.send_after_continue(
@@ -480,10 +497,14 @@
             )
         except IncompleteMessage:
             # No byte of the body was sent, and a server runs no request without it.
-            self._client.close_idle(server.door)
-            raise NotRun(
-                "unreachable", retry_after=DEFAULT_RETRY_AFTER_SECONDS
-            ) from None
+            raise self._unreachable(server) from None
+        if exchange.body_written:
+            job.sent_to.append(server.id)
+
+    def _unreachable(self, server):
+        """Close the idle connections to a server's host; return the `NotRun`."""
+        self._client.close_idle(server.door)
+        return NotRun("unreachable", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
 
     def _note_report(self, job, server, report):
         self._picker.note_report(server, report, kind=job.route.name)
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -6,6 +6,7 @@
 
 from guavastream.fleet import FleetState, LeaveInstance, ReleaseKeys
 from guavastream.http1 import IncompleteMessage
+from guavastream.relay import Attempt
 from guavastream.relay.dialect import INTERNAL_PREFIX
 from guavastream.relay.fingerprint import fingerprint
 from guavastream.relay.ingress import MAX_REFUSALS
@@ -13,6 +14,9 @@
 from guavastream.scheduling.departures import DEPARTURE_GRACE_SECONDS
 from guavastream.scheduling.outcome import NotRun
 
+# Longest pause of a process with 0.43 cores within a period of 100 ms.
+PAUSE_SECONDS = 0.057
+
 
 def test_answers_are_passed_on_unchanged_by_every_host():
     async def scenario(mesh):
@@ -729,3 +733,236 @@
         assert ingress.take_refused_keys() == {}
 
     run_scenario(scenario, keyed=True)
+
+
+@pytest.mark.parametrize("path, method", [(b"/read/x", b"GET"), (b"/pay/x", b"POST")])
+def test_request_that_waits_on_a_stopping_host_is_reported_as_not_run(path, method):
+    """Guards against a 504 for a request that only waited when the host stopped."""
+
+    async def scenario(mesh):
+        loop = asyncio.get_running_loop()
+        near, far = mesh.hosts
+        mesh.apply(LeaveInstance(id=near.id))
+        mesh.set_timeout(path[1:-2].decode(), 9.0)
+        far.server.seconds, slots = 20.0, far.server.slots
+        for stopping, at in ((far.hop_handler, 0), (far.ingress, 1)):
+            ran = len(far.server.ran)
+            pending = [
+                asyncio.ensure_future(
+                    mesh.ask(path, method=method, at=at, deadline=9000)
+                )
+                for _ in range(slots + 2)
+            ]
+            await asyncio.sleep(0.1)
+            stopping.end_by(loop.time() + 0.5)
+            answers = [await one for one in pending]
+            assert [answer[0] for answer in answers] == [*[504] * slots, 503, 503]
+            assert len(far.server.ran) == ran + slots
+            await asyncio.sleep(0.1)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("path, method", [(b"/read/x", b"GET"), (b"/pay/x", b"POST")])
+def test_request_that_times_out_while_connecting_is_reported_as_not_run(path, method):
+    """Guards against a 504 for a request of which no host has received a byte."""
+
+    async def scenario(mesh):
+        near, far = mesh.hosts
+        mesh.apply(LeaveInstance(id=near.id))
+
+        async def never(address, **unused):
+            await asyncio.sleep(60.0)
+
+        near.ingress._client.open = never
+        assert (await mesh.ask(path, method=method, deadline=200))[0] == 503
+        far.guard._server._client.open = never
+        for at in (0, 1):
+            assert (await mesh.ask(path, method=method, at=at, deadline=200))[0] == 503
+        assert not mesh.ran()
+
+    run_scenario(scenario)
+
+
+def test_request_that_times_out_before_its_body_is_sent_is_reported_as_not_run():
+    """Guards against a 504 for an upload whose body no host has asked for."""
+
+    async def scenario(mesh):
+        near, far = mesh.hosts
+        mesh.apply(LeaveInstance(id=near.id))
+
+        async def wait(request, responder):
+            await asyncio.sleep(60.0)
+
+        far.hop_listener.handler = wait
+        for size in (1, 50_000):
+            status, *_ = await mesh.ask(
+                b"/load/x", method=b"POST", body=b"x" * size, deadline=300
+            )
+            assert status == 503
+        assert not mesh.ran()
+
+    run_scenario(scenario)
+
+
+def test_earlier_attempt_that_may_have_run_is_not_hidden_by_a_time_limit():
+    """Guards against a 503 for a request whose first attempt had run."""
+
+    async def scenario(mesh):
+        near, far = mesh.hosts
+
+        async def cut(request, responder):
+            responder.abort()
+            return True
+
+        async def never(*unused, **unused_too):
+            await asyncio.sleep(60.0)
+
+        for host in mesh.hosts:
+            host.server.behave = cut
+        near.ingress._client.open = never
+        near.guard._server._client.open = never
+        status, *_ = await mesh.ask(b"/read/x", deadline=300)
+        assert status == 503 and not mesh.ran()
+        # Now the first attempt runs at the local server, and the second goes nowhere.
+        del near.guard._server._client.open
+        status, *_ = await mesh.ask(b"/read/x", deadline=600)
+        assert status in (502, 504) and len(mesh.ran()) == 1
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("path, method", [(b"/read/x", b"GET"), (b"/pay/x", b"POST")])
+def test_end_of_a_wait_at_a_busy_host_is_reported_as_not_run(path, method):
+    """Guards against a statement that arrives when the ingress has given up."""
+
+    async def scenario(mesh):
+        near, far = mesh.hosts
+        mesh.apply(LeaveInstance(id=near.id))
+        far.server.seconds, slots = 20.0, far.server.slots
+        mesh.set_timeout(path[1:-2].decode(), 9.0)
+        running = [
+            asyncio.ensure_future(mesh.ask(path, method=method, deadline=9000))
+            for _ in range(slots)
+        ]
+        await asyncio.sleep(0.1)
+        handle = far.hop_handler.handle
+
+        async def handle_with_pauses(request, responder):
+            await asyncio.sleep(PAUSE_SECONDS)
+            send = responder.send
+
+            async def send_later(*args, **kwargs):
+                await asyncio.sleep(PAUSE_SECONDS)
+                await send(*args, **kwargs)
+
+            responder.send = send_later
+            await handle(request, responder)
+
+        far.hop_listener.handler = handle_with_pauses
+        for _ in range(2):
+            status, *_ = await mesh.ask(path, method=method, deadline=900)
+            assert status == 503
+        assert len(far.server.ran) == slots
+        await asyncio.gather(*running)
+
+    run_scenario(scenario)
+
+
+def break_before_next_write(client):
+    """Let a client's next connection break before a byte of its request is written."""
+    open_connection = client.open
+
+    async def open_broken(*args, **kwargs):
+        exchange = await open_connection(*args, **kwargs)
+        exchange._connection.abort()
+        client.open = open_connection
+        return exchange
+
+    client.open = open_broken
+
+
+@pytest.mark.parametrize("path, method", [(b"/read/x", b"GET"), (b"/pay/x", b"POST")])
+def test_connection_that_breaks_before_the_request_is_written_is_not_unknown(
+    path, method
+):
+    """Guards against a 502 for a request of which no server received a byte."""
+
+    async def scenario(mesh):
+        near, far = mesh.hosts
+        mesh.apply(LeaveInstance(id=near.id))
+        near_client, server_client = near.ingress._client, far.guard._server._client
+        # On new connections, to the host and to the server.
+        for client, at in ((near_client, 0), (server_client, 0), (server_client, 1)):
+            for address in (far.inbound, far.server.address):
+                client.close_idle(address)
+            break_before_next_write(client)
+            ran = len(mesh.ran())
+            assert (await mesh.ask(path, method=method, at=at))[0] == 503
+            assert len(mesh.ran()) == ran
+            await asyncio.sleep(1.0)
+            assert (await mesh.ask(path, method=method, at=at))[0] == 200
+        # On a kept connection to the server, in whose place a new one is opened.
+        break_before_next_write(server_client)
+        ran = len(mesh.ran())
+        assert (await mesh.ask(path, method=method, at=1))[0] == 200
+        assert len(mesh.ran()) == ran + 1
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("path, method", [(b"/read/x", b"GET"), (b"/pay/x", b"POST")])
+def test_request_refused_at_the_end_of_its_time_goes_to_no_other_server(path, method):
+    """Guards against a 504 for a request that no server can answer in time."""
+
+    async def scenario(mesh):
+        tries = []
+        for host in mesh.hosts:
+            enter = host.guard._admission_queue.enter
+
+            async def refuse_late(enter=enter, **fields):
+                tries.append(fields)
+                if len(tries) > 1:
+                    return await enter(**fields)
+                loop = asyncio.get_running_loop()
+                await asyncio.sleep(fields["deadline"] - loop.time() - 0.005)
+                raise NotRun("overloaded", retry_after=0.1)
+
+            host.guard._admission_queue.enter = refuse_late
+        status, *_ = await mesh.ask(path, method=method, deadline=500)
+        assert status == 503 and not mesh.ran()
+
+    run_scenario(scenario)
+
+
+def test_request_whose_time_passed_during_a_pause_is_not_sent():
+    """Guards against requests that run although their callers have given up."""
+
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        attempt = Attempt(
+            id=b"q",
+            service="s",
+            instance=host.id,
+            method=b"POST",
+            target=b"/pay/x",
+            headers=[],
+            body=b"",
+            stream=None,
+            key=None,
+            idempotent=False,
+            rank=1,
+            urgency=1,
+            is_call=False,
+            is_retry=False,
+            is_last=True,
+            kind="pay",
+            target_time=-1.0,
+            deadline=-0.5,
+        )
+        with pytest.raises(NotRun):
+            async with host.guard.serve(attempt):
+                pass
+        assert not mesh.ran() and not attempt.sent_at
+
+    run_scenario(scenario, hosts=1)
