Long requests are not taken for dropped by a server that hangs

Cause: a request counted as dropped after six times the mean time of its kind, and three requests in a hundred of some kinds take seven times as long as the others. Once a server had been seen to hang, they were ended while they ran. Change: a request also has to take 1.5 times the longest recent time of its kind.

--- a/guavastream/scheduling/hangs.py
+++ b/guavastream/scheduling/hangs.py
@@ -8,6 +8,12 @@
 # be three times slower than usual for a while; twice that leaves room for the variation
 # of single requests, and for most callers enough time for a second attempt.
 DROPPED_TIMES = 6.0
+# A request that takes less than this multiple of the longest recent time of its kind has
+# not been dropped. Of some kinds, three requests in a hundred take seven times as long
+# as the others; ending them early would run them in vain.
+LONGEST_TIMES = 1.5
+# Factor by which the longest time decays with each answer: by half in 350 answers.
+LONGEST_DECAY = 0.998
 # Lower bound of that time. Shorter ones occur if this process or the server is paused.
 MIN_DROPPED_SECONDS = 0.25
 # Requests that were sent later and have been answered. A server that answers fewer may
@@ -51,6 +57,7 @@
         # Requests at the server by token, in the order in which they were sent.
         self._requests = {}
         self._kind_means = {}
+        self._kind_longest = {}
         self._hangs = False
 
     @property
@@ -77,6 +84,8 @@
         seconds = self._clock() - request.sent_at
         before = self._kind_means.get(request.kind, seconds)
         self._kind_means[request.kind] = before + SAMPLE_WEIGHT * (seconds - before)
+        longest = LONGEST_DECAY * self._kind_longest.get(request.kind, 0.0)
+        self._kind_longest[request.kind] = max(seconds, longest)
 
     def forget(self, token):
         """Drop a request that the server refused or whose connection ended."""
@@ -135,7 +144,8 @@
         usual = self._kind_means.get(request.kind)
         if usual is None:
             return None
-        limit = max(MIN_DROPPED_SECONDS, DROPPED_TIMES * usual)
+        longest = self._kind_longest[request.kind]
+        limit = max(MIN_DROPPED_SECONDS, DROPPED_TIMES * usual, LONGEST_TIMES * longest)
         return request.sent_at + limit - self._clock()
 
 
--- a/guavastream/scheduling/tests/test_hangs.py
+++ b/guavastream/scheduling/tests/test_hangs.py
@@ -184,3 +184,33 @@
         assert detector.dropped() == ["one"]
 
     run(main)
+
+
+def test_requests_that_take_seven_times_as_long_as_most_are_not_taken_for_dropped():
+    """Guards against long requests that are given up while the server runs them."""
+
+    async def main(loop, detector):
+        await see_hang(loop, detector)
+        rng = random.Random(3)
+        given_up = []
+
+        async def slot(name):
+            for number in range(300):
+                is_long = rng.random() < 0.03
+                seconds = USUAL_SECONDS * rng.uniform(0.7, 1.2) * (7 if is_long else 1)
+                token = (name, number)
+                deadline = loop.time() + DEADLINE_SECONDS
+                detector.note_sent(token, kind="k", deadline=deadline)
+                end = loop.time() + seconds
+                while loop.time() < end:
+                    await asyncio.sleep(0.02)
+                    # Until the first long one was answered, it is not known that
+                    # there are any.
+                    if number >= 50:
+                        given_up.extend(detector.dropped())
+                detector.note_answered(token)
+
+        await asyncio.gather(*(slot(name) for name in range(5)))
+        assert detector.hangs and given_up == []
+
+    run(main)
