--- a/guavastream/experiment/model.py
+++ b/guavastream/experiment/model.py
@@ -555,7 +555,7 @@
             server.key_counts[key] = server.key_counts.get(key, 0) + 1
         if keyed and not self._owns(server, kind, key):
             raise NotRun("moving")
-        estimate = await server.admission.enter(
+        slot = await server.admission.enter(
             rank=kind.rank,
             kind=kind.name,
             wanted_by=request.wanted_by,
@@ -573,7 +573,7 @@
             await self._run_request(request, server)
         finally:
             seconds = self._clock() - began if has_run else None
-            server.admission.leave(estimate, kind=kind.name, seconds=seconds)
+            server.admission.leave(slot, kind=kind.name, seconds=seconds)
 
     def _owns(self, server, kind, key):
         """Return whether a server owns a key of the service of `kind`."""
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -212,7 +212,7 @@
         self._guard.refuse_early(attempt)
         self._limit_bodies(request.length)
         work = self._guard.usual_seconds(attempt.kind)
-        usual = await self._body_queue.enter(
+        slot = await self._body_queue.enter(
             rank=attempt.rank,
             kind=attempt.kind,
             wanted_by=attempt.target_time - work,
@@ -226,7 +226,7 @@
             seconds = self._clock() - began
             return received
         finally:
-            self._body_queue.leave(usual, kind=attempt.kind, seconds=seconds)
+            self._body_queue.leave(slot, kind=attempt.kind, seconds=seconds)
 
     def _limit_bodies(self, length):
         """Limit the bodies received at a time to what the link passes in time."""
--- a/guavastream/scheduling/pick.py
+++ b/guavastream/scheduling/pick.py
@@ -74,6 +74,9 @@
         Average time of the kind of request that was answered, 0 if unknown.
     wait : float or None
         Time until the server may get another request; None if it is not limited.
+    most_urgent_wait, least_urgent_wait : float or None
+        Expected time until a request of the most and of the least urgent class gets a
+        slot, seconds; None if the server reserves none.
     """
 
     running: int = 0
@@ -82,6 +85,19 @@
     seconds: float = 0.0
     of_kind: float = 0.0
     wait: float | None = None
+    most_urgent_wait: float | None = None
+    least_urgent_wait: float | None = None
+
+    def class_wait(self, position):
+        """Return the expected wait of a class, linear between the two that are known.
+
+        Parameters
+        ----------
+        position : float
+            0 for the most urgent class, 1 for the least urgent one.
+        """
+        difference = self.least_urgent_wait - self.most_urgent_wait
+        return self.most_urgent_wait + position * difference
 
 
 def format_report(report):
@@ -93,6 +109,8 @@
     b'3,0,8,250,40'
     >>> format_report(Report(running=3, slots=8, wait=0.1))
     b'3,0,8,0,0,100'
+    >>> format_report(Report(slots=6, most_urgent_wait=0.0, least_urgent_wait=0.2))
+    b'0,0,6,0,0,0,0,200'
     """
     value = b"%d,%d,%d,%d,%d" % (
         report.running,
@@ -101,6 +119,15 @@
         int(report.seconds * 1000),
         int(report.of_kind * 1000),
     )
+    if report.least_urgent_wait is not None:
+        # Each value is identified by its position. A wait of 0 means the same to the
+        # picker as none.
+        return b"%s,%d,%d,%d" % (
+            value,
+            math.ceil((report.wait or 0.0) * 1000),
+            math.ceil(report.most_urgent_wait * 1000),
+            math.ceil(report.least_urgent_wait * 1000),
+        )
     if report.wait is None:
         return value
     return b"%s,%d" % (value, math.ceil(report.wait * 1000))
@@ -115,9 +142,11 @@
     (0.25, None)
     >>> parse_report(b"3,0,8,0,0,100").wait
     0.1
+    >>> parse_report(b"0,0,6,0,0,0,0,200").least_urgent_wait
+    0.2
     """
     try:
-        running, waiting, slots, ms, kind_ms, *wait_ms = map(int, value.split(b","))
+        running, waiting, slots, ms, kind_ms, *more = map(int, value.split(b","))
     except ValueError:
         return None
     return Report(
@@ -126,7 +155,9 @@
         slots=max(1, slots),
         seconds=ms / 1000,
         of_kind=kind_ms / 1000,
-        wait=wait_ms[0] / 1000 if wait_ms else None,
+        wait=more[0] / 1000 if more else None,
+        most_urgent_wait=more[1] / 1000 if len(more) > 2 else None,
+        least_urgent_wait=more[2] / 1000 if len(more) > 2 else None,
     )
 
 
@@ -238,7 +269,15 @@
         return state
 
     def choose(
-        self, servers, avoid=frozenset(), *, kind="", size=0, target=0.0, here=""
+        self,
+        servers,
+        avoid=frozenset(),
+        *,
+        kind="",
+        size=0,
+        target=0.0,
+        here="",
+        class_position=0.0,
     ):
         """Return the server with the least expected time, None if there is none.
 
@@ -259,6 +298,9 @@
             Time in seconds within which an answer has its full value.
         here : str
             ID of the server on this host, which needs no hop to another host.
+        class_position : float
+            0 if the request is of the service's most urgent class, 1 if it is of the
+            least urgent one.
         """
         now = self._clock()
         untried = [
@@ -275,7 +317,7 @@
         best, best_time = None, math.inf
         best_in_zone, best_time_in_zone = None, math.inf
         for server in pool:
-            time = self._expected_seconds(server, kind, now)
+            time = self._expected_seconds(server, kind, now, class_position)
             if server.id == here and time <= local_limit and self._policy.near:
                 return server
             if time < best_time:
@@ -314,7 +356,7 @@
             return servers
         return kept
 
-    def _expected_seconds(self, server, kind, now):
+    def _expected_seconds(self, server, kind, now, class_position=0.0):
         """Return the expected time until a server has answered a request.
 
         Notes
@@ -336,7 +378,10 @@
         if self._policy.kinds:
             time = state.kind_seconds.get(kind) or self._kind_averages.get(kind) or mean
         time *= 1 + max(0.0, min(load, 1.0) - BUSY_LOAD)
-        time += mean * max(0.0, load - 1.0)
+        if self._has_class_waits(state, now):
+            time += self._class_wait(state, mean, class_position)
+        else:
+            time += mean * max(0.0, load - 1.0)
         time = max(time, self._silence(state, now))
         if state.penalty:
             time *= 1 + state.penalty * math.exp(
@@ -346,6 +391,25 @@
             time *= CROSS_ZONE_FACTOR
         return time * (1 - JITTER_SHARE + 2 * JITTER_SHARE * self._rng.random())
 
+    @staticmethod
+    def _has_class_waits(state, now):
+        """Whether a recent report has the expected waits by class."""
+        return (
+            state.report.least_urgent_wait is not None
+            and now - state.reported_at < REPORT_VALID_SECONDS
+        )
+
+    @staticmethod
+    def _class_wait(state, mean, class_position):
+        """Return the expected wait of a class, with requests sent since the report."""
+        report = state.report
+        wait = report.class_wait(class_position)
+        behind = state.sent_since_report
+        if not wait:
+            # The report says that one more request would get a slot at once.
+            behind -= max(0, report.slots - report.running - 1)
+        return wait + mean * max(0, behind) / report.slots
+
     def _silence(self, state, now):
         """Return the seconds since the last answer while requests are in flight.
 
@@ -376,7 +440,7 @@
         silence = self._silence(state, self._clock())
         return silence > max(SILENT_SECONDS, SILENT_TIMES * usual)
 
-    def best_servers(self, servers, kind):
+    def best_servers(self, servers, kind, *, class_position=0.0):
         """Return a summary of the best servers at the moment, for log records.
 
         Returns
@@ -386,7 +450,8 @@
         """
         now = self._clock()
         times = [
-            (self._expected_seconds(server, kind, now), server) for server in servers
+            (self._expected_seconds(server, kind, now, class_position), server)
+            for server in servers
         ]
         best = heapq.nsmallest(LOGGED_SERVERS, times, key=lambda pair: pair[0])
         return [
--- a/guavastream/scheduling/tests/tandem.py
+++ b/guavastream/scheduling/tests/tandem.py
@@ -25,6 +25,8 @@
     """Requests of one kind; times in seconds.
 
     With probability `call_share` a request makes `calls` calls of the kind `called`.
+    Between the two times of `burst` the rate is `burst_factor` times as high. Calls
+    have the `rank` of their route, but the urgency of the request that makes them.
     """
 
     name: str
@@ -38,6 +40,8 @@
     call_share: float = 0.0
     called: object = None
     keyed: bool = False
+    burst: tuple = (0.0, 0.0)
+    burst_factor: float = 1.0
 
 
 @dataclass(kw_only=True)
@@ -50,6 +54,18 @@
     refused: int = 0
     failed: int = 0
     seconds: list = field(default_factory=list)
+    # Calls made by requests of this kind, those answered, and their times.
+    calls: int = 0
+    call_seconds: list = field(default_factory=list)
+
+    def call_share_within(self, seconds):
+        """Return the share of the calls that were answered within some seconds."""
+        return sum(s <= seconds for s in self.call_seconds) / max(1, self.calls)
+
+    @property
+    def served(self):
+        """Share of the requests that were answered."""
+        return (self.in_time + self.late) / max(1, self.requests)
 
     @property
     def share(self):
@@ -69,10 +85,33 @@
 
 
 class TwoServiceSimulation:
-    """Callers, services and servers; `run` returns the counts by kind."""
+    """Callers, services and servers; `run` returns the counts by kind.
 
-    def __init__(self, *, kinds, servers, queue=AdmissionQueue, seconds=20.0, seed=1):
+    Servers of the services in `by_class` reserve slots for more urgent requests, whose
+    urgencies are from 0 to `least_urgent`. Each server is `slow_factor` times as slow
+    in a share `slow_share` of all periods of `slow_seconds`.
+    """
+
+    def __init__(
+        self,
+        *,
+        kinds,
+        servers,
+        queue=AdmissionQueue,
+        seconds=20.0,
+        seed=1,
+        slots=SLOTS,
+        by_class=(),
+        least_urgent=2,
+        slow_share=0.0,
+        slow_seconds=0.4,
+        slow_factor=3.0,
+    ):
         self.kinds, self.seconds = kinds, seconds
+        self._slots, self._by_class, self._least_urgent = slots, by_class, least_urgent
+        self._slow = slow_share, slow_seconds, slow_factor
+        self._slow_rng = random.Random(seed)
+        self._slow_periods = {}
         self.rng = random.Random(seed)
         self.counts = {kind.name: Counts() for kind in kinds}
         self._servers, self._queue = servers, queue
@@ -97,11 +136,13 @@
                     door="",
                     address="",
                     zone="",
-                    slots=SLOTS,
+                    slots=self._slots,
                 )
                 admission_queue = self._queue(
-                    loop=asyncio.get_running_loop(), slots=SLOTS
+                    loop=asyncio.get_running_loop(), slots=self._slots
                 )
+                if service in self._by_class:
+                    admission_queue.by_class = True
                 self.services[service][id] = Server(
                     admission_queue=admission_queue, instance=instance, speed=speed
                 )
@@ -111,7 +152,10 @@
     async def _callers(self, kind):
         tasks = []
         while self.clock() < self.seconds:
-            await asyncio.sleep(self.rng.expovariate(kind.rate))
+            rate = kind.rate
+            if kind.burst[0] <= self.clock() < kind.burst[1]:
+                rate *= kind.burst_factor
+            await asyncio.sleep(self.rng.expovariate(rate))
             tasks.append(asyncio.ensure_future(self._caller(kind)))
         await asyncio.gather(*tasks)
 
@@ -121,7 +165,13 @@
         began = self.clock()
         for attempt in range(2):
             try:
-                await self._ask(kind, began, began + kind.deadline, call=False)
+                await self._ask(
+                    kind,
+                    began,
+                    began + kind.deadline,
+                    urgency=kind.rank,
+                    again=attempt > 0,
+                )
             except NotRun as refused:
                 seconds = refused.retry_after * self.rng.uniform(0.7, 1.3)
                 left = began + kind.deadline - self.clock()
@@ -141,27 +191,34 @@
                     counts.late += 1
                 return
 
-    async def _ask(self, kind, began, deadline, *, call):
+    async def _ask(self, kind, began, deadline, *, urgency, call=False, again=False):
+        how = {"urgency": urgency, "call": call, "again": again}
         servers = self.services[kind.service]
         if kind.keyed:
             ids = list(servers)
             weights = [server.speed for server in servers.values()]
             id = self.rng.choices(ids, weights)[0]
-            await self._try(kind, servers[id], began, deadline, call=call)
+            await self._try(kind, servers[id], began, deadline, **how)
             return
         tried = set()
         while True:
             instances = [server.instance for server in servers.values()]
-            instance = self.picker.choose(instances, tried, kind=kind.name)
+            instance = self.picker.choose(
+                instances,
+                tried,
+                kind=kind.name,
+                class_position=urgency / self._least_urgent,
+            )
+            how["last"] = len(tried) + 1 == len(servers)
             try:
-                await self._try(kind, servers[instance.id], began, deadline, call=call)
+                await self._try(kind, servers[instance.id], began, deadline, **how)
                 return
             except NotRun:
                 tried.add(instance.id)
                 if len(tried) == len(servers):
                     raise
 
-    async def _try(self, kind, server, began, deadline, *, call):
+    async def _try(self, kind, server, began, deadline, **how):
         instance = server.instance
         self.picker.begin(instance)
         wanted_by = min(began + kind.target, deadline)
@@ -171,12 +228,12 @@
                 kind=kind.name,
                 wanted_by=wanted_by,
                 deadline=deadline,
-                call=call,
+                **how,
             )
             started = self.clock()
             try:
                 async with asyncio.timeout_at(deadline):
-                    await self._work(kind, server, deadline)
+                    await self._work(kind, server, deadline, how["urgency"])
             finally:
                 server.admission_queue.leave(
                     usual, kind=kind.name, seconds=self.clock() - started
@@ -190,20 +247,44 @@
                 slots=admission_queue.slots,
                 seconds=admission_queue.seconds,
                 of_kind=admission_queue.mean_seconds_for(kind.name),
+                **self._class_waits(kind.service, admission_queue),
             )
             self.picker.note_report(instance, report, kind=kind.name)
 
-    async def _work(self, kind, server, deadline):
+    def _class_waits(self, service, queue):
+        if service not in self._by_class:
+            return {}
+        return {
+            "most_urgent_wait": queue.expected_wait(0),
+            "least_urgent_wait": queue.expected_wait(self._least_urgent),
+        }
+
+    def _slowness(self, server):
+        """Return the factor on the time of work that starts now at a server."""
+        share, seconds, factor = self._slow
+        if not share:
+            return 1.0
+        period = server.instance.id, int(self.clock() / seconds)
+        if period not in self._slow_periods:
+            self._slow_periods[period] = self._slow_rng.random() < share
+        return factor if self._slow_periods[period] else 1.0
+
+    async def _work(self, kind, server, deadline, urgency):
         work = self.rng.lognormvariate(0, 0.3) * kind.work / server.speed
+        work *= self._slowness(server)
         await asyncio.sleep(work / 2)
         if kind.calls and self.rng.random() < kind.call_share:
             now = self.clock()
             until = min(deadline, now + kind.called.deadline)
-            calls = [
-                self._ask(kind.called, now, until, call=True) for _ in range(kind.calls)
-            ]
+            calls = [self._call(kind, now, until, urgency) for _ in range(kind.calls)]
             try:
                 await asyncio.gather(*calls)
             except NotRun:
                 raise TimeoutError from None
         await asyncio.sleep(work / 2)
+
+    async def _call(self, kind, now, until, urgency):
+        counts = self.counts[kind.name]
+        counts.calls += 1
+        await self._ask(kind.called, now, until, urgency=urgency, call=True)
+        counts.call_seconds.append(self.clock() - now)
--- a/guavastream/scheduling/tests/test_pick.py
+++ b/guavastream/scheduling/tests/test_pick.py
@@ -6,7 +6,7 @@
 from guavastream.fleet import Instance
 from guavastream.kernel import replace
 from guavastream.scheduling import Picker
-from guavastream.scheduling.pick import Report
+from guavastream.scheduling.pick import Report, format_report, parse_report
 from guavastream.scheduling.servers import (
     FAR_SERVERS,
     MAX_COMPARED,
@@ -245,3 +245,64 @@
     here = next(one.id for one in choices.all if one not in choices.subset)
     found = make_picker().candidates(choices, here=here)
     assert here in {one.id for one in found}
+
+
+def test_servers_are_compared_by_the_wait_of_the_class_of_a_request():
+    # One server has slots reserved for urgent requests, the other one none free. By its
+    # queue of less urgent requests, the first one would look slower to urgent ones.
+    servers = [server("reserving"), server("full")]
+    picker = make_picker()
+    waits = {"most_urgent_wait": 0.0, "least_urgent_wait": 1.0}
+    report = Report(running=6, waiting=9, slots=8, seconds=0.2, **waits)
+    picker.note_report(servers[0], report)
+    waits = {"most_urgent_wait": 0.2, "least_urgent_wait": 0.2}
+    report = Report(running=8, waiting=0, slots=8, seconds=0.2, **waits)
+    picker.note_report(servers[1], report)
+    assert count_choices(picker, servers)["reserving"] == 100
+    assert count_choices(picker, servers, class_position=1.0)["full"] == 100
+    assert count_choices(picker, servers, class_position=0.5)["full"] == 100
+
+
+def test_requests_sent_since_a_report_fill_the_free_slots_first():
+    servers = [server("a"), server("b")]
+    picker = make_picker()
+    for one in servers:
+        waits = {"most_urgent_wait": 0.0, "least_urgent_wait": 0.0}
+        report = Report(running=4, slots=8, seconds=0.2, **waits)
+        picker.note_report(one, report)
+    sent = Counter()
+    for _ in range(12):
+        chosen = picker.choose(servers)
+        picker.begin(chosen)
+        sent[chosen.id] += 1
+    assert sent["a"] == sent["b"]
+
+
+def test_reports_with_waits_by_class_are_encoded_without_loss():
+    for wait in (0.0, 0.1):
+        report = Report(
+            running=3,
+            waiting=2,
+            slots=6,
+            wait=wait,
+            most_urgent_wait=0.0,
+            least_urgent_wait=0.25,
+        )
+        assert parse_report(format_report(report)) == report
+
+
+def test_reports_without_waits_by_class_are_encoded_as_before():
+    # Processes that reserve no slots send what earlier versions sent.
+    report = Report(running=3, waiting=2, slots=6, seconds=0.1, of_kind=0.05)
+    assert format_report(report) == b"3,2,6,100,50"
+    assert format_report(replace(report, wait=0.1)) == b"3,2,6,100,50,100"
+    assert parse_report(b"3,2,6,100,50") == report
+
+
+def test_reports_with_further_values_are_parsed():
+    # A later version may append values. Earlier versions ignore those after the sixth
+    # and take the sixth for the wait of a limited server; 0 stands for none.
+    assert parse_report(b"3,2,6,100,50,0,0,250,7,8").least_urgent_wait == 0.25
+    assert format_report(Report(most_urgent_wait=0.0, least_urgent_wait=0.0)) == (
+        b"0,0,1,0,0,0,0,0"
+    )
