Processes beside servers reserve slots where the configuration requires it

Cause: the queue can reserve slots and compare waits by class, but nothing told it where to. Change: ServerHost computes the ServiceClasses of a configuration when it comes into force; Guard switches its queue by them and reports the waits of the most and the least urgent requests, and Ingress compares servers by the wait of a request's own class. The setting class_priority is on if Contracts contain "pressure". Refusals log the urgency, the reserved slots and the load they are for. New are the gauges reserved_slots and urgent_load, read when metrics are requested, and the counters refused_with_reserved_slots and starved_requests_served. Result: through ingress, hop and guard, a request finds a free slot at a server with one slot less than all occupied by less urgent requests; without the setting, all slots are used and the header is as before. Tests of scheduling, relay, kernel, experiment and settings pass.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -36,6 +36,7 @@
     Picker,
     ServerLists,
     ServerRateLimiter,
+    service_classes,
 )
 
 __all__ = ["ServerHost"]
@@ -130,6 +131,7 @@
             observe=self.counters.observe,
         )
         self._route_index = None
+        self._service_classes = {}
         self._picker = Picker(
             clock=self._loop.time,
             rng=random.Random(),
@@ -168,6 +170,11 @@
             ),
             departures=Departures(clock=clock),
             evacuation=settings.evacuation,
+            classes=lambda: self._service_classes,
+        )
+        self.counters.set_function("reserved_slots", lambda: self._guard.reserved_slots)
+        self.counters.set_function(
+            "urgent_load", lambda: round(self._guard.urgent_load, 3)
         )
         self._newest_heartbeats = {}
         self._ingress = Ingress(
@@ -188,6 +195,7 @@
             count=self.counters.count,
             observe=self.counters.observe,
             policy=settings.policy,
+            classes=lambda: self._service_classes,
         )
         self._load_reporter = LoadReporter(
             control=self._control,
@@ -336,6 +344,9 @@
         if config is before.config or not config.version:
             return
         self._route_index = RouteIndex(config)
+        self._service_classes = service_classes(
+            config, class_priority=self._settings.class_priority
+        )
         self._outbound.limits = Limits(
             head_bytes=config.limits.head_bytes,
             body_bytes=config.limits.body_bytes,
--- a/guavastream/kernel/counters.py
+++ b/guavastream/kernel/counters.py
@@ -17,13 +17,17 @@
     >>> counters.count("tries.moving")
     >>> counters.observe("request", 0.02)
     >>> counters.set("version", 7)
+    >>> counters.set_function("waiting", lambda: 2)
     >>> print(counters.text().splitlines()[0])
     guavastream_events_total{event="tries.moving"} 1
+    >>> print(counters.text().splitlines()[2])
+    guavastream_waiting 2
     """
 
     def __init__(self):
         self._events = {}
         self._gauges = {}
+        self._gauge_functions = {}
         self._durations = {}
 
     def count(self, name, number=1):
@@ -34,6 +38,10 @@
         """Set the gauge called `name`."""
         self._gauges[name] = value
 
+    def set_function(self, name, function):
+        """Read the gauge called `name` from a function whenever it is shown."""
+        self._gauge_functions[name] = function
+
     def observe(self, name, seconds):
         """Add a duration to the histogram called `name`."""
         histogram = self._durations.get(name)
@@ -51,9 +59,11 @@
             f'guavastream_events_total{{event="{name}"}} {value}'
             for name, value in sorted(self._events.items())
         ]
+        gauges = self._gauges | {
+            name: function() for name, function in self._gauge_functions.items()
+        }
         lines += [
-            f"guavastream_{name} {value}"
-            for name, value in sorted(self._gauges.items())
+            f"guavastream_{name} {value}" for name, value in sorted(gauges.items())
         ]
         for name, (buckets, total) in sorted(self._durations.items()):
             cumulative = 0
--- a/guavastream/platform/settings.py
+++ b/guavastream/platform/settings.py
@@ -22,6 +22,8 @@
 )
 REQUIRED_ON_CONTROL_HOST = ("DataDir",)
 SIDECAR = "sidecar"
+# Contract of a deployment whose callers compete for too few servers.
+PRESSURE = "pressure"
 BYTES_PER_MBIT = 125_000
 
 
@@ -112,6 +114,7 @@
             "Bounds.ColdOverage", _parse_non_negative, 1.5
         ),
         "cold_slack": reader.get_parsed("Bounds.ColdSlack", _parse_non_negative, 8.0),
+        "class_priority": PRESSURE in reader.get_list("Contracts"),
         "policy": reader.get_policy(policy),
         "metrics": f"{ip}:{last_port}" if peer_port else "",
     }
--- a/guavastream/platform/tests/test_settings.py
+++ b/guavastream/platform/tests/test_settings.py
@@ -79,6 +79,20 @@
     assert [finding.place for finding in caught.value.findings] == places
 
 
+@pytest.mark.parametrize(
+    "contracts, class_priority",
+    [
+        ("", False),
+        ("Contracts=pressure\n", True),
+        ("Contracts=download,pressure\n", True),
+        ("Contracts=download,pressures\n", False),
+    ],
+)
+def test_the_pressure_contract_switches_class_priority_on(contracts, class_priority):
+    settings = parse_settings(SERVER_HOST + contracts)
+    assert settings.class_priority is class_priority
+
+
 def test_a_missing_settings_file_is_reported(tmp_path):
     path = str(tmp_path / "none")
     with pytest.raises(FindingsError) as caught:
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -145,6 +145,8 @@
     evacuation : float
         Time from the acknowledgement of a zone's evacuation until its servers must get
         no more requests, seconds.
+    classes : callable, optional
+        Returns the `ServiceClasses` of each service by its name.
     """
 
     def __init__(
@@ -163,6 +165,7 @@
         rate_limiter=None,
         departures=None,
         evacuation=5.0,
+        classes=dict,
     ):
         self._loop = loop
         self._clock = loop.time
@@ -174,6 +177,7 @@
         self._on_ended = on_ended
         self._on_answered = on_answered
         self._on_leaving = on_leaving
+        self._classes = classes
         self._rate_limiter = rate_limiter or ServerRateLimiter(clock=self._clock)
         self._evacuation_grace = EVACUATION_SHARE * evacuation
         # Times at which evacuations of the local server's zone came into force here.
@@ -222,6 +226,7 @@
     def report(self, kind=""):
         """Return the load of the local server, with the times of a kind of request."""
         admission_queue = self._admission_queue
+        most_urgent_wait, least_urgent_wait = self._class_waits()
         return Report(
             running=admission_queue.running,
             waiting=admission_queue.waiting,
@@ -229,8 +234,46 @@
             seconds=admission_queue.seconds,
             of_kind=admission_queue.mean_seconds_for(kind),
             wait=self._limited_wait(),
+            most_urgent_wait=most_urgent_wait,
+            least_urgent_wait=least_urgent_wait,
         )
 
+    def _local_classes(self):
+        """Return the `ServiceClasses` of the local server if it reserves slots."""
+        instance = self.find_local(self._local_id)
+        return instance and self._classes_of(instance)
+
+    def _classes_of(self, instance):
+        classes = self._classes().get(instance.service)
+        reserves = classes is not None and classes.need_reservation(instance.slots)
+        return classes if reserves else None
+
+    def _class_waits(self):
+        """Return the expected waits of the most and the least urgent requests."""
+        classes = self._local_classes()
+        if classes is None or not self._admission_queue.by_class:
+            return None, None
+        return (
+            self._admission_queue.expected_wait(classes.most_urgent),
+            self._admission_queue.expected_wait(classes.least_urgent),
+        )
+
+    @property
+    def reserved_slots(self):
+        """Number of slots that the least urgent requests may not use now."""
+        classes = self._local_classes()
+        if classes is None:
+            return 0
+        return self._admission_queue.reserved_slots(classes.least_urgent)
+
+    @property
+    def urgent_load(self):
+        """Load of all but the least urgent requests, in slots that they occupy."""
+        classes = self._local_classes()
+        if classes is None:
+            return 0.0
+        return self._admission_queue.offered_load(classes.least_urgent)
+
     def _limited_wait(self):
         """Return the time until the local server, if limited, may get a request."""
         instance = self.find_local(self._local_id)
@@ -392,7 +435,7 @@
             if attempt.key is not None:
                 await self._wait_for_key(attempt)
             with self._reserve_rate(attempt, instance) as reservation:
-                estimate = await self._wait_for_slot(attempt, instance)
+                slot = await self._wait_for_slot(attempt, instance)
                 began, seconds = self._clock(), None
                 self._running_attempts[attempt.id] = attempt
                 try:
@@ -413,7 +456,7 @@
                 finally:
                     self._running_attempts.pop(attempt.id, None)
                     self._admission_queue.leave(
-                        estimate, kind=attempt.kind, seconds=seconds
+                        slot, kind=attempt.kind, seconds=seconds
                     )
         finally:
             if has_turn:
@@ -478,12 +521,13 @@
             raise
 
     async def _wait_for_slot(self, attempt, instance):
-        """Wait for a slot; return the estimate to pass to `AdmissionQueue.leave`."""
+        """Wait for a slot and return it."""
         self._admission_queue.slots = instance.slots
         if instance.id in self._unheard:
             self._admission_queue.slots = min(instance.slots, MAX_UNHEARD_RUNNING)
+        self._admission_queue.by_class = self._classes_of(instance) is not None
         try:
-            return await self._admission_queue.enter(
+            slot = await self._admission_queue.enter(
                 rank=attempt.rank,
                 kind=attempt.kind,
                 wanted_by=attempt.target_time,
@@ -495,8 +539,13 @@
                 last=attempt.is_last,
             )
         except NotRun as refused:
+            if (refused.reasons or {}).get("reserved"):
+                self._count("refused_with_reserved_slots")
             self._log_refusal(attempt, refused)
             raise
+        if slot.was_starved:
+            self._count("starved_requests_served")
+        return slot
 
     def _clear_if_answered(self, answer, attempt, instance):
         # An error does not clear the request: the server may have failed before it
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -89,6 +89,8 @@
         Records a duration: its name and the seconds.
     policy : Policy, optional
         Mechanisms that are in force.
+    classes : callable, optional
+        Returns the `ServiceClasses` of each service by its name.
     """
 
     def __init__(
@@ -106,8 +108,10 @@
         count,
         observe,
         policy=None,
+        classes=dict,
     ):
         self._policy = policy or Policy()
+        self._classes = classes
         self._loop = loop
         self._clock = loop.time
         self._dialect = dialect
@@ -268,7 +272,11 @@
     def _log_failed_attempt(self, job, server, code):
         if not log.isEnabledFor(logging.INFO):
             return
-        best_servers = self._picker.best_servers(job.considered_servers, job.route.name)
+        best_servers = self._picker.best_servers(
+            job.considered_servers,
+            job.route.name,
+            class_position=self._class_position(job),
+        )
         log.info(
             "Try failed.",
             extra={
@@ -339,6 +347,7 @@
             size=len(job.body),
             target=job.route.target,
             here=here,
+            class_position=self._class_position(job),
         )
         if server is not None:
             return server
@@ -347,6 +356,11 @@
             raise NotRun("limited", retry_after=wait)
         raise NotRun("no_server", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
 
+    def _class_position(self, job):
+        """Return the position of a job's urgency among the classes of its service."""
+        classes = self._classes().get(job.service)
+        return classes.position(job.urgency) if classes else 0.0
+
     def _count_refused_key(self, job):
         if not job.is_retry:
             by_key = self._refused_keys.setdefault(job.service, {})
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -23,7 +23,7 @@
     ServiceRules,
     WeightedService,
 )
-from guavastream.scheduling import Picker, ServerLists
+from guavastream.scheduling import Picker, ServerLists, service_classes
 
 __all__ = ["DIALECT", "Host", "Mesh", "run_scenario", "route"]
 
@@ -69,6 +69,7 @@
             door=self.inbound,
             count=self._count,
             on_ended=lambda instance, requests: self.ended.append(instance),
+            classes=lambda: mesh.classes,
         )
         self.ingress = Ingress(
             loop=loop,
@@ -82,6 +83,7 @@
             ratio=0.2,
             count=self._count,
             observe=lambda name, seconds: None,
+            classes=lambda: mesh.classes,
         )
         self.ingress_listener = Server(
             address=(self.ip, 1),
@@ -110,10 +112,19 @@
 class Mesh:
     """Hosts that share one fleet state and one configuration.
 
-    The hosts belong in turn to the zones of `regions`, a dict of region by zone.
+    The hosts belong in turn to the zones of `regions`, a dict of region by zone. With
+    `class_priority`, servers reserve slots for more urgent requests.
     """
 
-    def __init__(self, *, hosts=2, keyed=False, routes=None, regions=None):
+    def __init__(
+        self,
+        *,
+        hosts=2,
+        keyed=False,
+        routes=None,
+        regions=None,
+        class_priority=False,
+    ):
         routes = routes or (
             route("read"),
             route("pay", RetrySafety.UNSAFE),
@@ -125,6 +136,7 @@
             services={"s": ServiceRules(name="s", keyed=keyed)},
         )
         self.index = RouteIndex(config)
+        self.classes = service_classes(config, class_priority=class_priority)
         self.fleet_state = FleetState(config=config)
         self.regions = regions or {"z": ""}
         zones = list(self.regions)
--- /dev/null
+++ b/guavastream/relay/tests/test_class_priority.py
@@ -0,0 +1,74 @@
+"""Requests through ingress, hop and guard where servers reserve slots by urgency."""
+
+import asyncio
+
+from guavastream.relay.tests.rig import route, run_scenario
+from guavastream.scheduling import format_report
+
+ROUTES = (
+    route("urgent", priority=0, timeout=4.0, target=0.5),
+    route("patient", priority=2, timeout=4.0, target=2.0),
+)
+RUN_SECONDS = 1.0
+
+
+def send(mesh, path, count):
+    asks = [mesh.ask(b"%s%d" % (path, n), deadline=4000) for n in range(count)]
+    return [asyncio.ensure_future(ask) for ask in asks]
+
+
+def test_an_urgent_request_finds_a_slot_among_long_ones():
+    # All slots of the server would be taken by requests that can wait.
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        assert (await mesh.ask(b"/urgent/0"))[0] == 200
+        host.server.seconds = RUN_SECONDS
+        patient = send(mesh, b"/patient/", host.server.slots)
+        await asyncio.sleep(0.1)
+        assert host.guard.reserved_slots == 1 and host.guard.urgent_load > 0
+        report = host.guard.report()
+        assert report.running == host.server.slots - 1 and report.waiting == 1
+        assert report.most_urgent_wait == 0.0 < report.least_urgent_wait
+        assert format_report(report).count(b",") == 7
+        status, _, _, seconds = await mesh.ask(b"/urgent/1", deadline=4000)
+        assert status == 200 and seconds < 1.1 * RUN_SECONDS
+        # The least urgent ones are served as well, the last one a little later.
+        assert {(await ask)[0] for ask in patient} == {200}
+        await asyncio.sleep(1.0)
+        assert host.guard.reserved_slots == 0
+
+    run_scenario(scenario, hosts=1, routes=ROUTES, class_priority=True)
+
+
+def test_refusals_while_slots_are_reserved_are_counted_and_logged(caplog):
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        host.server.seconds = RUN_SECONDS
+        assert (await mesh.ask(b"/patient/0", deadline=4000))[0] == 200
+        asks = send(mesh, b"/urgent/", 2) + send(mesh, b"/patient/", 40)
+        statuses = [(await ask)[0] for ask in asks]
+        assert statuses[:2] == [200, 200] and 503 in statuses
+        assert host.counts["refused_with_reserved_slots"] > 0
+
+    with caplog.at_level("INFO"):
+        run_scenario(scenario, hosts=1, routes=ROUTES, class_priority=True)
+    refused = [r for r in caplog.records if hasattr(r, "urgent_load")]
+    assert refused and all(r.reserved > 0 and r.urgency == 2 for r in refused)
+
+
+def test_nothing_is_reserved_where_the_configuration_does_not_require_it():
+    # Other deployments work as before: all slots are used, and the load report has no
+    # further values.
+    async def scenario(mesh):
+        host = mesh.hosts[0]
+        assert (await mesh.ask(b"/urgent/0"))[0] == 200
+        host.server.seconds = RUN_SECONDS
+        patient = send(mesh, b"/patient/", host.server.slots)
+        await asyncio.sleep(0.1)
+        report = host.guard.report()
+        assert report.running == host.server.slots
+        assert host.guard.reserved_slots == 0 == host.guard.urgent_load
+        assert format_report(report).count(b",") == 4
+        assert {(await ask)[0] for ask in patient} == {200}
+
+    run_scenario(scenario, hosts=1, routes=ROUTES)
