Slots are reserved at services with mixed work only; queues are ordered by urgency

Cause: with the setting class_priority slots were reserved at all services. Change: class_priority alone orders the queues by urgency; reservation needs mixed work.

--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -260,8 +260,8 @@
 
     def _classes_of(self, instance):
         classes = self._classes().get(instance.service)
-        reserves = classes is not None and classes.need_reservation(instance.slots)
-        return classes if reserves else None
+        ordered = classes is not None and classes.need_order(instance.slots)
+        return classes if ordered else None
 
     def _class_waits(self):
         """Return the expected waits of the most and the least urgent requests."""
@@ -357,12 +357,12 @@
         if not self._server.hangs:
             yield True
             return
-        has_slot = self._admission_queue.take_free_slot()
+        slot = self._admission_queue.take_free_slot()
         try:
-            yield has_slot
+            yield slot is not None
         finally:
-            if has_slot:
-                self._admission_queue.leave(0.0, kind="")
+            if slot is not None:
+                self._admission_queue.leave(slot, kind="")
 
     def note_refused(self, instance):
         """Note that the local server's address refused a connection."""
@@ -576,7 +576,11 @@
     async def _wait_for_slot(self, attempt, instance):
         """Wait for a slot and return it."""
         self._admission_queue.slots = self._usable_slots(instance)
-        self._admission_queue.by_class = self._classes_of(instance) is not None
+        classes = self._classes_of(instance)
+        self._admission_queue.by_class = classes is not None
+        self._admission_queue.reserves_slots = (
+            classes is not None and classes.need_reservation(instance.slots)
+        )
         try:
             slot = await self._admission_queue.enter(
                 rank=attempt.rank,
--- a/guavastream/scheduling/admission.py
+++ b/guavastream/scheduling/admission.py
@@ -59,6 +59,8 @@
 # Requests stop waiting this long before their deadline, so that the answer arrives.
 # This is the default, for requests of the same process.
 ANSWER_MARGIN_SECONDS = 0.03
+# Urgency of requests of the process itself, such as health checks.
+MOST_URGENT = 0
 # Shortest time until waiting requests are checked again. The loop may call a timer
 # earlier than asked, by the resolution of its clock.
 MIN_CHECK_SECONDS = 0.001
@@ -151,7 +153,8 @@
     of its rank, as long as it can still be on time.
 
     With `by_class`, the queue is ordered by the urgency of the original request
-    instead of the rank, and slots are reserved for more urgent requests. A request
+    instead of the rank. With `reserves_slots` as well, slots are reserved for more
+    urgent requests: a request
     gets a slot if, for each more urgent class, the running requests that are less
     urgent than that class are fewer than the slots that are not reserved for it.
 
@@ -185,13 +188,15 @@
         self._reserved = ReservedSlots(clock=self._clock)
         self._minimum_share = MinimumShare(clock=self._clock)
         self._by_class = False
+        # Whether slots are reserved for more urgent requests; only with `by_class`.
+        self.reserves_slots = True
         # Timer of the next check whether reservations have ended.
         self._check = None
         self.slots = slots
 
     @property
     def by_class(self):
-        """Whether urgency decides the order, and slots are reserved by it."""
+        """Whether urgency decides the order of the queue."""
         return self._by_class
 
     @by_class.setter
@@ -232,7 +237,7 @@
 
     def reserved_slots(self, urgency):
         """Return the number of slots that are reserved for more urgent requests."""
-        if not self._by_class:
+        if not (self._by_class and self.reserves_slots):
             return 0
         return self._reserved.count(urgency, slots=self.slots)
 
@@ -398,7 +403,7 @@
 
     def _levels(self, urgency):
         """Return the reservations that a request of an urgency has to respect."""
-        if not self._by_class:
+        if not (self._by_class and self.reserves_slots):
             return []
         return self._reserved.levels(urgency, slots=self.slots)
 
@@ -627,16 +632,13 @@
             self._free_slot(waiter.urgency, waiter.estimate)
 
     def take_free_slot(self):
-        """Occupy a slot if one is free, without waiting; return whether one was.
-
-        It is freed by `leave` with an estimate of 0.
-        """
+        """Return a free `Slot` to pass to `leave`, or None if there is none."""
         if self._running >= self.slots:
-            return False
+            return None
         if not self._running:
             self._answered_at = self._clock()
-        self._running += 1
-        return True
+        self._take_slot(MOST_URGENT, 0.0)
+        return Slot(seconds=0.0, urgency=MOST_URGENT)
 
     def refuse_waiting(self, code="leaving"):
         """Refuse all queued requests, whose callers can still use another server."""
--- a/guavastream/scheduling/classes.py
+++ b/guavastream/scheduling/classes.py
@@ -19,7 +19,7 @@
     least_urgent : int
         Highest priority value of the routes to the service.
     class_priority : bool
-        Whether slots are reserved whatever the targets are.
+        Whether queues are ordered by urgency whatever the targets are.
     """
 
     shortest_target: float
@@ -45,10 +45,15 @@
         >>> classes.need_reservation(6), classes.need_reservation(20)
         (True, False)
         """
-        return (
-            self.class_priority
-            or self.longest_target / max(1, slots) > self.shortest_target
-        )
+        return self.longest_target / max(1, slots) > self.shortest_target
+
+    def need_order(self, slots):
+        """Whether the queues of servers with `slots` slots are ordered by urgency.
+
+        Where all requests take about the same time, that is enough: a slot becomes free
+        soon. Slots reserved there would be idle, or keep out the less urgent requests.
+        """
+        return self.class_priority or self.need_reservation(slots)
 
     def position(self, urgency):
         """Return 0 for the most urgent class, 1 for the least, between for others.
@@ -75,7 +80,7 @@
     config : RouteConfig
         The active configuration.
     class_priority : bool
-        Whether slots are reserved at all servers.
+        Whether the queues of all servers are ordered by urgency.
     """
     routes_by_service = {}
     for route in config.routes.values():
