--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -586,6 +586,7 @@
                 "request": job.id.decode("latin-1"),
                 "what": self._fingerprint_of(job).hex() if may_recur else None,
                 "code": code,
+                "sent": len(job.sent_to),
                 "service": job.service,
                 "kind": job.route.name,
                 "again": job.is_retry,
