Test of a dropped request between hosts

Guards against an ingress that waits until the deadline although the host beside the server knows that the request was dropped. It passes with the code as it is.

--- a/guavastream/relay/tests/test_hanging_servers.py
+++ b/guavastream/relay/tests/test_hanging_servers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from guavastream.fleet import FleetState
+from guavastream.fleet import FleetState, LeaveInstance
 from guavastream.relay.tests.rig import DIALECT, SERVER_SECONDS, run_scenario
 
 
@@ -248,3 +248,30 @@
         assert server.hung == [] and guard.running == 0
 
     run_scenario(scenario, hosts=1)
+
+
+def test_dropped_request_of_another_host_is_reported_to_it():
+    """Guards against an ingress that waits until the deadline for a known outcome."""
+
+    async def scenario(mesh):
+        near, far = mesh.hosts
+        mesh.apply(LeaveInstance(id=near.id))
+        mesh.set_timeout("read", 9.0)
+        far.server.seconds = 0.02
+        await see_hang(mesh, far)
+        far.server.drops = lambda id: len(far.server.hung) < 3
+        unsafe, safe = (
+            asyncio.ensure_future(mesh.ask(path, method=method, deadline=8000))
+            for path, method in ((b"/pay/y", b"POST"), (b"/read/y", b"GET"))
+        )
+        await asyncio.sleep(0.01)
+        assert len(far.server.hung) == 3
+        await read_often(mesh, 40)
+        status, _, _, seconds = await unsafe
+        assert status == 504 and seconds < 0.5
+        assert near.counts["failed.dropped"] == 1
+        # There is no other server, so the safe request is sent to this one again.
+        assert (await safe)[0] == 200
+        assert far.counts["dropped_by_server"] == 2
+
+    run_scenario(scenario)
