--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -604,9 +604,19 @@
         return slot
 
     def _usable_slots(self, instance):
-        """Return the slots that may be used now, fewer just after a restart."""
+        """Return the slots that may be used now, fewer just after a restart.
+
+        Where long requests share slots with short ones, those of the process before
+        may occupy slots for long. Elsewhere they have ended by the first answer.
+        """
         start = self._starts.get(instance.id)
-        return min(instance.slots, start.limit) if start else instance.slots
+        if start is None:
+            return instance.slots
+        classes = self._classes_of(instance)
+        if classes is None or not classes.need_reservation(instance.slots):
+            if instance.id not in self._unheard:
+                return instance.slots
+        return min(instance.slots, start.limit)
 
     def _clear_if_answered(self, answer, attempt, instance):
         # An error does not clear the request: the server may have failed before it
