The margin of reserved slots is a quarter of a standard deviation

Cause: with half a deviation, less urgent requests of a service with class_priority lost answers in time, and urgent ones gained none. Change: MARGIN_DEVIATIONS is 0.25.

--- a/guavastream/scheduling/room.py
+++ b/guavastream/scheduling/room.py
@@ -10,10 +10,10 @@
 # requests that have stopped arriving.
 WINDOW_SECONDS = 1.0
 # Margin for randomness, in standard deviations of the number of requests in service.
-# In four simulations of the load of `test_reserved_slots`, 99.7 % of the urgent calls
-# were answered within their target with half a deviation, 99.9 % with a whole one, but
-# then `orders` answered only 68 instead of 78 % of its less urgent requests in time.
-MARGIN_DEVIATIONS = 0.5
+# In twelve simulations of the load of `test_reserved_slots`, 99.3 % of the urgent calls
+# were answered within their target without a margin, and 99.6 % with this one. Twice as
+# much gains none, but costs less urgent requests a twentieth of their answers in time.
+MARGIN_DEVIATIONS = 0.25
 # A kind of request is served at least this share as often as all requests. A quarter is
 # required; the rest covers requests that fail after they got a slot.
 MIN_SERVED_SHARE = 0.3
