A test that calls are compared by the urgency of the original request

Cause: no test failed if an ingress compared servers by the priority of the called route instead. Change: a test records the class by which the ingress chooses a server for calls of an urgent and of a less urgent request. Result: it passes; the tests of scheduling and relay pass.

--- a/guavastream/relay/tests/test_class_priority.py
+++ b/guavastream/relay/tests/test_class_priority.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from guavastream.relay.tests.rig import route, run_scenario
+from guavastream.relay.tests.rig import DIALECT, route, run_scenario
 from guavastream.scheduling import format_report
 
 ROUTES = (
@@ -72,3 +72,44 @@
         assert {(await ask)[0] for ask in patient} == {200}
 
     run_scenario(scenario, hosts=1, routes=ROUTES)
+
+
+async def call(mesh, path, *, parent):
+    """Make a call as the server of host 0 does while it runs a request."""
+    fields = [
+        (b"Host", b"a.example"),
+        (DIALECT.request_id, parent + DIALECT.call_separator + b"1"),
+        (DIALECT.deadline_ms, b"900"),
+    ]
+    async with await mesh.client.open(mesh.hosts[0].outbound) as exchange:
+        exchange.send(b"GET", path, fields, b"")
+        return (await exchange.answer()).status
+
+
+def test_servers_are_compared_by_the_urgency_of_the_original_request():
+    # The called route has a low priority, but an urgent request waits for the call.
+    async def scenario(mesh):
+        ingress, positions = mesh.hosts[0].ingress, []
+        choose = ingress._picker.choose
+
+        def record_position(servers, *, class_position, **how):
+            positions.append(class_position)
+            return choose(servers, class_position=class_position, **how)
+
+        ingress._picker.choose = record_position
+        mesh.hosts[0].server.seconds = mesh.hosts[1].server.seconds = 0.3
+        for path, position in ((b"/urgent/0", 0.0), (b"/patient/0", 1.0)):
+            runs = len(mesh.hosts[0].server.ran)
+            # The calling server finds its requests beside it only.
+            while len(mesh.hosts[0].server.ran) == runs:
+                parent = asyncio.ensure_future(mesh.ask(path))
+                await asyncio.sleep(0.1)
+            positions.clear()
+            assert (
+                await call(mesh, b"/patient/1", parent=mesh.hosts[0].server.ran[-1][0])
+                == 200
+            )
+            assert positions == [position]
+            assert (await parent)[0] == 200
+
+    run_scenario(scenario, hosts=2, routes=ROUTES, class_priority=True)
