The soak can add callers that pipeline

Cause: the soak's callers send one request at a time on a connection. They check that answers come in order and that nothing unsafe runs behind a response that closes the connection.

--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -7,7 +7,7 @@
 import signal
 from dataclasses import dataclass
 
-from guavastream.emulator import FaultProxy
+from guavastream.emulator import FaultProxy, PipelinedRequest
 from guavastream.platform.emulator.machine import (
     PORTS,
     Machine,
@@ -276,6 +276,17 @@
         self, client, server_host, name, id, key, body, path_suffix="x"
     ):
         """Send a request to a host; return the status and the body of the answer."""
+        request = self.make_request(name, id, key, body, path_suffix)
+        address = server_host.machine.address("outbound")
+        async with await client.open(address) as exchange:
+            exchange.send(request.method, request.target, request.headers, body)
+            answer = await exchange.answer()
+            data, _ = await answer.body.read_up_to(1 << 24)
+            self.on_answer(id, answer.headers)
+            return answer.status, data
+
+    def make_request(self, name, id, key, body, path_suffix="x"):
+        """Return a request for a route, with the headers that callers send."""
         _, service, method = ROUTES[name]
         headers = [
             (b"Host", ROUTE_HOST),
@@ -284,13 +295,12 @@
         ]
         if service == "keyed":
             headers.append((b"Shard-Key", b"%d" % key))
-        address = server_host.machine.address("outbound")
-        async with await client.open(address) as exchange:
-            exchange.send(method, f"/{name}/{path_suffix}".encode(), headers, body)
-            answer = await exchange.answer()
-            data, _ = await answer.body.read_up_to(1 << 24)
-            self.on_answer(id, answer.headers)
-            return answer.status, data
+        return PipelinedRequest(
+            method=method,
+            target=f"/{name}/{path_suffix}".encode(),
+            headers=tuple(headers),
+            body=body,
+        )
 
     async def send_change(self, machine, body, base_version, *, method=b"PUT"):
         """Send a configuration change; return status (0 without an answer) and body."""
--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -18,6 +18,7 @@
     wait_until,
 )
 from guavastream.platform.soak_evacuations import EVACUATING_PLATFORM, EvacuationCheck
+from guavastream.platform.soak_pipelining import PipeliningCallers
 from guavastream.platform.soak_statements import ServerStatements
 from guavastream.soak import Ledger, make_schedule
 
@@ -81,6 +82,7 @@
         returning,
         evacuating,
         limiting,
+        pipelining,
     ):
         self.ledger = Ledger()
         self.counts = {}
@@ -111,6 +113,14 @@
             self._statements = ServerStatements(
                 platform=self._platform, ledger=self.ledger, seed=seed
             )
+        self._pipelining = None
+        if pipelining:
+            self._pipelining = PipeliningCallers(
+                platform=self._platform,
+                ledger=self.ledger,
+                seed=seed,
+                on_send=self._note_sent,
+            )
         counts = {
             "control": len(self._platform.control_hosts),
             "host": len(self._platform.server_hosts),
@@ -145,6 +155,8 @@
                 )
             if self._evacuations is not None:
                 background_tasks.append(self._evacuations.start())
+            if self._pipelining is not None:
+                background_tasks.append(asyncio.ensure_future(self._pipelining.run()))
             limits_task = None
             if self._statements is not None:
                 limits_task = asyncio.ensure_future(self._statements.run())
@@ -183,6 +195,10 @@
             self._evacuations.check_cold_servers()
         if self._statements is not None:
             self._statements.report()
+        if self._pipelining is not None:
+            self._pipelining.report()
+            for status, count in self._pipelining.counts.items():
+                self.counts[status] = self.counts.get(status, 0) + count
         return self.ledger.all_violations()
 
     async def _inject_faults(self):
@@ -276,8 +292,7 @@
             self._harmful_request_hosts[id] = server_host
         target = f"/{route_name}/{path_suffix}".encode()
         self.ledger.record_request(id, method, target, body, idempotent=kind == "safe")
-        if self._statements is not None:
-            self._statements.note_sent(id, server_host)
+        self._note_sent(id, server_host)
         status = 0
         try:
             async with asyncio.timeout(CALLER_TIMEOUT_SECONDS):
@@ -292,6 +307,10 @@
         self.counts[status] = self.counts.get(status, 0) + 1
         return status
 
+    def _note_sent(self, id, server_host):
+        if self._statements is not None:
+            self._statements.note_sent(id, server_host)
+
     async def _reuse_connection(self, server_host):
         """Reuse one connection to a host after pauses below its idle timeout."""
         loop, client = asyncio.get_running_loop(), Client()
@@ -424,6 +443,7 @@
     returning=False,
     evacuating=False,
     limiting=False,
+    pipelining=False,
 ):
     """Run the soak test of one seed.
 
@@ -451,6 +471,8 @@
         Whether an operator evacuates availability zones, and servers start cold.
     limiting : bool
         Whether servers name limits, and say in their answers that they leave.
+    pipelining : bool
+        Whether further callers send several requests at once on a connection.
 
     Returns
     -------
@@ -478,6 +500,7 @@
             returning=returning,
             evacuating=evacuating,
             limiting=limiting,
+            pipelining=pipelining,
         )
         return await soak_run.run(), soak_run.counts, len(soak_run.schedule)
 
@@ -527,6 +550,11 @@
         action="store_true",
         help="with callers that reuse connections with a short idle timeout",
     )
+    parser.add_argument(
+        "--pipelining",
+        action="store_true",
+        help="with callers that send several requests at once on a connection",
+    )
     parser.add_argument("--folder", help="keep settings, data and logs here")
     return _run_command
 
@@ -550,6 +578,7 @@
                 returning=arguments.returning,
                 evacuating=arguments.evacuating,
                 limiting=arguments.limiting,
+                pipelining=arguments.pipelining,
             )
         except SoakFailure as error:
             print(f"seed {seed}: {error}")
--- a/guavastream/platform/tests/test_soak.py
+++ b/guavastream/platform/tests/test_soak.py
@@ -43,3 +43,11 @@
     """Guards against limits and departures in answers that hosts do not keep to."""
     violations, counts, _ = run_soak(seed=1, seconds=14, folder=tmp_path, limiting=True)
     assert violations == [] and counts[200] > 50
+
+
+def test_pipelined_requests_are_answered_in_order_under_faults(tmp_path):
+    """Guards against answers of other requests, and unsafe runs behind a close."""
+    violations, counts, _ = run_soak(
+        seed=1, seconds=12, folder=tmp_path, pipelining=True
+    )
+    assert violations == [] and counts[200] > 500
