--- a/guavastream/http1/__init__.py
+++ b/guavastream/http1/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client and server on asyncio, with few tasks per connection."""
+"""HTTP/1.1 client and server on asyncio; only overlapping requests have own tasks."""
 
 from guavastream.http1.client import *
 from guavastream.http1.message import *
