Capacity of keyed services by learned speed

A server's capacity was its slots divided by the smoothed time of all its requests. A server that got longer kinds of requests, or waited for calls, lost its keys, and a server that slowed down was noticed only as its requests were answered.

The process beside a server now reports the time of its work by kind, without calls, in the optional field `work` of LoadReport. Requests in progress count. The leader divides by the mean of the service for the same work. It decides only for services with mixed work, with class_priority, or whose servers prove to be uneven; others are planned as before.

--- a/guavastream/control/capacity.py
+++ b/guavastream/control/capacity.py
@@ -61,7 +61,7 @@
         """Whether a server says that it takes only so many requests per second."""
         return id in self._rate_limits
 
-    def capacities(self, servers, cold_rate=0.0):
+    def capacities(self, servers, cold_rate=0.0, learned=None):
         """Return the requests per second that each server can process, by ID.
 
         Parameters
@@ -70,13 +70,17 @@
             Servers of one service.
         cold_rate : float
             Requests per second that a cold server tolerates; 0 if there is no limit.
+        learned : dict of str to float, optional
+            Seconds for which a request occupies a slot, by server, from the learned
+            speeds. Replaces the smoothed times that the servers report.
         """
-        known = sorted(self._latency[s.id] for s in servers if s.id in self._latency)
+        latency = learned or self._latency
+        known = sorted(latency[s.id] for s in servers if s.id in latency)
         median = known[len(known) // 2] if known else 1 / DEFAULT_SLOT_RATE
         now = self._clock()
         capacities = {}
         for server in servers:
-            rate = server.slots / self._latency.get(server.id, median)
+            rate = server.slots / latency.get(server.id, median)
             if self._cold_until.get(server.id, 0.0) > now:
                 rate = min(rate * COLD_CAPACITY_FACTOR, cold_rate or rate)
             rate = min(rate, self._rate_limits.get(server.id, rate))
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -4,8 +4,8 @@
 from heapq import nlargest
 
 from guavastream.control.capacity import CapacityEstimator
+from guavastream.control.demand import ServiceDemand
 from guavastream.control.holds import HoldTracker
-from guavastream.control.loads import KeyLoads, Loads
 from guavastream.control.moves import KeyMoves
 from guavastream.exception import NotLeader
 from guavastream.fleet import (
@@ -68,6 +68,10 @@
         How servers are granted keys if the configuration does not specify it.
     policy : Policy, optional
         Enabled mechanisms.
+    class_priority : bool
+        Whether the settings demand that urgent classes have priority.
+    set_gauge, unset_gauge : callable, optional
+        Set a gauge by name and value; remove it by name.
     """
 
     def __init__(
@@ -79,7 +83,13 @@
         timing=None,
         granting=Granting.HEARTBEAT,
         policy=None,
+        class_priority=False,
+        set_gauge=lambda name, value: None,
+        unset_gauge=lambda name: None,
     ):
+        self._class_priority = class_priority
+        self._set_gauge = set_gauge
+        self._unset_gauge = unset_gauge
         self._policy = policy or Policy()
         self._raft = raft
         self._machine = machine
@@ -93,7 +103,7 @@
         self._wakeups = {}
         self._waiting_until = {}
         self._moves = KeyMoves(clock=clock)
-        self._loads = {}
+        self._demands = {}
         self._estimator = CapacityEstimator(clock=clock)
         self._joined_at = {}
         self._balanced_at = 0.0
@@ -412,18 +422,27 @@
 
     def record_load(self, report):
         """Record a report of the requests by key and of their latency."""
-        loads = self._loads.get(report.service)
-        if loads is None:
-            loads = self._loads[report.service] = KeyLoads(
-                clock=self._clock, policy=self._policy
-            )
-        loads.note(report.keys, report.other_count)
+        self._demand(report.service).note(report)
         if not report.id:
             return
         if report.latency:
             self._estimator.note_latency(report.id, report.latency)
         self._estimator.set_rate_limit(report.id, report.rate_limit)
 
+    def _demand(self, name):
+        """Return the `ServiceDemand` of a service."""
+        demand = self._demands.get(name)
+        if demand is None:
+            demand = self._demands[name] = ServiceDemand(
+                name=name,
+                clock=self._clock,
+                class_priority=self._class_priority,
+                policy=self._policy,
+                set_gauge=self._set_gauge,
+                unset_gauge=self._unset_gauge,
+            )
+        return demand
+
     # Plans
 
     async def run(self):
@@ -520,7 +539,8 @@
             return
         if not has_free:
             self._balanced_at = now
-        loads = self._loads[name].current_loads() if name in self._loads else Loads()
+        demand = self._demand(name)
+        loads = demand.current_loads()
         moves = self._moves.of(name)
         finished = await self._grant_released(name, runs, moves, capacity)
         view = KeyRangeView(
@@ -558,6 +578,9 @@
                         nlargest(MAX_LOGGED_KEYS, loads.busy.items(), _item_rate)
                     ),
                     "rare": round(sum(loads.areas), 1),
+                    "speeds": demand.describe_speeds(
+                        dict.fromkeys(row[2] for row in plan.moves)
+                    ),
                 },
             )
         for first, last, target in plan.moves:
@@ -625,13 +648,16 @@
 
         Leaves out servers that get no new work or are not present.
         """
-        servers = [
-            i
-            for i in self._state.servers(name)
-            if i.accepts_work and self._is_present(i)
-        ]
+        known = self._state.servers(name)
+        servers = [i for i in known if i.accepts_work and self._is_present(i)]
         rules = self._state.config.services.get(name)
-        return self._estimator.capacities(servers, rules.cold_rate if rules else 0.0)
+        demand = self._demand(name)
+        demand.update(self._state.config, servers, known=(i.id for i in known))
+        return self._estimator.capacities(
+            servers,
+            rules.cold_rate if rules else 0.0,
+            learned=demand.request_seconds(),
+        )
 
     def _is_present(self, server):
         """Whether a server was heard from in this term, and may hold keys.
--- a/guavastream/fleet/messages.py
+++ b/guavastream/fleet/messages.py
@@ -174,6 +174,9 @@
     number of requests for all other keys. `latency` is the smoothed time that the
     server takes for a request, seconds, or 0 if unknown. `rate_limit` is the number of
     requests per second that the server says it takes, None if it names no limit.
+    `work` has a row for each kind of request that was at the server since the last
+    report: kind, number of completed requests, seconds of work and seconds during which
+    requests waited for calls. Earlier versions neither send nor read it.
     """
 
     id: str
@@ -182,6 +185,7 @@
     other_count: int
     latency: float
     rate_limit: float | None = None
+    work: tuple[tuple[str, int, float, float], ...] = ()
 
 
 @message
--- a/guavastream/hosts/control_host.py
+++ b/guavastream/hosts/control_host.py
@@ -82,6 +82,8 @@
             timing=settings.holds,
             granting=settings.granting,
             policy=settings.policy,
+            set_gauge=self.counters.set,
+            unset_gauge=self.counters.unset,
         )
         self._voter_keeper = VoterKeeper(
             raft=self._raft,
--- a/guavastream/hosts/load_reporter.py
+++ b/guavastream/hosts/load_reporter.py
@@ -62,6 +62,7 @@
     def _report_local(self):
         """Return the report of the local server, or None if there is nothing to say."""
         counts = self._guard.take_key_counts()
+        work = self._guard.take_work()
         instances = self._holder.table.instances.values()
         local = [instance for instance in instances if instance.door == self._door]
         if not local:
@@ -78,6 +79,7 @@
             service=instance.service,
             latency=self._guard.report().seconds,
             rate_limit=rate_limit,
+            work=work,
         )
 
     def _report_refused(self):
@@ -92,7 +94,7 @@
         ]
 
 
-def _make_report(counts, *, id, service, latency=0.0, rate_limit=None):
+def _make_report(counts, *, id, service, latency=0.0, rate_limit=None, work=()):
     """Return the `LoadReport` of a number of requests by key."""
     busiest = sorted(counts.items(), key=lambda item: -item[1])
     return LoadReport(
@@ -102,4 +104,5 @@
         other_count=sum(count for _, count in busiest[MAX_REPORTED_KEYS:]),
         latency=latency,
         rate_limit=rate_limit,
+        work=work,
     )
--- a/guavastream/kernel/counters.py
+++ b/guavastream/kernel/counters.py
@@ -34,6 +34,10 @@
         """Set the gauge called `name`."""
         self._gauges[name] = value
 
+    def unset(self, name):
+        """Remove the gauge called `name`, if there is one."""
+        self._gauges.pop(name, None)
+
     def observe(self, name, seconds):
         """Add a duration to the histogram called `name`."""
         histogram = self._durations.get(name)
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -13,6 +13,7 @@
 from guavastream.scheduling.pick import Report
 from guavastream.scheduling.rate_limits import ServerRateLimiter
 from guavastream.scheduling.turns import LifoLock
+from guavastream.scheduling.work_meter import WorkMeter
 
 __all__ = ["Attempt", "Guard", "HeldKeys"]
 
@@ -200,6 +201,7 @@
         self._unheard = frozenset()
         self._key_counts = {}
         self._running_attempts = {}
+        self._work_meter = WorkMeter(clock=self._clock)
 
     @property
     def local_id(self):
@@ -335,6 +337,10 @@
         key_counts, self._key_counts = self._key_counts, {}
         return key_counts
 
+    def take_work(self):
+        """Return the rows of `WorkMeter.take` for the local server."""
+        return self._work_meter.take()
+
     def note_leaving(self, id):
         """Note that an instance has announced its departure to this process."""
         self._departures.note(id)
@@ -403,7 +409,7 @@
                     if attempt.key is not None and not self._holds_key(attempt):
                         raise NotRun("moving")
                     self._use_reservation(reservation, attempt)
-                    answer = await self._server.send(instance, attempt)
+                    answer = await self._send_measured(instance, attempt)
                     try:
                         yield answer
                     finally:
@@ -419,6 +425,35 @@
             if has_turn:
                 self._suspect_turn.release()
 
+    async def _send_measured(self, instance, attempt):
+        """Send an attempt and return the answer; count its time at the server.
+
+        The time ends when the answer begins: how long the rest takes depends on the
+        link to the caller, too.
+        """
+        self._work_meter.begin(attempt.id, attempt.kind)
+        completed = failed = False
+        try:
+            answer = await self._server.send(instance, attempt)
+            failed = answer.status >= MIN_SERVER_ERROR_STATUS
+            completed = not failed
+            return answer
+        except NotRun:
+            failed = True
+            raise
+        finally:
+            self._work_meter.end(attempt.id, completed=completed, failed=failed)
+
+    @contextlib.contextmanager
+    def measure_call(self, id):
+        """Count the time of the context as that of a call, given the call's id."""
+        parent = id.partition(self._dialect.call_separator)[0]
+        self._work_meter.begin_call(parent)
+        try:
+            yield
+        finally:
+            self._work_meter.end_call(parent)
+
     def refuse_early(self, attempt):
         """Refuse an attempt that the server would not get, before its body is received.
 
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -150,7 +150,7 @@
                 raise NotRun("no_time")
             if self._limits.end < job.deadline:
                 job = replace(job, deadline=self._limits.end)
-            with self._limits.until(job.deadline):
+            with self._limits.until(job.deadline), self._measure_call(job):
                 await self._serve(job, responder)
         except NotRun as refused:
             if job is not None and job.unknown_outcomes:
@@ -175,6 +175,12 @@
             raise
         self._observe("request", self._clock() - started)
 
+    def _measure_call(self, job):
+        """Return a context in which a call counts as time that its parent waits."""
+        if not job.is_call:
+            return contextlib.nullcontext()
+        return self._guard.measure_call(job.id)
+
     def end_by(self, when):
         """Answer every request by the clock's time `when` at the latest.
 
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -169,12 +169,20 @@
         self.index = RouteIndex(replace(self.fleet_state.config, routes=routes))
 
     async def ask(
-        self, path, *, method=b"GET", at=0, body=b"", headers=(), deadline=1000
+        self,
+        path,
+        *,
+        method=b"GET",
+        at=0,
+        body=b"",
+        headers=(),
+        deadline=1000,
+        id=None,
     ):
         """Send a request; return status, headers, body and seconds of its answer."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        id = b"q%d" % next(self._numbers)
+        id = id or b"q%d" % next(self._numbers)
         fields = [
             (b"Host", b"a.example"),
             (DIALECT.request_id, id),
--- a/guavastream/relay/tests/test_path.py
+++ b/guavastream/relay/tests/test_path.py
@@ -729,3 +729,24 @@
         assert ingress.take_refused_keys() == {}
 
     run_scenario(scenario, keyed=True)
+
+
+def test_time_of_calls_is_not_counted_as_work_of_the_server():
+    # Guards against a server that is taken for slow since its calls are slow.
+    async def scenario(mesh):
+        mesh.grant((0, 99, "i1"), (100, 199, "i2"))
+        parent = asyncio.ensure_future(
+            mesh.ask(b"/read/x", id=b"p1", headers=key_header(5))
+        )
+        await asyncio.sleep(0.3 * SERVER_SECONDS)
+        status, *_ = await mesh.ask(b"/read/y", id=b"p1.1", headers=key_header(105))
+        assert status == 200 and (await parent)[0] == 200
+        ((kind, completed, work, calls),) = mesh.hosts[0].guard.take_work()
+        assert (kind, completed) == ("read", 1)
+        assert work == pytest.approx(0.3 * SERVER_SECONDS, abs=0.02)
+        assert calls == pytest.approx(0.7 * SERVER_SECONDS, abs=0.02)
+        ((_, completed, work, calls),) = mesh.hosts[1].guard.take_work()
+        assert (completed, calls) == (1, 0.0)
+        assert work == pytest.approx(SERVER_SECONDS, abs=0.02)
+
+    run_scenario(scenario, keyed=True)
--- a/guavastream/routes/__init__.py
+++ b/guavastream/routes/__init__.py
@@ -2,4 +2,5 @@
 
 from guavastream.routes.check import *
 from guavastream.routes.match import *
+from guavastream.routes.mixed_work import *
 from guavastream.routes.model import *
--- a/guavastream/scheduling/__init__.py
+++ b/guavastream/scheduling/__init__.py
@@ -11,3 +11,4 @@
 from guavastream.scheduling.servers import *
 from guavastream.scheduling.shares import *
 from guavastream.scheduling.turns import *
+from guavastream.scheduling.work_meter import *
