--- a/guavastream/control/demand.py
+++ b/guavastream/control/demand.py
@@ -11,6 +11,9 @@
 # Interval at which the speeds of unchanged servers are updated, about that of the load
 # reports; with 300 servers an update takes milliseconds.
 UPDATE_INTERVAL_SECONDS = 0.2
+# Age up to which forecast loads are used again. While keys are handed over, plans are
+# made 20 times a second to grant free ranges, and a forecast takes milliseconds.
+MAX_FORECAST_AGE_SECONDS = 0.1
 # Number of servers, those farthest from the mean speed, in a log line.
 MAX_LOGGED_SERVERS = 8
 
@@ -57,6 +60,7 @@
         self._policy = policy
         # Created by the first report, whose time it starts at.
         self._loads = None
+        self._forecast, self._forecast_at = None, float("-inf")
         self._server_speeds = ServerSpeeds(clock=clock)
         self._config_version = self._mixed = None
         self._reason = None
@@ -125,12 +129,21 @@
             )
         self._update_gauges()
 
+    def clear_gauges(self):
+        """Remove the gauges, since this control host no longer decides."""
+        for name in self._gauges:
+            self._unset_gauge(name)
+        self._gauges = set()
+
     def current_loads(self):
         """Return the `Loads` of the keys, forecast while learned speeds decide."""
         if self._loads is None:
             return Loads()
         if self.is_active:
-            return self._loads.forecast()
+            now = self._clock()
+            if now - self._forecast_at >= MAX_FORECAST_AGE_SECONDS:
+                self._forecast, self._forecast_at = self._loads.forecast(), now
+            return self._forecast
         return self._loads.current_loads()
 
     def request_seconds(self):
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -457,6 +457,8 @@
                 # senders look for the next leader at once.
                 self._notify(self._waiting_until)
                 self._waiting_until = {}
+                for demand in self._demands.values():
+                    demand.clear_gauges()
                 continue
             self.ensure_term()
             try:
--- a/guavastream/control/tests/test_demand.py
+++ b/guavastream/control/tests/test_demand.py
@@ -108,3 +108,12 @@
     assert leader.run_for(20.0, config).is_active
     leader.speeds.update(EVEN)
     assert not leader.run_for(60.0, config).is_active
+
+
+def test_gauges_are_removed_when_the_leader_steps_down():
+    # Guards against two control hosts that show different speeds.
+    leader = Leader(dict(UNEVEN), class_priority=True)
+    leader.run_for(5.0, make_config(0.6, 0.8)).clear_gauges()
+    assert not leader.gauges
+    leader.run_for(0.5, make_config(0.6, 0.8))
+    assert len(leader.gauges) == 4
