Hosts whose load surges report before their turn

300 hosts report every 2 s, so that hot keys could not be spread within a second. Beside servers of keyed services with mixed work, or with class priority, a host whose requests or times rise by half reports after 0.25 s, at most four times in succession. Up to 37 hosts report every 0.25 s anyway, at the same times as before.

--- a/guavastream/hosts/load_reporter.py
+++ b/guavastream/hosts/load_reporter.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 
-from guavastream.control.loads import report_interval
+from guavastream.control.loads import REPORT_SECONDS, report_interval
 from guavastream.exception import GuavastreamError
 from guavastream.fleet import LoadReport
+from guavastream.hosts.surges import SurgeDetector
+from guavastream.routes import has_mixed_work
 
 __all__ = ["LoadReporter"]
 
@@ -29,9 +31,13 @@
         Counts the requests that it refuses for limited servers.
     door : str
         Address of this process, by which it knows the local server.
+    class_priority : bool
+        Whether the settings demand that urgent classes have priority.
     """
 
-    def __init__(self, *, control, holder, guard, ingress, door):
+    def __init__(self, *, control, holder, guard, ingress, door, class_priority=False):
+        self._class_priority = class_priority
+        self._surges = SurgeDetector(interval=REPORT_SECONDS)
         self._control = control
         self._holder = holder
         self._guard = guard
@@ -43,14 +49,46 @@
     async def run(self):
         """Send reports until cancelled."""
         while True:
-            hosts = len(self._holder.table.instances)
-            await asyncio.sleep(report_interval(hosts))
+            await self._wait_for_turn()
             local = self._report_local()
             if local is not None and await self._send(local):
                 self._was_limited = local.rate_limit is not None
             for report in self._report_refused():
                 await self._send(report)
 
+    async def _wait_for_turn(self):
+        """Wait until the next report is due, or until the load of the server surges."""
+        left = report_interval(len(self._holder.table.instances))
+        if left <= REPORT_SECONDS or not self._reports_early():
+            await asyncio.sleep(left)
+            return
+        counted = self._guard.counted_requests
+        while left > 0:
+            pause = min(left, REPORT_SECONDS)
+            await asyncio.sleep(pause)
+            left -= pause
+            count = self._guard.counted_requests - counted
+            counted += count
+            if self._surges.check(count=count, seconds=self._guard.report().seconds):
+                return
+
+    def _reports_early(self):
+        """Whether keys of the local server must be moved early."""
+        local = self._local_instance()
+        table = self._holder.table
+        rules = local and table.config.services.get(local.service)
+        if not rules or not rules.keyed:
+            return False
+        return self._class_priority or has_mixed_work(
+            table.config, local.service, local.slots
+        )
+
+    def _local_instance(self):
+        """Return the newest instance of the local server, or None."""
+        instances = self._holder.table.instances.values()
+        local = [instance for instance in instances if instance.door == self._door]
+        return local[-1] if local else None
+
     async def _send(self, report):
         """Send a report; return whether it arrived. A lost one is not sent again."""
         with contextlib.suppress(GuavastreamError):
@@ -62,11 +100,9 @@
         """Return the report of the local server, or None if there is nothing to say."""
         counts = self._guard.take_key_counts()
         work = self._guard.take_work()
-        instances = self._holder.table.instances.values()
-        local = [instance for instance in instances if instance.door == self._door]
-        if not local:
+        instance = self._local_instance()
+        if instance is None:
             return None
-        instance = local[-1]
         rate_limit = self._guard.named_rate(instance.id)
         # A server without keys gets no requests to count, and has to say that it is
         # limited, and once more that it no longer is.
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -332,6 +332,11 @@
             self.quarantine.note_end(fingerprint, instance.id)
         self._on_ended(instance, requests)
 
+    @property
+    def counted_requests(self):
+        """Number of requests with a key since the last call of `take_key_counts`."""
+        return sum(self._key_counts.values())
+
     def take_key_counts(self):
         """Return the number of requests by key since the last call, and reset it."""
         key_counts, self._key_counts = self._key_counts, {}
