Keys of an overloaded server do not wait for the heartbeats of their targets

A source is told of moves in the answer to one heartbeat and can be told of further ones about 0.9 s later. Moves whose targets could not be told at the same moment waited for that, again and again: of 45 pieces of hot keys 26 were left for a second and more. If a server refuses a quarter of its requests or more, all its moves start with its next heartbeat.

Services for which learned speeds do not decide are not affected.

--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -343,7 +343,8 @@
             waited = now - move.started_at
             source = self._state.instances.get(move.source)
             ready = self._is_waiting(move.source, 0.0) and (
-                waited > MAX_MOVE_DELAY_SECONDS
+                move.is_urgent
+                or waited > MAX_MOVE_DELAY_SECONDS
                 or self._is_waiting(move.target, HANDOVER_SECONDS)
             )
             if (
@@ -575,6 +576,7 @@
                     "moves": plan.moves[:MAX_LOGGED_MOVES],
                     "number": len(plan.moves),
                     "servers": len(capacity),
+                    "urgent": sorted(plan.urgent)[:MAX_LOGGED_MOVES],
                     "capacity": {
                         target: round(capacity[target])
                         for _, _, target in plan.moves[:MAX_LOGGED_MOVES]
@@ -585,12 +587,14 @@
                     ),
                     "rare": round(sum(loads.areas), 1),
                     "speeds": demand.describe_speeds(
-                        dict.fromkeys(row[2] for row in plan.moves)
+                        dict.fromkeys(
+                            [*sorted(plan.urgent), *(row[2] for row in plan.moves)]
+                        )
                     ),
                 },
             )
         for first, last, target in plan.moves:
-            self._begin_move(name, first, last, target)
+            self._begin_move(name, first, last, target, urgent=plan.urgent)
 
     async def _grant_released(self, name, runs, moves, capacity):
         """Grant ranges that were released for a move to their targets.
@@ -624,8 +628,11 @@
         self._moves.drop(name, finished)
         return finished
 
-    def _begin_move(self, name, first, last, target):
-        """Record a planned move, one for each owned range that it covers."""
+    def _begin_move(self, name, first, last, target, *, urgent):
+        """Record a planned move, one for each owned range that it covers.
+
+        Moves off the servers in `urgent` do not wait for their targets.
+        """
         for run in runs_within(self._state.runs_of(name), first, last):
             if not run.owner or run.owner == target:
                 continue
@@ -635,6 +642,7 @@
                 last=min(last, run.last),
                 source=run.owner,
                 target=target,
+                is_urgent=run.owner in urgent,
             )
             if self._granting_mode(name) is Granting.CALL:
                 # Sidecars that grant by calls can be told at any moment.
--- a/guavastream/control/moves.py
+++ b/guavastream/control/moves.py
@@ -14,7 +14,8 @@
 class KeyMove:
     """A key range that is being moved between two servers.
 
-    The source keeps the range until the move `is_active`. Once the source has
+    The source keeps the range until the move `is_active`. A move that `is_urgent` does
+    not wait for its target, since the source refuses most requests. Once the source has
     been told, `source_expires_at` is the time after which it certainly no longer
     holds the range; 0 before that.
     """
@@ -26,6 +27,7 @@
     target: str
     started_at: float
     is_active: bool = False
+    is_urgent: bool = False
     source_expires_at: float = 0.0
 
     @property
--- a/guavastream/placement/runs.py
+++ b/guavastream/placement/runs.py
@@ -40,6 +40,10 @@
 # refuses what exceeds its capacity: keys that wait for their move are hardly served.
 MAX_MOVES = 10
 MAX_MOVES_OFF_LIMITED = 40
+# Utilization from which on the moves off a server are urgent, if hot keys are spread: a
+# quarter of its requests is refused, for about a second until its next heartbeat, while
+# keys without an owner wait for a third of a second.
+URGENT_UTILIZATION = 1.33
 # Hot keys are spread in up to twice as many moves as there are servers, and in at least
 # this many.
 MIN_SPREAD_MOVES = 40
@@ -103,10 +107,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class KeyRangePlan:
-    """Free ranges to grant and owned ranges to move, as (first, last, target)."""
+    """Free ranges to grant and owned ranges to move, as (first, last, target).
+
+    The servers in `urgent` refuse so much that their keys had better have no owner for
+    a moment than wait until each target can be told.
+    """
 
     grants: tuple = ()
     moves: tuple = ()
+    urgent: frozenset = frozenset()
 
 
 class _RangeLoads:
@@ -187,11 +196,16 @@
             held[run.owner].append((run.first, run.last))
         elif run.owner not in view.silent:
             to_evacuate.append((run.first, run.last))
+    urgent = frozenset(
+        server
+        for server, value in utilization.items()
+        if view.spread and value > URGENT_UTILIZATION
+    )
     grants = _assign(view, loads, utilization, range_counts, _cut_free(view, free))
     moves = _assign(view, loads, utilization, range_counts, to_evacuate)
     if not free and not to_evacuate and view.policy.balance:
         moves = _balance(view, loads, utilization, range_counts, held)
-    return KeyRangePlan(grants=tuple(grants), moves=tuple(moves))
+    return KeyRangePlan(grants=tuple(grants), moves=tuple(moves), urgent=urgent)
 
 
 def _ranges_after_moves(view):
