--- a/guavastream/kernel/counters.py
+++ b/guavastream/kernel/counters.py
@@ -42,6 +42,10 @@
         """Read the gauge called `name` from a function whenever it is shown."""
         self._gauge_functions[name] = function
 
+    def unset(self, name):
+        """Remove the gauge called `name`, if there is one."""
+        self._gauges.pop(name, None)
+
     def observe(self, name, seconds):
         """Add a duration to the histogram called `name`."""
         histogram = self._durations.get(name)
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -153,7 +153,7 @@
             self._refuse_if_out_of_time(job)
             if self._limits.end < job.deadline:
                 job = replace(job, deadline=self._limits.end)
-            with self._limits.until(job.deadline):
+            with self._limits.until(job.deadline), self._measure_call(job):
                 await self._serve(job, responder)
         except NotRun as refused:
             if job is not None and job.unknown_outcomes:
@@ -184,6 +184,12 @@
         """Whether a request may run while others of its connection run."""
         return self._reader.may_overlap(request)
 
+    def _measure_call(self, job):
+        """Return a context in which a call counts as time that its parent waits."""
+        if not job.is_call:
+            return contextlib.nullcontext()
+        return self._guard.measure_call(job.id)
+
     def end_by(self, when):
         """Answer every request by the clock's time `when` at the latest.
 
--- a/guavastream/scheduling/__init__.py
+++ b/guavastream/scheduling/__init__.py
@@ -14,3 +14,4 @@
 from guavastream.scheduling.servers import *
 from guavastream.scheduling.shares import *
 from guavastream.scheduling.turns import *
+from guavastream.scheduling.work_meter import *
