Tests of reserved slots fail for the faults that they name

Cause: with a limit for each class by itself, and with a slot that was not freed when its request was cancelled at that moment, all tests passed. Change: the test of the middle class sends no request that waits before the least urgent one; a new test cancels a request as it gets its slot; the overload test also expects that the starvation rule acted.

--- a/guavastream/scheduling/tests/test_room.py
+++ b/guavastream/scheduling/tests/test_room.py
@@ -195,10 +195,10 @@
         await requests.learn(1, CALL_SECONDS)
         requests.send("urgent", 0, seconds=CALL_SECONDS)
         await asyncio.sleep(0.1)
-        for number in range(SLOTS):
+        for number in range(SLOTS - 1):
             requests.send(f"middle{number}", 1, seconds=0.6)
         await asyncio.sleep(0.01)
-        assert requests.queue.running == SLOTS - 1
+        assert requests.queue.running == SLOTS - 1 and requests.queue.waiting == 0
         requests.send("least", 2, seconds=0.6)
         await asyncio.sleep(0.01)
         assert "least" not in requests.names()
@@ -285,6 +285,7 @@
         self._rng = random.Random(seed)
         self.requests = dict.fromkeys(loads, 0)
         self.served = dict.fromkeys(loads, 0)
+        self.starved = 0
 
     def run(self):
         run_paused(self._run())
@@ -329,6 +330,7 @@
             await asyncio.sleep(self._rng.lognormvariate(0, 0.3) * work)
             self._queue.leave(slot, kind=kind, seconds=self._loop.time() - started)
             self.served[urgency] += 1
+            self.starved += slot.was_starved
             return
 
 
@@ -351,6 +353,26 @@
         # One request may be on its way to its turn at the end.
         served = load.served[urgency] + 1
         assert served / load.requests[urgency] >= 0.25 * share
+    # Operators see by this count that the rule acts.
+    assert load.starved > 0
+
+
+def test_a_request_that_is_cancelled_as_it_gets_a_slot_frees_it():
+    # The slot would be counted as running for ever, for the class of the request.
+    async def scenario(requests):
+        slot = await requests.queue.enter(
+            rank=1, urgency=0, kind="k0", wanted_by=10.0, deadline=20.0
+        )
+        requests.send("waiting", 2, seconds=0.1)
+        await asyncio.sleep(0.01)
+        requests.queue.leave(slot, kind="k0", seconds=0.02)
+        assert requests.queue.running == 1 and requests.queue.waiting == 0
+        requests.tasks["waiting"].cancel()
+        await asyncio.gather(requests.tasks["waiting"], return_exceptions=True)
+        assert requests.queue.running == 0
+        assert requests.queue._running_by_urgency == {}
+
+    run(scenario, slots=1)
 
 
 @pytest.mark.parametrize("seed", range(5))
