Admission by urgency class for a service as a whole, refused at the ingress

Cause: under overload of a keyed service, every refused request, most of them retries, first went to the host of the owner, and both hosts spent processor time on it.

Change, only with the new setting `class_priority`: the process beside a server measures which share of each urgency class it can be sent and publishes it in a header of its own beside the load report, only while it refuses requests. An ingress refuses by it before any hop (code `shed`), and ignores it after one second. A request says by which share it was admitted, so that levels do not oscillate. A refused caller is told a time at which capacity is reserved for its retry; a retry before that time is refused at the ingress.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -168,6 +168,8 @@
             ),
             departures=Departures(clock=clock),
             evacuation=settings.evacuation,
+            class_priority=settings.class_priority,
+            set_gauge=self.counters.set,
         )
         self._newest_heartbeats = {}
         self._ingress = Ingress(
@@ -188,6 +190,7 @@
             count=self.counters.count,
             observe=self.counters.observe,
             policy=settings.policy,
+            class_priority=settings.class_priority,
         )
         self._load_reporter = LoadReporter(
             control=self._control,
@@ -201,6 +204,7 @@
             dialect=dialect,
             guard=self._guard,
             link_rate=settings.link_rate,
+            class_priority=settings.class_priority,
         )
         self._outbound = Server(
             address=parse_address(settings.outbound),
--- a/guavastream/hosts/settings.py
+++ b/guavastream/hosts/settings.py
@@ -54,6 +54,8 @@
     cold_overage, cold_slack : float
         A cold server must get at most its tolerated rate times `cold_overage`, plus
         `cold_slack`, requests in any second.
+    class_priority : bool
+        Whether requests are admitted by urgency class, for a service as a whole.
     policy : Policy
         Which mechanisms are enabled.
     """
@@ -82,6 +84,7 @@
     evacuation: float = 5.0
     cold_overage: float = 1.5
     cold_slack: float = 8.0
+    class_priority: bool = False
     policy: Policy = Policy()
 
     @property
--- a/guavastream/platform/settings.py
+++ b/guavastream/platform/settings.py
@@ -112,6 +112,7 @@
             "Bounds.ColdOverage", _parse_non_negative, 1.5
         ),
         "cold_slack": reader.get_parsed("Bounds.ColdSlack", _parse_non_negative, 8.0),
+        "class_priority": "pressure" in reader.get_list("Contracts"),
         "policy": reader.get_policy(policy),
         "metrics": f"{ip}:{last_port}" if peer_port else "",
     }
--- a/guavastream/platform/tests/test_settings.py
+++ b/guavastream/platform/tests/test_settings.py
@@ -52,6 +52,14 @@
     assert parse_settings(SERVER_HOST + "Limits.LinkMbps=2\n").link_rate == 250_000
 
 
+def test_class_priority_is_on_only_with_the_contract_pressure():
+    # Other deployments must behave as before.
+    assert not parse_settings(SERVER_HOST).class_priority
+    for contracts, expected in (("pressure", True), ("a,pressure", True), ("a", False)):
+        settings = parse_settings(SERVER_HOST + f"Contracts={contracts}\n")
+        assert settings.class_priority is expected
+
+
 @pytest.mark.parametrize(
     "text, places",
     [
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -2,16 +2,20 @@
 
 import asyncio
 import contextlib
+import functools
+import random
 from dataclasses import dataclass, field
 
 from guavastream.kernel import TimeLimit, part_logger, record
 from guavastream.relay.quarantine import Quarantine
 from guavastream.relay.server_client import ServerClient
 from guavastream.scheduling.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
+from guavastream.scheduling.class_admission import ClassAdmission
 from guavastream.scheduling.departures import Departures
 from guavastream.scheduling.outcome import NotRun
 from guavastream.scheduling.pick import Report
 from guavastream.scheduling.rate_limits import ServerRateLimiter
+from guavastream.scheduling.return_times import ReturnTimes
 from guavastream.scheduling.turns import LifoLock
 
 __all__ = ["Attempt", "Guard", "HeldKeys"]
@@ -75,6 +79,8 @@
         Time until which an answer counts as in time.
     deadline : float
         Time at which the request is given up.
+    share : float
+        Share of such requests that the ingress admitted by their class.
     """
 
     id: bytes
@@ -95,6 +101,7 @@
     kind: str
     target_time: float
     deadline: float
+    share: float = 1.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -145,6 +152,12 @@
     evacuation : float
         Time from the acknowledgement of a zone's evacuation until its servers must get
         no more requests, seconds.
+    class_priority : bool
+        Whether requests are admitted by urgency class.
+    set_gauge : callable, optional
+        Sets a gauge: its name and the value.
+    rng : random.Random, optional
+        Spreads retries for which no capacity is expected.
     """
 
     def __init__(
@@ -163,6 +176,9 @@
         rate_limiter=None,
         departures=None,
         evacuation=5.0,
+        class_priority=False,
+        set_gauge=lambda name, value: None,
+        rng=None,
     ):
         self._loop = loop
         self._clock = loop.time
@@ -191,7 +207,22 @@
         )
         # Held by the suspect request that runs; only one of them runs at a time.
         self._suspect_turn = LifoLock(loop=loop)
-        self._admission_queue = AdmissionQueue(loop=loop, policy=policy)
+        return_times = ReturnTimes(clock=self._clock) if class_priority else None
+        self._admission_queue = AdmissionQueue(
+            loop=loop, policy=policy, return_times=return_times
+        )
+        self._class_admission = None
+        if class_priority:
+            self._class_admission = ClassAdmission(
+                clock=self._clock,
+                rng=rng or random.Random(),
+                queue=self._admission_queue,
+                return_times=return_times,
+                count=count,
+            )
+        self._set_gauge = set_gauge
+        # Levels that the gauges show.
+        self._shown_shares = {}
         self._held_by = self._local_id = ""
         self._held = None
         self._departures = departures or Departures(clock=self._clock)
@@ -231,6 +262,23 @@
             wait=self._limited_wait(),
         )
 
+    def levels_header(self):
+        """Return the admission levels as a header value, empty if there are none."""
+        if self._class_admission is None:
+            return b""
+        shares = self._class_admission.shares()
+        if shares is not self._shown_shares:
+            self._show_levels(shares)
+        return self._class_admission.header()
+
+    def _show_levels(self, shares):
+        """Set the gauges of levels and of reservations for retries."""
+        for cls in {**self._shown_shares, **shares}:
+            name = f'admission_level{{urgency="{cls.urgency}",late="{cls.late:d}"}}'
+            self._set_gauge(name, round(shares.get(cls, 1.0), 3))
+        self._set_gauge("retry_reservations", self._class_admission.reservations)
+        self._shown_shares = shares
+
     def _limited_wait(self):
         """Return the time until the local server, if limited, may get a request."""
         instance = self.find_local(self._local_id)
@@ -482,8 +530,16 @@
         self._admission_queue.slots = instance.slots
         if instance.id in self._unheard:
             self._admission_queue.slots = min(instance.slots, MAX_UNHEARD_RUNNING)
+        enter = self._admission_queue.enter
+        if self._class_admission is not None:
+            enter = functools.partial(
+                self._class_admission.enter,
+                what=(attempt.kind, attempt.target),
+                keyed=attempt.key is not None,
+                share=attempt.share,
+            )
         try:
-            return await self._admission_queue.enter(
+            return await enter(
                 rank=attempt.rank,
                 kind=attempt.kind,
                 wanted_by=attempt.target_time,
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -19,7 +19,9 @@
     "HopHandler",
     "HopHeader",
     "read_failure",
+    "read_levels",
     "read_report",
+    "share_header",
 ]
 
 # The remote host answers this much before the sending host gives up, so that its
@@ -30,6 +32,10 @@
 # request itself.
 HOP_IDLE_SECONDS = 60.0
 HOP_HEADER_NAME = INTERNAL_PREFIX + b"job"
+# Admission levels of the remote server, in answers while it refuses requests.
+LEVELS_HEADER_NAME = INTERNAL_PREFIX + b"levels"
+# Share of such requests that the ingress admits, in thousandths, if it refuses some.
+SHARE_HEADER_NAME = INTERNAL_PREFIX + b"share"
 # Sent when a kept connection is closed, in case a request is already under way.
 CLOSING_RESPONSE = format_head(
     b"HTTP/1.1 503 Service Unavailable",
@@ -108,6 +114,29 @@
     return parse_report(answer.headers.get(INTERNAL_PREFIX + b"report"))
 
 
+def read_levels(answer):
+    """Return the header value with the remote server's levels, empty if it has none."""
+    return answer.headers.get(LEVELS_HEADER_NAME)
+
+
+def share_header(share):
+    """Return the header that says by which share a request was admitted."""
+    return SHARE_HEADER_NAME, b"%d" % round(share * 1000)
+
+
+def _parse_share(value):
+    """Return the share in a header value, 1 if it is missing or malformed.
+
+    Examples
+    --------
+    >>> _parse_share(b"250"), _parse_share(b""), _parse_share(b"4000")
+    (0.25, 1.0, 1.0)
+    """
+    if not value.isdigit() or len(value) > 4:
+        return 1.0
+    return min(1.0, int(value) / 1000)
+
+
 def read_failure(answer):
     """Return the `NotRun` or `OutcomeUnknown` that the remote host reports, or None."""
     code = answer.headers.get(INTERNAL_PREFIX + b"code").decode("latin-1")
@@ -133,13 +162,16 @@
         Admits requests to the local server.
     link_rate : float
         Capacity of this host's link in bytes per second, 0 if unknown.
+    class_priority : bool
+        Whether requests are admitted by urgency class, and answers carry levels.
     """
 
-    def __init__(self, *, loop, dialect, guard, link_rate=0.0):
+    def __init__(self, *, loop, dialect, guard, link_rate=0.0, class_priority=False):
         self._loop = loop
         self._clock = loop.time
         self._dialect = dialect
         self._guard = guard
+        self._class_priority = class_priority
         # Set at the end of a stop; all further requests are refused as not run.
         self.leaving = False
         self._body_queue = AdmissionQueue(loop=loop, slots=MAX_CONCURRENT_BODIES)
@@ -266,14 +298,21 @@
             kind=hop.route,
             target_time=now + hop.target_ms / 1000,
             deadline=min(now + hop.remaining_ms / 1000, self._limits.end),
+            share=_parse_share(headers.get(SHARE_HEADER_NAME)),
         )
 
+    def _load_headers(self, kind):
+        """Return the headers that tell the requesting host of the server's load."""
+        report = format_report(self._guard.report(kind))
+        headers = [(INTERNAL_PREFIX + b"report", report)]
+        if self._class_priority and (levels := self._guard.levels_header()):
+            headers.append((LEVELS_HEADER_NAME, levels))
+        return headers
+
     async def _send_answer(self, answer, responder, kind):
         """Send the server's answer to the requesting host."""
         headers = answer.headers.end_to_end(REPLACED_HEADERS)
-        headers.append(
-            (INTERNAL_PREFIX + b"report", format_report(self._guard.report(kind)))
-        )
+        headers += self._load_headers(kind)
         first = await answer.read()
         length = answer.headers.get(b"content-length")
         known = int(length) if length.isdigit() else None
@@ -297,7 +336,7 @@
             return
         headers = [
             (INTERNAL_PREFIX + b"code", code.encode()),
-            (INTERNAL_PREFIX + b"report", format_report(self._guard.report(kind))),
+            *self._load_headers(kind),
             (INTERNAL_PREFIX + b"retry-ms", b"%d" % math.ceil(retry_after * 1000)),
         ]
         await responder.send(FAILURE_RULES[code].status, headers)
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -14,11 +14,14 @@
     HOP_IDLE_SECONDS,
     HopHeader,
     read_failure,
+    read_levels,
     read_report,
+    share_header,
 )
 from guavastream.relay.job import BadRequest, JobReader
 from guavastream.relay.statements import read_statement
 from guavastream.scheduling.budget import RetryBudget
+from guavastream.scheduling.class_admission import IngressAdmission
 from guavastream.scheduling.outcome import FAILURE_RULES, NotRun, OutcomeUnknown
 from guavastream.scheduling.pick import LARGE_BYTES
 
@@ -46,6 +49,9 @@
 MAX_REFUSALS = 3
 # Codes of refusals by limited servers, which tell when there is room again.
 LIMITED_CODES = ("cold", "limited")
+# Codes of refusals whose Retry-After was chosen for this caller, if requests are
+# admitted by class.
+PLANNED_CODES = ("overloaded", "shed")
 # A request with less remaining time is refused. It could not reach a server, and would
 # time out with an unknown outcome if it were sent.
 MIN_REMAINING_SECONDS = 0.02
@@ -89,6 +95,10 @@
         Records a duration: its name and the seconds.
     policy : Policy, optional
         Mechanisms that are in force.
+    class_priority : bool
+        Whether requests are admitted by urgency class.
+    rng : random.Random, optional
+        Varies Retry-After, and decides which requests of a class are admitted.
     """
 
     def __init__(
@@ -106,6 +116,8 @@
         count,
         observe,
         policy=None,
+        class_priority=False,
+        rng=None,
     ):
         self._policy = policy or Policy()
         self._loop = loop
@@ -119,7 +131,10 @@
         self._count = count
         self._observe = observe
         self._client = Client(connect_seconds=0.3, idle_seconds=HOP_IDLE_SECONDS)
-        self._rng = random.Random()
+        self._rng = rng or random.Random()
+        self._class_admission = None
+        if class_priority:
+            self._class_admission = IngressAdmission(clock=self._clock, rng=self._rng)
         self._retry_budgets = {}
         # Requests that were refused here since their owner is limited, by service and
         # key: the process beside the owner does not see them.
@@ -185,6 +200,8 @@
 
     async def _serve(self, job, responder):
         """Send a job to one server after another until it is answered or given up."""
+        if self._class_admission is not None:
+            job = self._admit_by_class(job)
         retry_budget = self._retry_budgets.get(job.service)
         if retry_budget is None:
             retry_budget = self._retry_budgets[job.service] = RetryBudget(
@@ -253,6 +270,36 @@
             if not self._has_untried_server(fleet_state, job, tried):
                 raise failure
 
+    def _admit_by_class(self, job):
+        """Return the job with the share by which it is admitted, or refuse it.
+
+        Raises
+        ------
+        NotRun
+            If its class has no capacity at the servers that may run it.
+        """
+        # A refused call would waste the work that its caller has already caused.
+        if not len(self._class_admission.board) or job.is_call:
+            return job
+        fleet_state = self._fleet_holder.table
+        if job.keyed:
+            owner = fleet_state.owner_of(job.service, job.key)
+            ids = [] if owner is None else [owner.id]
+        else:
+            ids = [server.id for server in self._choices_for(fleet_state, job).subset]
+        if not ids:
+            return job
+        share = self._class_admission.check(
+            ids,
+            urgency=job.urgency,
+            seconds=self._picker.usual_seconds(job.route.name),
+            target_time=job.target_time,
+            deadline=job.deadline,
+            retry_at=job.retry_at,
+            reserved=job.reserved,
+        )
+        return job if share >= 1.0 else replace(job, share=share)
+
     def _note_server_end(self, job, server):
         """Record that a server ended while it ran a job; return whether to give up.
 
@@ -409,6 +456,7 @@
             kind=job.route.name,
             target_time=job.target_time,
             deadline=job.deadline,
+            share=job.share,
         )
         async with self._guard.serve(attempt) as answer:
             await self._send_answer(job, server, answer, answer.read, responder)
@@ -424,6 +472,8 @@
         async with exchange:
             hop = HopHeader.of(job, server, now=self._clock(), last=last)
             headers = [*job.headers, hop.header()]
+            if job.share < 1.0:
+                headers.append(share_header(job.share))
             await self._send(exchange, job, server, headers)
             sent_at = self._clock()
             try:
@@ -435,6 +485,8 @@
             report = read_report(answer)
             if report is not None:
                 self._note_report(job, server, report)
+            if self._class_admission is not None:
+                self._class_admission.board.note(server.id, read_levels(answer))
             failure = read_failure(answer)
             if failure is not None:
                 with contextlib.suppress(IncompleteMessage):
@@ -533,12 +585,43 @@
         seconds = max(
             MIN_RETRY_AFTER_SECONDS, refused.retry_after or DEFAULT_RETRY_AFTER_SECONDS
         )
-        # Jitter keeps callers that are refused together from retrying together.
-        seconds *= self._rng.uniform(0.7, 1.3)
-        self._log_unserved(job, refused.code)
+        is_planned = (
+            self._class_admission is not None
+            and job is not None
+            and refused.code in PLANNED_CODES
+        )
+        if is_planned:
+            self._note_planned_retry(job, refused, seconds)
+        else:
+            # Jitter keeps callers that are refused together from retrying together.
+            seconds *= self._rng.uniform(0.7, 1.3)
+            self._log_unserved(job, refused.code)
         headers = [(b"Retry-After", b"%.2f" % seconds)]
         await responder.send(FAILURE_RULES[refused.code].status, headers)
 
+    def _note_planned_retry(self, job, refused, seconds):
+        """Log a refusal and remember when its caller is to retry."""
+        now = self._clock()
+        if refused.code == "shed":
+            late = "late" if refused.reasons["late"] else "in_time"
+            self._count(f"shed.{job.urgency}.{late}")
+            if refused.reasons["early"]:
+                self._count("shed_early")
+        # A server reserves capacity only for a retry that can be in time.
+        usual = self._picker.usual_seconds(job.route.name)
+        reserved = (
+            refused.code == "overloaded"
+            and job.keyed
+            and now + seconds + usual <= job.target_time
+        )
+        self._log_unserved(
+            job,
+            refused.code,
+            reasons=refused.reasons,
+            retry_at=self._class_admission.early_until(now, seconds, job.deadline),
+            reserved=reserved,
+        )
+
     async def _answer_failure(self, responder, job, code):
         if responder.complete:
             # The deadline passed just after the answer had been sent completely.
@@ -552,11 +635,11 @@
             return
         await responder.send(FAILURE_RULES[code].status)
 
-    def _log_unserved(self, job, code):
+    def _log_unserved(self, job, code, *, reasons=None, retry_at=None, reserved=False):
         if job is None:
             log.info("Refused: %s.", code)
             return
-        self._reader.note_unserved(job)
+        self._reader.note_unserved(job, retry_at=retry_at, reserved=reserved)
         # The fingerprint identifies a request that is sent again under a new id.
         may_recur = job.sent_to or code == "quarantined"
         log.info(
@@ -570,6 +653,7 @@
                 "again": job.is_retry,
                 "key": job.key,
                 "took_ms": int((self._clock() - job.started) * 1000),
+                **(reasons or {}),
             },
         )
 
--- a/guavastream/relay/job.py
+++ b/guavastream/relay/job.py
@@ -71,6 +71,12 @@
         Time at which it arrived.
     first_sent_at : float
         Time at which the caller first sent it, perhaps in an earlier request.
+    retry_at : float or None
+        Time before which the caller was told not to retry, if it was.
+    reserved : bool
+        Whether a server has reserved capacity for this retry.
+    share : float
+        Share of such requests that this ingress admits by their class.
     caller_deadline : float or None
         Time at which the caller stops waiting, if it sent a deadline.
     target_time : float
@@ -107,6 +113,9 @@
     caller_deadline: float | None
     target_time: float
     deadline: float
+    retry_at: float | None = None
+    reserved: bool = False
+    share: float = 1.0
     failed_statuses: list = msgspec.field(default_factory=list)
     sent_to: list = msgspec.field(default_factory=list)
     unknown_outcomes: list = msgspec.field(default_factory=list)
@@ -193,7 +202,7 @@
             else None
         )
         timeout = route.timeout
-        caller_deadline, first_sent_at = None, started
+        caller_deadline, first_sent_at, earlier = None, started, None
         left = _parse_number(headers.get(names.deadline_ms.lower()), MAX_DEADLINE_MS)
         if left is not None:
             timeout = min(timeout, left / 1000)
@@ -204,9 +213,9 @@
         is_call = parent is not None
         if caller_deadline is not None and not is_call and self._policy.returns:
             resource = (route.name, request.target)
-            first_sent_at = self._returns.pop_first_asked(
-                resource, gives_up=caller_deadline, now=started
-            )
+            earlier = self._returns.pop(resource, gives_up=caller_deadline)
+            if earlier is not None:
+                first_sent_at = earlier.first
         target_time = min(first_sent_at + route.target, deadline)
         # Most bodies arrive together with the head, and need no time limit.
         if not request.length or request.body.ended:
@@ -241,6 +250,8 @@
             caller_deadline=caller_deadline,
             target_time=target_time,
             deadline=deadline,
+            retry_at=earlier and earlier.retry_at,
+            reserved=earlier is not None and earlier.reserved,
         )
 
     def _find_parent(self, id):
@@ -254,12 +265,26 @@
         parent, mark, _ = id.partition(self._dialect.call_separator)
         return self._running_attempt(parent) if mark else None
 
-    def note_unserved(self, job):
-        """Record an unserved job, so that a retry by its caller is recognized."""
+    def note_unserved(self, job, *, retry_at=None, reserved=False):
+        """Record an unserved job, so that a retry by its caller is recognized.
+
+        Parameters
+        ----------
+        job : Job
+            The job.
+        retry_at : float, optional
+            Time before which the caller is told not to retry.
+        reserved : bool
+            Whether a server has reserved capacity for the retry.
+        """
         if job.caller_deadline is not None and not job.is_call:
             resource = (job.route.name, job.target)
             self._returns.note(
-                resource, gives_up=job.caller_deadline, first=job.first_sent_at
+                resource,
+                gives_up=job.caller_deadline,
+                first=job.first_sent_at,
+                retry_at=retry_at,
+                reserved=reserved,
             )
 
     def _choose_service(self, route):
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -58,6 +58,7 @@
         self.outbound = f"{self.ip}:1"
         self.fleet_holder = TableHolder(codec=FleetStateCodec())
         self.counts = {}
+        self.gauges = {}
         self.ended = []
         self.server = DialectServer(
             id=self.id, dialect=DIALECT, address=(self.ip, 3), seconds=SERVER_SECONDS
@@ -69,6 +70,9 @@
             door=self.inbound,
             count=self._count,
             on_ended=lambda instance, requests: self.ended.append(instance),
+            class_priority=mesh.class_priority,
+            set_gauge=self.gauges.__setitem__,
+            rng=random.Random(number),
         )
         self.ingress = Ingress(
             loop=loop,
@@ -82,13 +86,20 @@
             ratio=0.2,
             count=self._count,
             observe=lambda name, seconds: None,
+            class_priority=mesh.class_priority,
+            rng=random.Random(number),
         )
         self.ingress_listener = Server(
             address=(self.ip, 1),
             handler=self.ingress.handle,
             limits=Limits(head_bytes=2000, body_bytes=4 << 20, head_seconds=1.0),
         )
-        self.hop_handler = HopHandler(loop=loop, dialect=DIALECT, guard=self.guard)
+        self.hop_handler = HopHandler(
+            loop=loop,
+            dialect=DIALECT,
+            guard=self.guard,
+            class_priority=mesh.class_priority,
+        )
         self.hop_requests = 0
         self.hop_listener = Server(
             address=(self.ip, 2), handler=self._handle_hop, delays_continue=True
@@ -113,7 +124,16 @@
     The hosts belong in turn to the zones of `regions`, a dict of region by zone.
     """
 
-    def __init__(self, *, hosts=2, keyed=False, routes=None, regions=None):
+    def __init__(
+        self,
+        *,
+        hosts=2,
+        keyed=False,
+        routes=None,
+        regions=None,
+        class_priority=False,
+    ):
+        self.class_priority = class_priority
         routes = routes or (
             route("read"),
             route("pay", RetrySafety.UNSAFE),
--- a/guavastream/scheduling/admission.py
+++ b/guavastream/scheduling/admission.py
@@ -105,6 +105,8 @@
         Number of requests that the server runs concurrently.
     policy : Policy, optional
         Mechanisms that are in force.
+    return_times : ReturnTimes, optional
+        Capacity that is reserved for retries.
 
     Notes
     -----
@@ -120,10 +122,11 @@
        Systems: EDF and Related Algorithms", Kluwer, 1998.
     """
 
-    def __init__(self, *, loop, slots=1, policy=None):
+    def __init__(self, *, loop, slots=1, policy=None, return_times=None):
         self._loop = loop
         self._clock = loop.time
         self._policy = policy or Policy()
+        self._return_times = return_times
         self._queue = []
         self._sequence = itertools.count()
         self._running = 0
@@ -187,6 +190,7 @@
         urgency=None,
         again=False,
         last=True,
+        reserved=False,
     ):
         """Wait for a slot and return the estimated time to pass to `leave`.
 
@@ -212,6 +216,9 @@
         last : bool
             Whether a refusal is returned to the caller; if not, the request is then
             sent to another server.
+        reserved : bool
+            Whether capacity was reserved for this retry, whose reservation has been
+            claimed. It is not refused for the share of its kind.
 
         Raises
         ------
@@ -237,9 +244,12 @@
             if not self._queue:
                 self._empty_at = now
             waiter = self._make_waiter(rank, estimate, wanted_by, deadline, call, now)
-            if not admitted and self._policy.shares:
+            if not admitted and not reserved and self._policy.shares:
                 self._refuse_over_share(waiter, kind, now)
-            predicted = self._check_on_time(waiter, kind, now, call)
+            urgency = rank if urgency is None else urgency
+            predicted = self._check_on_time(
+                waiter, kind, now, call, urgency=urgency, reserved=reserved
+            )
             insort(self._queue, waiter, key=_order)
             try:
                 await self._wait(waiter, now)
@@ -283,7 +293,7 @@
             deadline=deadline,
         )
 
-    def _check_on_time(self, waiter, kind, now, call):
+    def _check_on_time(self, waiter, kind, now, call, *, urgency, reserved):
         """Return the uncorrected predicted wait, or refuse the request.
 
         The check itself uses the prediction times the ratio of `_wait_ratio`.
@@ -300,6 +310,12 @@
         # An unresponsive server frees no slots. It is expected to stay unresponsive
         # for as long again as it has been so far.
         wait = self._wait_ratio(kind) * predicted + max(0.0, self._silence() - mean)
+        if not call and not reserved and self._return_times is not None:
+            # Retries with a reservation overtake those without one.
+            seconds = self._return_times.seconds_reserved(
+                urgency=urgency, until=now + wait
+            )
+            wait += seconds / self.slots
         spare = 0.0 if call else self._time_reserve(waiter, now)
         if not self._policy.refusal:
             return predicted
--- a/guavastream/scheduling/outcome.py
+++ b/guavastream/scheduling/outcome.py
@@ -37,6 +37,8 @@
     "moving": FailureRule(status=503, wait_for_owner=True),
     "leaving": FailureRule(status=503, wait_for_owner=True, try_elsewhere=True),
     "overloaded": FailureRule(status=503, try_elsewhere=True),
+    # Refused at the ingress: the class of the request has no capacity at its servers.
+    "shed": FailureRule(status=503),
     # The server takes no more requests for now: while it is cold, or by its own word.
     "cold": FailureRule(status=503, try_elsewhere=True),
     "limited": FailureRule(status=503, try_elsewhere=True),
--- a/guavastream/scheduling/pick.py
+++ b/guavastream/scheduling/pick.py
@@ -401,6 +401,10 @@
             for time, server in best
         ]
 
+    def usual_seconds(self, kind):
+        """Return the average time of a kind of request on all servers."""
+        return self._kind_averages.get(kind) or DEFAULT_SECONDS
+
     def begin(self, server):
         """Note that a request is being sent to a server."""
         state = self._state_of(server)
--- a/guavastream/scheduling/returns.py
+++ b/guavastream/scheduling/returns.py
@@ -2,7 +2,9 @@
 
 from collections import OrderedDict
 
-__all__ = ["RetryTracker"]
+from guavastream.kernel import record
+
+__all__ = ["EarlierTry", "RetryTracker"]
 
 # Number of different requests that are remembered: those of several seconds, at 500
 # refusals a second and retries within a few hundred milliseconds.
@@ -12,6 +14,28 @@
 JITTER_SECONDS = 0.03
 
 
+@record
+class EarlierTry:
+    """An earlier try of a caller that was not served.
+
+    Parameters
+    ----------
+    gives_up : float
+        Clock time at which the caller gives up.
+    first : float
+        Clock time of the caller's first try.
+    retry_at : float or None
+        Clock time before which the caller was told not to retry, if it was.
+    reserved : bool
+        Whether the refusing server has reserved capacity for the retry.
+    """
+
+    gives_up: float
+    first: float
+    retry_at: float | None = None
+    reserved: bool = False
+
+
 class RetryTracker:
     """Remembers requests that were not served, to recognize their retries.
 
@@ -39,23 +63,24 @@
     def __len__(self):
         return len(self._unserved)
 
-    def note(self, what, *, gives_up, first):
+    def note(self, what, *, gives_up, first, retry_at=None, reserved=False):
         """Remember a request that was not served.
 
         Parameters
         ----------
         what : tuple
             Identifies what was requested.
-        gives_up : float
-            Clock time at which the caller gives up.
-        first : float
-            Clock time of the caller's first try.
+        gives_up, first, retry_at, reserved
+            As in `EarlierTry`.
         """
         unserved = self._unserved.pop(what, ())
         # Callers that gave up before this one first asked are forgotten. The entry
         # moves to the end, so that it is dropped last.
-        kept = [item for item in unserved if item[0] > first]
-        self._unserved[what] = [*kept, (gives_up, first)]
+        kept = [earlier for earlier in unserved if earlier.gives_up > first]
+        noted = EarlierTry(
+            gives_up=gives_up, first=first, retry_at=retry_at, reserved=reserved
+        )
+        self._unserved[what] = [*kept, noted]
         while len(self._unserved) > MAX_REMEMBERED:
             self._unserved.popitem(last=False)
 
@@ -64,13 +89,18 @@
 
         The remembered request is removed.
         """
+        earlier = self.pop(what, gives_up=gives_up)
+        return now if earlier is None else earlier.first
+
+    def pop(self, what, *, gives_up):
+        """Remove and return the `EarlierTry` of a caller, None if there is none."""
         unserved = self._unserved.get(what)
         if not unserved:
-            return now
-        for item in unserved:
-            if abs(item[0] - gives_up) <= JITTER_SECONDS:
-                unserved.remove(item)
+            return None
+        for earlier in unserved:
+            if abs(earlier.gives_up - gives_up) <= JITTER_SECONDS:
+                unserved.remove(earlier)
                 if not unserved:
                     del self._unserved[what]
-                return item[1]
-        return now
+                return earlier
+        return None
