Levels spread to all hosts; queued requests are refused once they are too late

Less urgent requests that were overtaken in the queue were refused only after 5.6 s, without time left for a retry. Load that ingresses let through at 1.2 times the slots was too little in short bursts.

Change: an answer carries the levels of up to four other servers with their ages, 172 bytes with five levels; they expire one second after their server sent them. With `class_priority`, a queued request is refused when it can't start in time any more. Ingresses admit 1.5 times the slots.

--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -12,6 +12,7 @@
 from guavastream.scheduling.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
 from guavastream.scheduling.class_admission import ClassAdmission
 from guavastream.scheduling.departures import Departures
+from guavastream.scheduling.levels import LevelBoard
 from guavastream.scheduling.outcome import NotRun
 from guavastream.scheduling.pick import Report
 from guavastream.scheduling.rate_limits import ServerRateLimiter
@@ -211,11 +212,13 @@
         self._admission_queue = AdmissionQueue(
             loop=loop, policy=policy, return_times=return_times
         )
-        self._class_admission = None
+        self.level_board = self._class_admission = None
         if class_priority:
+            rng = rng or random.Random()
+            self.level_board = LevelBoard(clock=self._clock, rng=rng)
             self._class_admission = ClassAdmission(
                 clock=self._clock,
-                rng=rng or random.Random(),
+                rng=rng,
                 queue=self._admission_queue,
                 return_times=return_times,
                 count=count,
@@ -263,13 +266,17 @@
         )
 
     def levels_header(self):
-        """Return the admission levels as a header value, empty if there are none."""
+        """Return the header value with admission levels, empty if there are none.
+
+        They are those of the local server, and some that this process has received.
+        """
         if self._class_admission is None:
             return b""
         shares = self._class_admission.shares()
         if shares is not self._shown_shares:
             self._show_levels(shares)
-        return self._class_admission.header()
+        passed_on = self.level_board.passed_on(except_for=self._local_id)
+        return self._class_admission.header() + passed_on
 
     def _show_levels(self, shares):
         """Set the gauges of levels and of reservations for retries."""
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -134,7 +134,9 @@
         self._rng = rng or random.Random()
         self._class_admission = None
         if class_priority:
-            self._class_admission = IngressAdmission(clock=self._clock, rng=self._rng)
+            self._class_admission = IngressAdmission(
+                clock=self._clock, rng=self._rng, board=guard.level_board
+            )
         self._retry_budgets = {}
         # Requests that were refused here since their owner is limited, by service and
         # key: the process beside the owner does not see them.
@@ -279,7 +281,7 @@
             If its class has no capacity at the servers that may run it.
         """
         # A refused call would waste the work that its caller has already caused.
-        if not len(self._class_admission.board) or job.is_call:
+        if not self._class_admission.board.is_restricting or job.is_call:
             return job
         fleet_state = self._fleet_holder.table
         if job.keyed:
--- a/guavastream/scheduling/admission.py
+++ b/guavastream/scheduling/admission.py
@@ -392,9 +392,13 @@
 
     async def _wait(self, waiter, now):
         """Wait until a queued request is assigned a slot or is refused."""
-        future = waiter.future
+        future, until = waiter.future, waiter.latest_start
+        if self._return_times is not None:
+            # Those that are overtaken until they would start too late are refused then,
+            # while their callers have time left for a retry.
+            until = min(until, waiter.start_by + LATE_START_FACTOR * waiter.estimate)
         try:
-            with TimeLimit(loop=self._loop, when=max(now, waiter.latest_start)):
+            with TimeLimit(loop=self._loop, when=max(now, until)):
                 await future
         except TimeoutError:
             self._return_unused_slot(future)
--- a/guavastream/scheduling/class_admission.py
+++ b/guavastream/scheduling/class_admission.py
@@ -2,7 +2,6 @@
 
 from guavastream.scheduling.levels import (
     Level,
-    LevelBoard,
     LevelMeter,
     RequestClass,
     format_levels,
@@ -15,6 +14,8 @@
 
 __all__ = ["ClassAdmission", "IngressAdmission"]
 
+# Time for which a process sends the same header value.
+HEADER_SECONDS = 0.02
 # Shortest Retry-After of a refusal at an ingress.
 MIN_RETRY_SECONDS = 0.05
 # Share of the told Retry-After before which a retry counts as early. Callers measure
@@ -46,6 +47,8 @@
         self._queue = queue
         self._meter = LevelMeter(clock=clock)
         self._return_times = return_times
+        self._header = b""
+        self._header_until = float("-inf")
 
     @property
     def reservations(self):
@@ -61,10 +64,14 @@
         queue = self._queue
         if not queue.waiting and queue.running < queue.slots:
             return b""
-        shares = self.shares()
-        if not shares:
-            return b""
-        seconds = queue.seconds
+        now = self._clock()
+        if now >= self._header_until:
+            self._header_until = now + HEADER_SECONDS
+            self._header = self._format_header(self.shares())
+        return self._header
+
+    def _format_header(self, shares):
+        queue, seconds = self._queue, self._queue.seconds
         return format_levels(
             {
                 cls: Level(
@@ -198,12 +205,14 @@
         Monotonic time in seconds.
     rng : random.Random
         Decides which requests of a class are admitted.
+    board : LevelBoard
+        Levels that this process has received.
     """
 
-    def __init__(self, *, clock, rng):
+    def __init__(self, *, clock, rng, board):
         self._clock = clock
         self._rng = rng
-        self.board = LevelBoard(clock=clock)
+        self.board = board
 
     def check(
         self,
--- a/guavastream/scheduling/levels.py
+++ b/guavastream/scheduling/levels.py
@@ -1,5 +1,7 @@
 """Admission levels by urgency class: measured beside a server, used at ingresses."""
 
+import functools
+import re
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -23,9 +25,10 @@
 # From this age on, a level rises steadily to 1, which it reaches when it expires. All
 # ingresses would otherwise stop refusing at the same moment.
 LEVEL_FADE_SECONDS = 0.5
-# Ingresses admit this much work per slot of a server. With 1.0, the random gaps between
-# requests would leave slots unused; the queue of the server refuses what is too much.
-ADMITTED_LOAD = 1.2
+# Ingresses admit this much work per slot of a server. The server chooses better among
+# requests than an ingress: in simulated bursts the callers got a value of 0.77 with a
+# factor of 1.2 and 0.79 with 1.5, compared to 0.80 without refusals at ingresses.
+ADMITTED_LOAD = 1.5
 # Smallest share of a class that is admitted, so that a level that is too low shows.
 PROBE_SHARE = 0.05
 # A class is admitted at least this much as often as all requests together. Kinds must
@@ -33,8 +36,16 @@
 MIN_RELATIVE_SHARE = 0.4
 # Bounds of the inverse of the share by which a request was admitted at its ingress.
 MAX_WEIGHT = 1 / PROBE_SHARE
-# Servers whose levels an ingress holds at a time.
+# Servers whose levels a process holds at a time.
 MAX_SERVERS = 1024
+# Levels of other servers that an answer carries, about 30 bytes each, and the time for
+# which a process passes on the same ones.
+MAX_PASSED_ON = 4
+PASS_ON_SECONDS = 0.02
+MAX_AGE_MS = int(1000 * LEVEL_VALID_SECONDS)
+MAX_AGE_DIGITS = 4
+# Ids that can be part of the header value.
+_ID = re.compile(r"[A-Za-z0-9_.:/-]+")
 # Classes in one header value. Priorities of routes are few; the bound limits the work
 # for a malformed value.
 MAX_CLASSES = 16
@@ -81,11 +92,20 @@
 def format_levels(levels):
     """Return a dict of `Level` by `RequestClass` as a header value.
 
+    Late classes of which only probes are admitted are left out if others are listed:
+    that is how unlisted ones are understood.
+
     Examples
     --------
     >>> format_levels({RequestClass(urgency=1, late=True): Level(share=0.25)})
     b'1:1:250:0'
     """
+    if any(not cls.late for cls in levels):
+        levels = {
+            cls: level
+            for cls, level in levels.items()
+            if not cls.late or level.share > PROBE_SHARE
+        }
     return b",".join(
         b"%d:%d:%d:%d"
         % (
@@ -98,9 +118,13 @@
     )
 
 
+# The same levels come in many answers, of their server and of others.
+@functools.lru_cache(maxsize=1024)
 def parse_levels(value):
     """Return the levels in a header value, empty if it is malformed.
 
+    The result must not be changed.
+
     Examples
     --------
     >>> parse_levels(b"0:0:250:80")[RequestClass(urgency=0)].retry_seconds
@@ -172,7 +196,7 @@
     >>> for number in range(20):
     ...     meter.note(RequestClass(urgency=0), work=0.2, admitted=number % 2 == 0)
     >>> round(meter.levels(slots=2)[RequestClass(urgency=0)], 2)
-    0.6
+    0.75
     >>> now = 1.2
     >>> meter.levels(slots=2)
     {}
@@ -272,7 +296,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Received:
-    """Levels of one server and the clock time at which they were received."""
+    """Levels of one server and the clock time at which the server sent them."""
 
     levels: dict
     at: float
@@ -298,45 +322,123 @@
 
 
 class LevelBoard:
-    """The levels that an ingress has received, by server.
+    """The levels that a process has received, by server.
 
     Parameters
     ----------
     clock : callable
         Monotonic time in seconds.
+    rng : random.Random
+        Chooses the levels that are passed on.
+
+    Notes
+    -----
+    A host asks each single server of a large service less than once a second, and would
+    rarely hold a valid level of it. Answers therefore carry the levels of a few other
+    servers too, with their ages. Each host gets answers of all others, so that a level
+    spreads to all within a fraction of a second.
+
+    References
+    ----------
+    .. [1] A. Demers et al., "Epidemic Algorithms for Replicated Database Maintenance",
+       ACM Symposium on Principles of Distributed Computing, 1987.
 
     Examples
     --------
+    >>> import random
     >>> now = 5.0
-    >>> board = LevelBoard(clock=lambda: now)
-    >>> board.note("a", b"0:0:250:0")
+    >>> board = LevelBoard(clock=lambda: now, rng=random.Random(1))
+    >>> board.note("a", b"0:0:250:0;c=400=0:0:500:0")
     >>> board.level(["a"], RequestClass(urgency=0)).share
     0.25
     >>> board.level(["a", "b"], RequestClass(urgency=0)).share
     0.625
+    >>> board.level(["c"], RequestClass(urgency=0)).age
+    0.4
+    >>> board.passed_on(except_for="a")
+    b';c=400=0:0:500:0'
     >>> now = 6.1
     >>> board.level(["a"], RequestClass(urgency=0)) is None
     True
     """
 
-    def __init__(self, *, clock):
+    def __init__(self, *, clock, rng):
         self._clock = clock
+        self._rng = rng
         self._received = {}
+        self._valid_until = float("-inf")
+        self._passed_on = b""
+        self._passed_on_at = float("-inf")
 
     def __len__(self):
         return len(self._received)
 
+    @property
+    def is_restricting(self):
+        """Whether any level is valid."""
+        return self._clock() < self._valid_until
+
     def note(self, server_id, value):
-        """Take the header value of an answer; an empty one restricts nothing."""
-        self._received.pop(server_id, None)
-        levels = parse_levels(value)
-        if not levels:
+        """Take the header value of a server's answer, empty if there is none."""
+        now = self._clock()
+        if not value:
+            # An older level that another server passes on must not replace this.
+            self._store(server_id, {}, now)
+            return
+        own, *others = value.split(b";", MAX_PASSED_ON + 1)[: MAX_PASSED_ON + 1]
+        self._store(server_id, parse_levels(own), now)
+        for part in others:
+            id, _, rest = part.partition(b"=")
+            ms, _, levels = rest.partition(b"=")
+            if ms.isdigit() and len(ms) <= MAX_AGE_DIGITS and int(ms) < MAX_AGE_MS:
+                levels = parse_levels(levels)
+                self._store(id.decode("latin-1"), levels, now - int(ms) / 1000)
+
+    def _store(self, server_id, levels, at):
+        known = self._received.pop(server_id, None)
+        if known is not None and known.at > at:
+            self._received[server_id] = known
             return
-        self._received[server_id] = _Received(levels=levels, at=self._clock())
-        # The oldest are first, since each server is entered anew with its levels.
+        self._received[server_id] = _Received(levels=levels, at=at)
+        if levels:
+            self._valid_until = max(self._valid_until, at + LEVEL_VALID_SECONDS)
+        # Those that have not changed for longest are first.
         while len(self._received) > MAX_SERVERS:
             del self._received[next(iter(self._received))]
 
+    def passed_on(self, *, except_for=""):
+        """Return the part of a header value with the levels of other servers.
+
+        Parameters
+        ----------
+        except_for : str
+            Id of the server whose own levels precede it.
+        """
+        if not self.is_restricting:
+            return b""
+        now = self._clock()
+        if now - self._passed_on_at >= PASS_ON_SECONDS:
+            self._passed_on_at = now
+            recent = [
+                (id, received)
+                for id, received in self._received.items()
+                if received.levels
+                and now - received.at < LEVEL_FADE_SECONDS
+                and id != except_for
+                and _ID.fullmatch(id)
+            ]
+            chosen = self._rng.sample(recent, min(MAX_PASSED_ON, len(recent)))
+            self._passed_on = b"".join(
+                b";%s=%d=%s"
+                % (
+                    id.encode(),
+                    round(1000 * (now - received.at)),
+                    format_levels(received.levels),
+                )
+                for id, received in chosen
+            )
+        return self._passed_on
+
     def level(self, server_ids, cls):
         """Return the `CombinedLevel` of a class, None if nothing restricts it.
 
@@ -348,14 +450,13 @@
         cls : RequestClass
             Class of the request.
         """
-        if not self._received:
+        if not self.is_restricting:
             return None
         now = self._clock()
         shares, retry_at, newest = 0.0, float("inf"), float("-inf")
         for id in server_ids:
             received = self._received.get(id)
             if received is not None and now - received.at >= LEVEL_VALID_SECONDS:
-                del self._received[id]
                 received = None
             level = None if received is None else _find_level(received.levels, cls)
             if level is None:
@@ -368,7 +469,8 @@
         if newest == float("-inf"):
             return None
         share = shares / len(server_ids)
-        return CombinedLevel(share=share, retry_at=retry_at, age=now - newest)
+        age = round(now - newest, 6)
+        return CombinedLevel(share=share, retry_at=retry_at, age=age)
 
 
 def _find_level(levels, cls):
--- a/guavastream/scheduling/tests/keyed_overload.py
+++ b/guavastream/scheduling/tests/keyed_overload.py
@@ -9,6 +9,7 @@
     AdmissionQueue,
     ClassAdmission,
     IngressAdmission,
+    LevelBoard,
     NotRun,
     RetryTracker,
     ReturnTimes,
@@ -68,19 +69,30 @@
     callers: int = 0
     in_time: int = 0
     late: int = 0
-    unserved: int = 0
     refusals: int = 0
     refusals_after_hop: int = 0
-    # Times from the first try to the last refusal of callers that were not served.
-    unserved_seconds: list = field(default_factory=list)
-    # Clock times of the first try and of the answer of callers that were served.
-    served: list = field(default_factory=list)
+    # Times from a try to its refusal.
+    refusal_seconds: list = field(default_factory=list)
+    # Clock time of the first try, and whether the answer was in time, of each caller.
+    outcomes: list = field(default_factory=list)
+    # Callers, and those answered in time, by whether they repeat at once.
+    impatient: dict = field(default_factory=lambda: {True: [0, 0], False: [0, 0]})
 
     @property
     def share(self):
         """Share of the callers that were answered in time."""
         return self.in_time / max(1, self.callers)
 
+    def share_since(self, since):
+        """Return the share answered in time of callers that came after a time."""
+        found = [in_time for began, in_time in self.outcomes if began >= since]
+        return sum(found) / len(found)
+
+    def share_of(self, *, impatient):
+        """Return the share answered in time of callers that repeat at once or wait."""
+        callers, in_time = self.impatient[impatient]
+        return in_time / max(1, callers)
+
     @property
     def served_share(self):
         """Share of the callers that were answered."""
@@ -108,7 +120,10 @@
 
     def __init__(self, *, clock, rng, classes):
         self.returns = RetryTracker()
-        self.admission = IngressAdmission(clock=clock, rng=rng) if classes else None
+        self.board = self.admission = None
+        if classes:
+            self.board = LevelBoard(clock=clock, rng=rng)
+            self.admission = IngressAdmission(clock=clock, rng=rng, board=self.board)
         self.kind_seconds = {}
 
 
@@ -140,6 +155,8 @@
         seed=1,
     ):
         self.rng = random.Random(seed)
+        # Callers are the same for all kinds of admission.
+        self.arrivals = random.Random(seed)
         self.rates, self.classes, self.kinds = rates, classes, kinds
         self.impatient, self.seconds = impatient, seconds
         self.counts = {kind.name: Counts() for kind in kinds}
@@ -191,7 +208,8 @@
     async def _callers(self, kind):
         tasks = []
         while True:
-            await asyncio.sleep(self.rng.expovariate(self.rates(kind, self.clock())))
+            rate = self.rates(kind, self.clock())
+            await asyncio.sleep(self.arrivals.expovariate(rate))
             if self.clock() >= self.seconds:
                 break
             tasks.append(asyncio.ensure_future(self._caller(kind)))
@@ -207,11 +225,15 @@
         ingress = self.rng.choice(self.ingresses)
         is_impatient = self.rng.random() < self.impatient
         retries = IMPATIENT_RETRIES if is_impatient else PATIENT_RETRIES
+        counts.impatient[is_impatient][0] += 1
+        in_time = False
         for tries_left in range(retries, -1, -1):
+            asked = self.clock()
             try:
                 await self._ask(kind, ingress, server, what, gives_up)
             except NotRun as refused:
                 counts.refusals += 1
+                counts.refusal_seconds.append(self.clock() - asked)
                 left = gives_up - self.clock()
                 wait = min(refused.retry_after, left / 3)
                 if is_impatient:
@@ -222,14 +244,12 @@
             except TimeoutError:
                 break
             else:
-                counts.served.append((began, self.clock()))
-                if self.clock() - began <= kind.target:
-                    counts.in_time += 1
-                else:
-                    counts.late += 1
-                return
-        counts.unserved += 1
-        counts.unserved_seconds.append(self.clock() - began)
+                in_time = self.clock() - began <= kind.target
+                counts.in_time += in_time
+                counts.late += not in_time
+                break
+        counts.impatient[is_impatient][1] += in_time
+        counts.outcomes.append((began, in_time))
 
     async def _ask(self, kind, ingress, server, what, gives_up):
         """Handle one try at an ingress."""
@@ -257,7 +277,7 @@
                     kind, server, what, wanted_by, gives_up, share, earlier is not None
                 )
             finally:
-                header = server.admission.header() if server.admission else b""
+                header = self._header(server)
                 await asyncio.sleep(HOP_SECONDS)
                 if ingress.admission is not None:
                     ingress.admission.board.note(server.id, header)
@@ -285,6 +305,13 @@
             )
             raise NotRun(refused.code, retry_after=seconds_told) from None
 
+    def _header(self, server):
+        """Return the levels in an answer; a process has a server and an ingress."""
+        if server.admission is None:
+            return b""
+        board = self.ingresses[self.servers.index(server)].board
+        return server.admission.header() + board.passed_on(except_for=server.id)
+
     async def _serve(self, kind, server, what, wanted_by, gives_up, share, again):
         """Run a request at a server, or refuse it."""
         request = {
