--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -34,6 +34,8 @@
 # Share of the time allowed for an evacuation during which an evacuated server still
 # serves the keys that it owns, while they are moved.
 EVACUATION_SHARE = 0.5
+# Shortest time between two log records of the admission levels.
+LEVELS_LOG_SECONDS = 1.0
 
 log = part_logger("guard")
 
@@ -226,6 +228,7 @@
         self._set_gauge = set_gauge
         # Levels that the gauges show.
         self._shown_shares = {}
+        self._levels_logged_at = float("-inf")
         self._held_by = self._local_id = ""
         self._held = None
         self._departures = departures or Departures(clock=self._clock)
@@ -285,6 +288,27 @@
             self._set_gauge(name, round(shares.get(cls, 1.0), 3))
         self._set_gauge("retry_reservations", self._class_admission.reservations)
         self._shown_shares = shares
+        now = self._clock()
+        if shares and now - self._levels_logged_at >= LEVELS_LOG_SECONDS:
+            self._levels_logged_at = now
+            log.info(
+                "Requests are admitted by their urgency class.",
+                extra={
+                    "server": self._local_id,
+                    "levels": [
+                        {
+                            "urgency": cls.urgency,
+                            "late": cls.late,
+                            "level": round(share, 3),
+                        }
+                        for cls, share in shares.items()
+                    ],
+                    "asked": self._class_admission.asked(),
+                    "running": self._admission_queue.running,
+                    "waiting": self._admission_queue.waiting,
+                    "reservations": self._class_admission.reservations,
+                },
+            )
 
     def _limited_wait(self):
         """Return the time until the local server, if limited, may get a request."""
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -138,8 +138,8 @@
                 clock=self._clock, rng=self._rng, board=guard.level_board
             )
         self._retry_budgets = {}
-        # Requests that were refused here since their owner is limited, by service and
-        # key: the process beside the owner does not see them.
+        # Requests that were refused here since their owner is limited, or by their
+        # class, by service and key: the process beside the owner does not see them.
         self._refused_keys = {}
         self._failure_rates = {}
         # Set at the end of a shutdown; all further requests are refused as not run.
@@ -291,15 +291,20 @@
             ids = [server.id for server in self._choices_for(fleet_state, job).subset]
         if not ids:
             return job
-        share = self._class_admission.check(
-            ids,
-            urgency=job.urgency,
-            seconds=self._picker.usual_seconds(job.route.name),
-            target_time=job.target_time,
-            deadline=job.deadline,
-            retry_at=job.retry_at,
-            reserved=job.reserved,
-        )
+        try:
+            share = self._class_admission.check(
+                ids,
+                urgency=job.urgency,
+                seconds=self._picker.usual_seconds(job.route.name),
+                target_time=job.target_time,
+                deadline=job.deadline,
+                retry_at=job.retry_at,
+                reserved=job.reserved,
+            )
+        except NotRun:
+            if job.keyed:
+                self._count_refused_key(job)
+            raise
         return job if share >= 1.0 else replace(job, share=share)
 
     def _note_server_end(self, job, server):
@@ -402,7 +407,7 @@
             by_key[job.key] = by_key.get(job.key, 0) + 1
 
     def take_refused_keys(self):
-        """Return the requests refused for limited owners since the last call.
+        """Return the requests for owners that were refused here since the last call.
 
         Returns
         -------
--- a/guavastream/relay/tests/test_levels.py
+++ b/guavastream/relay/tests/test_levels.py
@@ -44,6 +44,11 @@
         assert first.hop_requests - hops <= 10
         assert mesh.hosts[1].counts["refused.shed"] >= 30
         assert mesh.hosts[1].counts["shed.1.in_time"] >= 30
+        # The leader moves keys by demand, which includes what was refused here.
+        refused = mesh.hosts[1].ingress.take_refused_keys()
+        assert refused == {"s": {7: mesh.hosts[1].counts["refused.shed"]}}
+        gauge = 'admission_level{urgency="0",late="0"}'
+        assert first.gauges[gauge] < 1.0 and "retry_reservations" in first.gauges
         await load
         # The refusals were true: only what was answered has run.
         ran = [run for run in mesh.ran() if run[2].startswith(b"/order/c")]
@@ -93,3 +98,24 @@
         await load
 
     run_scenario(scenario, keyed=True, routes=ROUTES, class_priority=True)
+
+
+def test_requests_without_a_key_are_refused_if_all_servers_are_full():
+    # The ingress combines the levels of the servers; one full server restricts little.
+    async def scenario(mesh):
+        loads = [
+            asyncio.ensure_future(_fill(mesh, b"/status/a", 300, at=at))
+            for at in (1, 2)
+        ]
+        await asyncio.sleep(0.05)
+        statuses = await _fill(mesh, b"/status/b", 20, at=0)
+        await asyncio.sleep(0.05)
+        statuses += await _fill(mesh, b"/order/c", 60, at=0)
+        assert mesh.hosts[0].counts["refused.shed"] > 0
+        ran = [run for run in mesh.ran() if run[2][:8] in (b"/status/b", b"/order/c")]
+        assert len(ran) <= statuses.count(200)
+        await asyncio.gather(*loads)
+        await asyncio.sleep(LEVEL_VALID_SECONDS)
+        assert await _fill(mesh, b"/order/d", 8, at=0) == [200] * 8
+
+    run_scenario(scenario, hosts=3, routes=ROUTES, class_priority=True)
--- a/guavastream/scheduling/class_admission.py
+++ b/guavastream/scheduling/class_admission.py
@@ -59,6 +59,18 @@
         """Return the share to admit of each restricted class, by `RequestClass`."""
         return self._meter.levels(slots=self._queue.slots)
 
+    def asked(self):
+        """Return the counts of the last second of each class, for log records."""
+        return [
+            {
+                "urgency": cls.urgency,
+                "late": cls.late,
+                "asked": round(asked),
+                "admitted": admitted,
+            }
+            for cls, (asked, admitted) in self._meter.measured().items()
+        ]
+
     def header(self):
         """Return the levels as a header value, empty if nothing is restricted."""
         queue = self._queue
@@ -153,7 +165,10 @@
             raise NotRun(
                 refused.code, retry_after=retry_after, reasons=reasons
             ) from None
-        self._meter.note(cls, work=seconds, admitted=True, share=share)
+        # Calls are hardly ever refused. One that starts too late shows as much as a
+        # refusal that the server has no capacity for its class.
+        in_time = not is_call or self._clock() + seconds <= wanted_by
+        self._meter.note(cls, work=seconds, admitted=in_time, share=share)
         return estimate
 
     def _refuse_late(self, cls):
@@ -269,6 +284,7 @@
             "level": round(level.share, 3),
             "level_ms": int(1000 * level.age),
             "servers": len(server_ids),
+            "server": server_ids[0] if len(server_ids) == 1 else "",
             "retry_ms": int(1000 * retry_after),
         }
         raise NotRun("shed", retry_after=retry_after, reasons=reasons)
--- a/guavastream/scheduling/tests/test_class_admission.py
+++ b/guavastream/scheduling/tests/test_class_admission.py
@@ -5,12 +5,19 @@
 in comments are shares of callers that are answered within their target.
 """
 
+import asyncio
 import random
 from functools import cache
 
 import pytest
 
-from guavastream.scheduling import NotRun
+from guavastream.emulator import run_paused
+from guavastream.scheduling import (
+    AdmissionQueue,
+    ClassAdmission,
+    NotRun,
+    ReturnTimes,
+)
 from guavastream.scheduling.class_admission import IngressAdmission
 from guavastream.scheduling.levels import (
     LEVEL_VALID_SECONDS,
@@ -119,6 +126,47 @@
     assert sum(len(server.return_times) for server in load.servers) <= 5
 
 
+def test_calls_that_start_too_late_restrict_less_urgent_requests():
+    # Calls are admitted as long as they can run, so that refusals of calls don't show
+    # that their callers fail.
+    async def main():
+        loop = asyncio.get_running_loop()
+        times = ReturnTimes(clock=loop.time)
+        queue = AdmissionQueue(loop=loop, slots=2, return_times=times)
+        admission = ClassAdmission(
+            clock=loop.time, rng=random.Random(1), queue=queue, return_times=times
+        )
+
+        async def ask(number, *, kind, rank, work, target, call):
+            request = {
+                "rank": rank,
+                "kind": kind,
+                "wanted_by": loop.time() + target,
+                "deadline": loop.time() + 3.0,
+                "id": b"%d" % number,
+                "call": call,
+            }
+            what = (kind, number)
+            estimate = await admission.enter(what=what, keyed=False, **request)
+            await asyncio.sleep(work)
+            queue.leave(estimate, kind=kind, seconds=work)
+
+        slow = {"kind": "slow", "rank": 2, "work": 0.7, "target": 4.0, "call": False}
+        short = {"kind": "short", "rank": 0, "work": 0.05, "target": 0.1, "call": True}
+        tasks = []
+        for number in range(30):
+            tasks.append(asyncio.ensure_future(ask(number, **short)))
+            if number % 2 == 0:
+                tasks.append(asyncio.ensure_future(ask(100 + number, **slow)))
+            await asyncio.sleep(0.1)
+        shares = admission.shares()
+        assert shares[RequestClass(urgency=2)] < 1.0
+        assert URGENT not in shares
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    run_paused(main())
+
+
 def fill(meter, clock, *, requests, seconds=1.0, work=0.2, every=3, cls=URGENT):
     """Ask for a class at an even rate; one in `every` requests is admitted."""
     for number in range(requests):
