--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -171,6 +171,8 @@
             departures=Departures(clock=clock),
             evacuation=settings.evacuation,
             classes=lambda: self._service_classes,
+            class_priority=settings.class_priority,
+            set_gauge=self.counters.set,
         )
         self.counters.set_function("reserved_slots", lambda: self._guard.reserved_slots)
         self.counters.set_function(
@@ -196,6 +198,7 @@
             observe=self.counters.observe,
             policy=settings.policy,
             classes=lambda: self._service_classes,
+            class_priority=settings.class_priority,
         )
         self._load_reporter = LoadReporter(
             control=self._control,
@@ -209,6 +212,7 @@
             dialect=dialect,
             guard=self._guard,
             link_rate=settings.link_rate,
+            class_priority=settings.class_priority,
         )
         self._outbound = Server(
             address=parse_address(settings.outbound),
--- a/guavastream/hosts/settings.py
+++ b/guavastream/hosts/settings.py
@@ -55,7 +55,8 @@
         A cold server must get at most its tolerated rate times `cold_overage`, plus
         `cold_slack`, requests in any second.
     class_priority : bool
-        Whether the servers of all services reserve slots for more urgent requests.
+        Whether requests are queued and admitted by urgency class, for a service as a
+        whole.
     policy : Policy
         Which mechanisms are enabled.
     """
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import random
 from dataclasses import dataclass, field
 
 import msgspec
@@ -11,11 +12,14 @@
 from guavastream.relay.quarantine import Quarantine
 from guavastream.relay.server_client import ServerClient
 from guavastream.scheduling.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
+from guavastream.scheduling.class_admission import ClassAdmission
 from guavastream.scheduling.departures import Departures
 from guavastream.scheduling.hangs import SlowStart
+from guavastream.scheduling.levels import LevelBoard
 from guavastream.scheduling.outcome import NotRun
 from guavastream.scheduling.pick import Report
 from guavastream.scheduling.rate_limits import ServerRateLimiter
+from guavastream.scheduling.return_times import ReturnTimes
 from guavastream.scheduling.turns import LifoLock
 from guavastream.scheduling.work_meter import WorkMeter
 
@@ -35,6 +39,8 @@
 # Share of the time allowed for an evacuation during which an evacuated server still
 # serves the keys that it owns, while they are moved.
 EVACUATION_SHARE = 0.5
+# Shortest time between two log records of the admission levels.
+LEVELS_LOG_SECONDS = 1.0
 
 log = part_logger("guard")
 
@@ -87,6 +93,8 @@
     margin : float
         Seconds before `deadline` at which it stops waiting, so that a refusal arrives
         in time.
+    share : float
+        Share of such requests that the ingress admitted by their class.
     """
 
     id: bytes
@@ -109,6 +117,7 @@
     deadline: float
     sent_at: list = msgspec.field(default_factory=list)
     margin: float = ANSWER_MARGIN_SECONDS
+    share: float = 1.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -161,6 +170,12 @@
         no more requests, seconds.
     classes : callable, optional
         Returns the `ServiceClasses` of each service by its name.
+    class_priority : bool
+        Whether requests are admitted by urgency class.
+    set_gauge : callable, optional
+        Sets a gauge: its name and the value.
+    rng : random.Random, optional
+        Spreads retries for which no capacity is expected.
     """
 
     def __init__(
@@ -180,6 +195,9 @@
         departures=None,
         evacuation=5.0,
         classes=dict,
+        class_priority=False,
+        set_gauge=lambda name, value: None,
+        rng=None,
     ):
         self._loop = loop
         self._clock = loop.time
@@ -209,7 +227,25 @@
         )
         # Held by the suspect request that runs; only one of them runs at a time.
         self._suspect_turn = LifoLock(loop=loop)
-        self._admission_queue = AdmissionQueue(loop=loop, policy=policy)
+        return_times = ReturnTimes(clock=self._clock) if class_priority else None
+        self._admission_queue = AdmissionQueue(
+            loop=loop, policy=policy, return_times=return_times
+        )
+        self.level_board = self._class_admission = None
+        if class_priority:
+            rng = rng or random.Random()
+            self.level_board = LevelBoard(clock=self._clock, rng=rng)
+            self._class_admission = ClassAdmission(
+                clock=self._clock,
+                rng=rng,
+                queue=self._admission_queue,
+                return_times=return_times,
+                count=count,
+            )
+        self._set_gauge = set_gauge
+        # Levels that the gauges show.
+        self._shown_shares = {}
+        self._levels_logged_at = float("-inf")
         self._held_by = self._local_id = ""
         self._held = None
         self._departures = departures or Departures(clock=self._clock)
@@ -291,6 +327,48 @@
             return 0.0
         return self._admission_queue.offered_load(classes.least_urgent)
 
+    def levels_header(self):
+        """Return the header value with admission levels, empty if there are none.
+
+        They are those of the local server, and some that this process has received.
+        """
+        if self._class_admission is None:
+            return b""
+        shares = self._class_admission.shares()
+        if shares is not self._shown_shares:
+            self._show_levels(shares)
+        passed_on = self.level_board.passed_on(except_for=self._local_id)
+        return self._class_admission.header() + passed_on
+
+    def _show_levels(self, shares):
+        """Set the gauges of levels and of reservations for retries."""
+        for cls in {**self._shown_shares, **shares}:
+            name = f'admission_level{{urgency="{cls.urgency}",late="{cls.late:d}"}}'
+            self._set_gauge(name, round(shares.get(cls, 1.0), 3))
+        self._set_gauge("retry_reservations", self._class_admission.reservations)
+        self._shown_shares = shares
+        now = self._clock()
+        if shares and now - self._levels_logged_at >= LEVELS_LOG_SECONDS:
+            self._levels_logged_at = now
+            log.info(
+                "Requests are admitted by their urgency class.",
+                extra={
+                    "server": self._local_id,
+                    "levels": [
+                        {
+                            "urgency": cls.urgency,
+                            "late": cls.late,
+                            "level": round(share, 3),
+                        }
+                        for cls, share in shares.items()
+                    ],
+                    "asked": self._class_admission.asked(),
+                    "running": self._admission_queue.running,
+                    "waiting": self._admission_queue.waiting,
+                    "reservations": self._class_admission.reservations,
+                },
+            )
+
     def _limited_wait(self):
         """Return the time until the local server, if limited, may get a request."""
         instance = self.find_local(self._local_id)
@@ -621,8 +699,16 @@
         self._admission_queue.reserves_slots = (
             classes is not None and classes.need_reservation(instance.slots)
         )
+        enter = self._admission_queue.enter
+        if self._class_admission is not None:
+            enter = functools.partial(
+                self._class_admission.enter,
+                what=(attempt.kind, attempt.target),
+                keyed=attempt.key is not None,
+                share=attempt.share,
+            )
         try:
-            slot = await self._admission_queue.enter(
+            slot = await enter(
                 rank=attempt.rank,
                 kind=attempt.kind,
                 wanted_by=attempt.target_time,
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -58,6 +58,7 @@
         self.outbound = f"{self.ip}:1"
         self.fleet_holder = TableHolder(codec=FleetStateCodec())
         self.counts = {}
+        self.gauges = {}
         self.ended = []
         self.server = DialectServer(
             id=self.id, dialect=DIALECT, address=(self.ip, 3), seconds=SERVER_SECONDS
@@ -70,6 +71,9 @@
             count=self._count,
             on_ended=lambda instance, requests: self.ended.append(instance),
             classes=lambda: mesh.classes,
+            class_priority=mesh.class_priority,
+            set_gauge=self.gauges.__setitem__,
+            rng=random.Random(number),
         )
         self.ingress = Ingress(
             loop=loop,
@@ -84,6 +88,8 @@
             count=self._count,
             observe=lambda name, seconds: None,
             classes=lambda: mesh.classes,
+            class_priority=mesh.class_priority,
+            rng=random.Random(number),
         )
         self.ingress_listener = Server(
             address=(self.ip, 1),
@@ -92,7 +98,12 @@
             may_overlap=self.ingress.may_overlap,
             count=self._count,
         )
-        self.hop_handler = HopHandler(loop=loop, dialect=DIALECT, guard=self.guard)
+        self.hop_handler = HopHandler(
+            loop=loop,
+            dialect=DIALECT,
+            guard=self.guard,
+            class_priority=mesh.class_priority,
+        )
         self.hop_requests = 0
         self.hop_listener = Server(
             address=(self.ip, 2), handler=self._handle_hop, delays_continue=True
@@ -127,6 +138,8 @@
         regions=None,
         class_priority=False,
     ):
+
+        self.class_priority = class_priority
         routes = routes or (
             route("read"),
             route("pay", RetrySafety.UNSAFE),
--- a/guavastream/scheduling/admission.py
+++ b/guavastream/scheduling/admission.py
@@ -143,6 +143,8 @@
         Number of requests that the server runs concurrently.
     policy : Policy, optional
         Mechanisms that are in force.
+    return_times : ReturnTimes, optional
+        Capacity that is reserved for retries.
 
     Notes
     -----
@@ -164,10 +166,11 @@
        Systems: EDF and Related Algorithms", Kluwer, 1998.
     """
 
-    def __init__(self, *, loop, slots=1, policy=None):
+    def __init__(self, *, loop, slots=1, policy=None, return_times=None):
         self._loop = loop
         self._clock = loop.time
         self._policy = policy or Policy()
+        self._return_times = return_times
         self._queue = []
         self._sequence = itertools.count()
         self._running = 0
@@ -271,6 +274,7 @@
         again=False,
         last=True,
         margin=ANSWER_MARGIN_SECONDS,
+        reserved=False,
     ):
         """Wait for a slot and return the `Slot` to pass to `leave`.
 
@@ -298,6 +302,9 @@
             sent to another server.
         margin : float
             Seconds before `deadline` at which it stops waiting at the latest.
+        reserved : bool
+            Whether capacity was reserved for this retry, whose reservation has been
+            claimed. It is not refused for the share of its kind.
 
         Raises
         ------
@@ -343,9 +350,12 @@
                 margin,
             )
             try:
-                if not admitted and not starved and self._policy.shares:
+                may_exceed_share = admitted or starved or reserved
+                if not may_exceed_share and self._policy.shares:
                     self._refuse_over_share(waiter, group, now)
-                predicted = self._check_on_time(waiter, group, now, call)
+                predicted = self._check_on_time(
+                    waiter, group, now, call, reserved=reserved
+                )
                 await self._queue_up(waiter, group, predicted, now)
             except NotRun:
                 if self._by_class and last and not again:
@@ -498,7 +508,7 @@
             starved=starved,
         )
 
-    def _check_on_time(self, waiter, kind, now, call):
+    def _check_on_time(self, waiter, kind, now, call, *, reserved):
         """Return the uncorrected predicted wait, or refuse the request.
 
         The check itself uses the prediction times the ratio of `_wait_ratio`.
@@ -516,6 +526,12 @@
         # An unresponsive server frees no slots. It is expected to stay unresponsive
         # for as long again as it has been so far.
         wait = self._wait_ratio(kind) * predicted + max(0.0, self._silence() - mean)
+        if not call and not reserved and self._return_times is not None:
+            # Retries with a reservation overtake those without one.
+            seconds = self._return_times.seconds_reserved(
+                urgency=waiter.urgency, until=now + wait
+            )
+            wait += seconds / self.slots
         spare = 0.0 if call else self._time_reserve(waiter, now)
         if not self._policy.refusal:
             return predicted
@@ -608,9 +624,13 @@
 
     async def _wait(self, waiter, now):
         """Wait until a queued request is assigned a slot or is refused."""
-        future = waiter.future
+        future, until = waiter.future, waiter.latest_start
+        if self._return_times is not None:
+            # Those that are overtaken until they would start too late are refused then,
+            # while their callers have time left for a retry.
+            until = min(until, waiter.start_by + LATE_START_FACTOR * waiter.estimate)
         try:
-            with TimeLimit(loop=self._loop, when=max(now, waiter.latest_start)):
+            with TimeLimit(loop=self._loop, when=max(now, until)):
                 await future
         except TimeoutError:
             self._return_unused_slot(waiter)
