Levels count the demand of requests that wait in the queue

Cause: a request was counted only when it got its slot or was refused. Requests that may wait for seconds were missing in the demand of their class, so that a queue full of them restricted nothing.

Change: a request counts as asked when it arrives, and as admitted or refused when that is known.

--- a/guavastream/scheduling/class_admission.py
+++ b/guavastream/scheduling/class_admission.py
@@ -133,6 +133,7 @@
             and not is_call
             and self._return_times.claim(what=what, target_time=wanted_by)
         )
+        self._meter.note_asked(cls, work=seconds, share=share)
         if reserved:
             self._count("returns.claimed")
         try:
@@ -149,7 +150,7 @@
         except NotRun as refused:
             if refused.code != "overloaded":
                 raise
-            self._meter.note(cls, work=seconds, admitted=False, share=share)
+            self._meter.note_outcome(cls, admitted=False)
             if is_call or not kwargs.get("last", True):
                 raise
             retry_after = self._retry_after(
@@ -168,7 +169,7 @@
         # Calls are hardly ever refused. One that starts too late shows as much as a
         # refusal that the server has no capacity for its class.
         in_time = not is_call or self._clock() + seconds <= wanted_by
-        self._meter.note(cls, work=seconds, admitted=in_time, share=share)
+        self._meter.note_outcome(cls, admitted=in_time)
         return estimate
 
     def _refuse_late(self, cls):
--- a/guavastream/scheduling/levels.py
+++ b/guavastream/scheduling/levels.py
@@ -194,7 +194,8 @@
     >>> now = 0.0
     >>> meter = LevelMeter(clock=lambda: now)
     >>> for number in range(20):
-    ...     meter.note(RequestClass(urgency=0), work=0.2, admitted=number % 2 == 0)
+    ...     meter.note_asked(RequestClass(urgency=0), work=0.2)
+    ...     meter.note_outcome(RequestClass(urgency=0), admitted=number % 2 == 0)
     >>> round(meter.levels(slots=2)[RequestClass(urgency=0)], 2)
     0.75
     >>> now = 1.2
@@ -208,8 +209,8 @@
         self._known = None
         self._computed_at = float("-inf")
 
-    def note(self, cls, *, work, admitted, share=1.0):
-        """Count a request that was admitted or refused.
+    def note_asked(self, cls, *, work, share=1.0):
+        """Count a request that has arrived.
 
         Parameters
         ----------
@@ -217,26 +218,33 @@
             Class of the request.
         work : float
             Estimated time at the server, in seconds.
-        admitted : bool
-            Whether it was admitted.
         share : float
             Share of such requests that its ingress admitted.
         """
-        now = self._clock()
-        if not self._steps or now - self._steps[-1].began >= STEP_SECONDS:
-            self._steps.append(_Step(began=now))
-            self._drop_old(now)
-        counts = self._steps[-1].classes.get(cls)
-        if counts is None:
-            counts = self._steps[-1].classes[cls] = _Counts()
+        counts = self._counts(cls)
         weight = min(MAX_WEIGHT, 1 / max(share, PROBE_SHARE))
         counts.asked += weight
         counts.work += weight * work
+
+    def note_outcome(self, cls, *, admitted):
+        """Count a request that was admitted or refused, perhaps after a wait."""
+        counts = self._counts(cls)
         if admitted:
             counts.admitted += 1
         else:
             counts.refused += 1
 
+    def _counts(self, cls):
+        """Return the counts of a class in the current step."""
+        now = self._clock()
+        if not self._steps or now - self._steps[-1].began >= STEP_SECONDS:
+            self._steps.append(_Step(began=now))
+            self._drop_old(now)
+        counts = self._steps[-1].classes.get(cls)
+        if counts is None:
+            counts = self._steps[-1].classes[cls] = _Counts()
+        return counts
+
     def levels(self, *, slots):
         """Return the share to admit of each restricted class, by `RequestClass`.
 
@@ -279,7 +287,8 @@
             return {}
         asked = sum(counts.asked for counts in totals.values())
         admitted = sum(counts.admitted for counts in totals.values())
-        min_share = max(PROBE_SHARE, MIN_RELATIVE_SHARE * admitted / asked)
+        admitted_share = min(1.0, admitted / max(asked, 1.0))
+        min_share = max(PROBE_SHARE, MIN_RELATIVE_SHARE * admitted_share)
         left = ADMITTED_LOAD * slots * WINDOW_SECONDS
         is_short = False
         shares = {}
