--- a/guavastream/placement/spread.py
+++ b/guavastream/placement/spread.py
@@ -21,8 +21,8 @@
 # keys far from the hot ones do not stretch it.
 MAX_WINDOW_SHARE = 0.95
 # Share of the busy load of a range from which on nearly all of it is moved, if that
-# much is in excess. In the first moments of a rise its size is uncertain by a third, and
-# all of that error would stay with the former server.
+# much is in excess. In the first moments of a rise its size is uncertain by a third,
+# and all of that error would stay with the former server.
 MIN_WHOLE_SHARE = 0.5
 # Share of the excess below which a window is not worth cutting.
 MIN_WINDOW_SHARE = 0.1
