--- a/guavastream/hosts/control_host.py
+++ b/guavastream/hosts/control_host.py
@@ -82,6 +82,7 @@
             timing=settings.holds,
             granting=settings.granting,
             policy=settings.policy,
+            class_priority=settings.class_priority,
             set_gauge=self.counters.set,
             unset_gauge=self.counters.unset,
         )
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -206,6 +206,7 @@
             guard=self._guard,
             ingress=self._ingress,
             door=settings.inbound,
+            class_priority=settings.class_priority,
         )
         self._hop_handler = HopHandler(
             loop=self._loop,
