Calls between servers wait for a slot until their deadline again

Cause: requests of other hosts stopped waiting 30 % of their time before their deadline, so that a statement that they have not run arrives. Change: calls keep the margin of 30 ms that they had.

--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -31,6 +31,7 @@
 # statement that they have not run arrives. A host with 0.43 cores may be paused for
 # 57 ms of each 100 ms. The request, the decision to refuse and the statement can each
 # meet such a pause, and the deadline counts from the arrival of the request here.
+# Calls wait longer: a refused one wastes the work of the request that it is part of.
 REFUSAL_MARGIN_SECONDS = 0.15
 # At most this share of the time that is left on arrival, so that short requests wait.
 MAX_REFUSAL_MARGIN_SHARE = 0.3
@@ -160,9 +161,11 @@
     return NotRun(code, retry_after=int(ms) / 1000 if ms.isdigit() else 0.0)
 
 
-def _refusal_margin(left):
-    """Return the margin of a request that has `left` seconds on its arrival."""
-    share = MAX_REFUSAL_MARGIN_SHARE * left
+def _refusal_margin(hop):
+    """Return how long before its deadline a request stops waiting, in seconds."""
+    if hop.is_call:
+        return ANSWER_MARGIN_SECONDS
+    share = MAX_REFUSAL_MARGIN_SHARE * hop.remaining_ms / 1000
     return max(ANSWER_MARGIN_SECONDS, min(REFUSAL_MARGIN_SECONDS, share))
 
 
@@ -325,7 +328,7 @@
             kind=hop.route,
             target_time=now + hop.target_ms / 1000,
             deadline=min(now + hop.remaining_ms / 1000, self._limits.end),
-            margin=_refusal_margin(hop.remaining_ms / 1000),
+            margin=_refusal_margin(hop),
             share=_parse_share(headers.get(SHARE_HEADER_NAME)),
         )
 
