Emulated servers report only the keys as released that an answer leaves out

A row that came back shorter, split or under another fence was reported in `Released` while the same heartbeat had a part of it in `Holds`. The leader freed and granted that part to another server; the first one let go of it only when the answer arrived. If its host was frozen then, both held the keys until it thawed or the hold of 2.8 s ended. The protocol has no key in both lists: a server releases "anything that is left out".

The check of the soak is unchanged. The simulated hosts of the tests had the same fault.

--- a/guavastream/hosts/tests/rig.py
+++ b/guavastream/hosts/tests/rig.py
@@ -20,6 +20,7 @@
     Heartbeat,
     SetEvacuation,
     SetEvacuationResult,
+    subtract_range,
 )
 from guavastream.hosts import FleetSettings
 from guavastream.hosts.server_host import ServerHost
@@ -224,9 +225,10 @@
                 answer = None
             pause = HEARTBEAT_SECONDS
             if answer is not None and answer.rows is not None:
-                kept = [row[:3] for row in answer.rows]
-                gone = [row for row in self._rows if tuple(row[:3]) not in kept]
-                released = tuple((a, b, f"h{seq}") for a, b, *_ in gone)
+                gone = [row[:2] for row in self._rows]
+                for row in answer.rows:
+                    gone = subtract_range(gone, row)
+                released = tuple((*row, f"h{seq}") for row in gone)
                 self._rows, self._until = answer.rows, sent + answer.hold
                 pause = 0.1 if gone else HEARTBEAT_SECONDS
             await asyncio.sleep(pause)
--- a/guavastream/platform/emulator/server.py
+++ b/guavastream/platform/emulator/server.py
@@ -154,9 +154,13 @@
         if "Holds" not in granted:
             return HEARTBEAT_SECONDS
         kept = [row[:3] for row in granted["Holds"]]
-        lost = [row for row in self.rows if row not in kept]
+        # Only keys that the answer leaves out are released, not whole rows: a row may
+        # come back shorter, split or under another fence.
+        lost = [(first, last) for first, last, _ in self.rows]
+        for row in kept:
+            lost = subtract_range(lost, row)
         self.rows = kept
-        self.released += [[a, b, f"t{self.seq}-{a}"] for a, b, _ in lost]
+        self.released += [[a, b, f"t{self.seq}-{a}"] for a, b in lost]
         self.hold_expires_at = sent + float(granted["Hold"].removesuffix("ms")) / 1000
         return 0.1 if lost else HEARTBEAT_SECONDS
 
