--- a/guavastream/hosts/tests/test_load_reporter.py
+++ b/guavastream/hosts/tests/test_load_reporter.py
@@ -49,7 +49,9 @@
     """A reporter among many hosts, and the times and reports that it sends."""
 
     def __init__(self, *, targets, hosts=HOSTS, class_priority=False):
-        routes = {str(t): replace(route(str(t)), target=t) for t in targets}
+        routes = {
+            str(t): replace(route(str(t)), target=t, timeout=9.0) for t in targets
+        }
         config = RouteConfig(
             version=1,
             routes=routes,
--- a/guavastream/scheduling/tests/test_classes.py
+++ b/guavastream/scheduling/tests/test_classes.py
@@ -97,8 +97,8 @@
 
 
 def test_routes_without_a_target_do_not_make_work_mixed():
-    # Their target is the timeout. Routes of 1.2 s beside requests of 0.06 s made servers
-    # with 13 slots reserve most of them, and calls from other services were refused.
+    # Their target is the timeout. With 1.2 s beside requests of 0.06 s, servers with 13
+    # slots reserved most of them, and calls from other services were refused.
     plain = replace(route("plain", "s", target=1.2, priority=1), timeout=1.2)
     classes = classes_of(plain, route("short", "s", target=0.06, priority=1))["s"]
     assert not classes.need_order(13)
