--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -4,9 +4,11 @@
 from heapq import nlargest
 
 from guavastream.control.capacity import CapacityEstimator
+from guavastream.control.demand import ServiceDemand
 from guavastream.control.holds import HoldTracker
-from guavastream.control.loads import KeyLoads, Loads
+from guavastream.control.loads import report_interval
 from guavastream.control.moves import KeyMoves
+from guavastream.control.settling import SettlingTimer
 from guavastream.exception import NotLeader
 from guavastream.fleet import (
     EndInstance,
@@ -21,6 +23,7 @@
     encode_command,
     runs_within,
     subtract_range,
+    subtract_rows,
 )
 from guavastream.kernel import Policy, Signal, TimeLimit, part_logger, replace
 from guavastream.leases import HoldTiming
@@ -68,6 +71,10 @@
         How servers are granted keys if the configuration does not specify it.
     policy : Policy, optional
         Enabled mechanisms.
+    class_priority : bool
+        Whether the settings demand that urgent classes have priority.
+    set_gauge, unset_gauge : callable, optional
+        Set a gauge by name and value; remove it by name.
     """
 
     def __init__(
@@ -79,7 +86,13 @@
         timing=None,
         granting=Granting.HEARTBEAT,
         policy=None,
+        class_priority=False,
+        set_gauge=lambda name, value: None,
+        unset_gauge=lambda name: None,
     ):
+        self._class_priority = class_priority
+        self._set_gauge = set_gauge
+        self._unset_gauge = unset_gauge
         self._policy = policy or Policy()
         self._raft = raft
         self._machine = machine
@@ -93,9 +106,11 @@
         self._wakeups = {}
         self._waiting_until = {}
         self._moves = KeyMoves(clock=clock)
-        self._loads = {}
+        self._demands = {}
         self._estimator = CapacityEstimator(clock=clock)
-        self._joined_at = {}
+        self._settling = SettlingTimer(
+            clock=clock, initial_wait=self._timing.initial_wait
+        )
         self._balanced_at = 0.0
         self._removing = set()
 
@@ -113,7 +128,7 @@
         self._latest = {}
         self._waiting_until = {}
         self._moves.clear()
-        self._joined_at = {}
+        self._settling.clear()
         self._removing = set()
 
     # The latest message of each type by server: heartbeats, and renewal requests of
@@ -263,7 +278,7 @@
                 heartbeat.service,
                 heartbeat.door,
             )
-            self._joined_at.setdefault(heartbeat.service, self._clock())
+            self._settling.note_join(heartbeat.service)
         if heartbeat.leaving and not self._state.instances[heartbeat.id].leaving:
             await self._propose(LeaveInstance(id=heartbeat.id))
             log.info("Server %s is leaving.", heartbeat.id)
@@ -281,11 +296,16 @@
         return not config.version or service in config.services
 
     async def _release_reported(self, heartbeat):
-        """Free the ranges that a heartbeat reports as released."""
+        """Free the ranges that a heartbeat reports as released.
+
+        Keys that the same heartbeat reports as held stay with the server. If they were
+        freed, it would hold them together with the next owner until an answer that
+        leaves them out reaches it.
+        """
         runs = self._state.runs_of(heartbeat.service)
         rows = tuple(
             row
-            for row in heartbeat.released
+            for row in subtract_rows(heartbeat.released, heartbeat.holds)
             if any(
                 run.owner == heartbeat.id for run in runs_within(runs, row[0], row[1])
             )
@@ -332,7 +352,8 @@
             waited = now - move.started_at
             source = self._state.instances.get(move.source)
             ready = self._is_waiting(move.source, 0.0) and (
-                waited > MAX_MOVE_DELAY_SECONDS
+                move.is_urgent
+                or waited > MAX_MOVE_DELAY_SECONDS
                 or self._is_waiting(move.target, HANDOVER_SECONDS)
             )
             if (
@@ -412,18 +433,29 @@
 
     def record_load(self, report):
         """Record a report of the requests by key and of their latency."""
-        loads = self._loads.get(report.service)
-        if loads is None:
-            loads = self._loads[report.service] = KeyLoads(
-                clock=self._clock, policy=self._policy
-            )
-        loads.note(report.keys, report.other_count)
+        self._demand(report.service).note(
+            report, interval=report_interval(len(self._state.instances))
+        )
         if not report.id:
             return
         if report.latency:
             self._estimator.note_latency(report.id, report.latency)
         self._estimator.set_rate_limit(report.id, report.rate_limit)
 
+    def _demand(self, name):
+        """Return the `ServiceDemand` of a service."""
+        demand = self._demands.get(name)
+        if demand is None:
+            demand = self._demands[name] = ServiceDemand(
+                name=name,
+                clock=self._clock,
+                class_priority=self._class_priority,
+                policy=self._policy,
+                set_gauge=self._set_gauge,
+                unset_gauge=self._unset_gauge,
+            )
+        return demand
+
     # Plans
 
     async def run(self):
@@ -435,6 +467,8 @@
                 # senders look for the next leader at once.
                 self._notify(self._waiting_until)
                 self._waiting_until = {}
+                for demand in self._demands.values():
+                    demand.clear_gauges()
                 continue
             self.ensure_term()
             try:
@@ -520,7 +554,8 @@
             return
         if not has_free:
             self._balanced_at = now
-        loads = self._loads[name].current_loads() if name in self._loads else Loads()
+        demand = self._demand(name)
+        loads = demand.current_loads()
         moves = self._moves.of(name)
         finished = await self._grant_released(name, runs, moves, capacity)
         view = KeyRangeView(
@@ -531,6 +566,8 @@
             load=loads.busy,
             areas=loads.areas,
             policy=self._policy,
+            load_seconds=loads.seconds,
+            spread=demand.is_active,
             moving={
                 move.key_range: move.target
                 for move in moves
@@ -549,6 +586,7 @@
                     "moves": plan.moves[:MAX_LOGGED_MOVES],
                     "number": len(plan.moves),
                     "servers": len(capacity),
+                    "urgent": sorted(plan.urgent)[:MAX_LOGGED_MOVES],
                     "capacity": {
                         target: round(capacity[target])
                         for _, _, target in plan.moves[:MAX_LOGGED_MOVES]
@@ -558,10 +596,15 @@
                         nlargest(MAX_LOGGED_KEYS, loads.busy.items(), _item_rate)
                     ),
                     "rare": round(sum(loads.areas), 1),
+                    "speeds": demand.describe_speeds(
+                        dict.fromkeys(
+                            [*sorted(plan.urgent), *(row[2] for row in plan.moves)]
+                        )
+                    ),
                 },
             )
         for first, last, target in plan.moves:
-            self._begin_move(name, first, last, target)
+            self._begin_move(name, first, last, target, urgent=plan.urgent)
 
     async def _grant_released(self, name, runs, moves, capacity):
         """Grant ranges that were released for a move to their targets.
@@ -595,8 +638,11 @@
         self._moves.drop(name, finished)
         return finished
 
-    def _begin_move(self, name, first, last, target):
-        """Record a planned move, one for each owned range that it covers."""
+    def _begin_move(self, name, first, last, target, *, urgent):
+        """Record a planned move, one for each owned range that it covers.
+
+        Moves off the servers in `urgent` do not wait for their targets.
+        """
         for run in runs_within(self._state.runs_of(name), first, last):
             if not run.owner or run.owner == target:
                 continue
@@ -606,6 +652,7 @@
                 last=min(last, run.last),
                 source=run.owner,
                 target=target,
+                is_urgent=run.owner in urgent,
             )
             if self._granting_mode(name) is Granting.CALL:
                 # Sidecars that grant by calls can be told at any moment.
@@ -625,13 +672,16 @@
 
         Leaves out servers that get no new work or are not present.
         """
-        servers = [
-            i
-            for i in self._state.servers(name)
-            if i.accepts_work and self._is_present(i)
-        ]
+        known = self._state.servers(name)
+        servers = [i for i in known if i.accepts_work and self._is_present(i)]
         rules = self._state.config.services.get(name)
-        return self._estimator.capacities(servers, rules.cold_rate if rules else 0.0)
+        demand = self._demand(name)
+        demand.update(self._state.config, servers, known=(i.id for i in known))
+        return self._estimator.capacities(
+            servers,
+            rules.cold_rate if rules else 0.0,
+            learned=demand.request_seconds(),
+        )
 
     def _is_present(self, server):
         """Whether a server was heard from in this term, and may hold keys.
@@ -646,10 +696,7 @@
 
     def _is_settling(self, name):
         """Whether the first servers of a service are still joining."""
-        if name in self._state.runs:
-            return False
-        joined = self._joined_at.setdefault(name, self._clock())
-        return self._clock() - joined < self._timing.initial_wait
+        return name not in self._state.runs and self._settling.is_settling(name)
 
     def _notify(self, ids):
         """Wake the messages of servers that wait for an answer."""
--- a/guavastream/hosts/load_reporter.py
+++ b/guavastream/hosts/load_reporter.py
@@ -3,15 +3,16 @@
 import asyncio
 import contextlib
 
+from guavastream.control.loads import REPORT_SECONDS, report_interval
 from guavastream.exception import GuavastreamError
 from guavastream.fleet import LoadReport
+from guavastream.hosts.surges import SurgeDetector
+from guavastream.routes import has_mixed_work
 
 __all__ = ["LoadReporter"]
 
-# Shortest interval of reports, and the timeout of each.
-MIN_INTERVAL_SECONDS = 0.25
-# Reports per second from all hosts together, which the leader handles easily.
-REPORTS_PER_SECOND = 150
+# Timeout of a report.
+TIMEOUT_SECONDS = 0.25
 MAX_REPORTED_KEYS = 400
 
 
@@ -30,9 +31,13 @@
         Counts the requests that it refuses for limited servers.
     door : str
         Address of this process, by which it knows the local server.
+    class_priority : bool
+        Whether the settings demand that urgent classes have priority.
     """
 
-    def __init__(self, *, control, holder, guard, ingress, door):
+    def __init__(self, *, control, holder, guard, ingress, door, class_priority=False):
+        self._class_priority = class_priority
+        self._surges = SurgeDetector(interval=REPORT_SECONDS)
         self._control = control
         self._holder = holder
         self._guard = guard
@@ -44,29 +49,59 @@
     async def run(self):
         """Send reports until cancelled."""
         while True:
-            hosts = len(self._holder.table.instances)
-            await asyncio.sleep(max(MIN_INTERVAL_SECONDS, hosts / REPORTS_PER_SECOND))
+            await self._wait_for_turn()
             local = self._report_local()
             if local is not None and await self._send(local):
                 self._was_limited = local.rate_limit is not None
             for report in self._report_refused():
                 await self._send(report)
 
+    async def _wait_for_turn(self):
+        """Wait until the next report is due, or until the load of the server surges."""
+        left = report_interval(len(self._holder.table.instances))
+        if left <= REPORT_SECONDS or not self._reports_early():
+            await asyncio.sleep(left)
+            return
+        counted = self._guard.counted_requests
+        while left > 0:
+            pause = min(left, REPORT_SECONDS)
+            await asyncio.sleep(pause)
+            left -= pause
+            count = self._guard.counted_requests - counted
+            counted += count
+            if self._surges.check(count=count, seconds=self._guard.report().seconds):
+                return
+
+    def _reports_early(self):
+        """Whether keys of the local server must be moved early."""
+        local = self._local_instance()
+        table = self._holder.table
+        rules = local and table.config.services.get(local.service)
+        if not rules or not rules.keyed:
+            return False
+        return self._class_priority or has_mixed_work(
+            table.config, local.service, local.slots
+        )
+
+    def _local_instance(self):
+        """Return the newest instance of the local server, or None."""
+        instances = self._holder.table.instances.values()
+        local = [instance for instance in instances if instance.door == self._door]
+        return local[-1] if local else None
+
     async def _send(self, report):
         """Send a report; return whether it arrived. A lost one is not sent again."""
         with contextlib.suppress(GuavastreamError):
-            await self._control.call(report, timeout=MIN_INTERVAL_SECONDS)
+            await self._control.call(report, timeout=TIMEOUT_SECONDS)
             return True
         return False
 
     def _report_local(self):
         """Return the report of the local server, or None if there is nothing to say."""
         counts = self._guard.take_key_counts()
-        instances = self._holder.table.instances.values()
-        local = [instance for instance in instances if instance.door == self._door]
-        if not local:
+        instance = self._local_instance()
+        if instance is None:
             return None
-        instance = local[-1]
         rate_limit = self._guard.named_rate(instance.id)
         # A server without keys gets no requests to count, and has to say that it is
         # limited, and once more that it no longer is.
@@ -78,6 +113,7 @@
             service=instance.service,
             latency=self._guard.report().seconds,
             rate_limit=rate_limit,
+            work=self._guard.take_work(),
         )
 
     def _report_refused(self):
@@ -92,7 +128,7 @@
         ]
 
 
-def _make_report(counts, *, id, service, latency=0.0, rate_limit=None):
+def _make_report(counts, *, id, service, latency=0.0, rate_limit=None, work=()):
     """Return the `LoadReport` of a number of requests by key."""
     busiest = sorted(counts.items(), key=lambda item: -item[1])
     return LoadReport(
@@ -102,4 +138,5 @@
         other_count=sum(count for _, count in busiest[MAX_REPORTED_KEYS:]),
         latency=latency,
         rate_limit=rate_limit,
+        work=work,
     )
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -36,6 +36,7 @@
     Picker,
     ServerLists,
     ServerRateLimiter,
+    service_classes,
 )
 
 __all__ = ["ServerHost"]
@@ -130,6 +131,7 @@
             observe=self.counters.observe,
         )
         self._route_index = None
+        self._service_classes = {}
         self._picker = Picker(
             clock=self._loop.time,
             rng=random.Random(),
@@ -168,6 +170,13 @@
             ),
             departures=Departures(clock=clock),
             evacuation=settings.evacuation,
+            classes=lambda: self._service_classes,
+            class_priority=settings.class_priority,
+            set_gauge=self.counters.set,
+        )
+        self.counters.set_function("reserved_slots", lambda: self._guard.reserved_slots)
+        self.counters.set_function(
+            "urgent_load", lambda: round(self._guard.urgent_load, 3)
         )
         self._newest_heartbeats = {}
         self._ingress = Ingress(
@@ -188,6 +197,8 @@
             count=self.counters.count,
             observe=self.counters.observe,
             policy=settings.policy,
+            classes=lambda: self._service_classes,
+            class_priority=settings.class_priority,
         )
         self._load_reporter = LoadReporter(
             control=self._control,
@@ -195,12 +206,14 @@
             guard=self._guard,
             ingress=self._ingress,
             door=settings.inbound,
+            class_priority=settings.class_priority,
         )
         self._hop_handler = HopHandler(
             loop=self._loop,
             dialect=dialect,
             guard=self._guard,
             link_rate=settings.link_rate,
+            class_priority=settings.class_priority,
         )
         self._outbound = Server(
             address=parse_address(settings.outbound),
@@ -208,6 +221,8 @@
             max_connections=MAX_CALLER_CONNECTIONS,
             note_refused=lambda status: self.counters.count(f"rejected.{status}"),
             note_aborted=lambda cut: self._log_cut("caller", cut),
+            may_overlap=self._ingress.may_overlap,
+            count=self.counters.count,
         )
         self._inbound = Server(
             address=parse_address(settings.inbound),
@@ -336,6 +351,9 @@
         if config is before.config or not config.version:
             return
         self._route_index = RouteIndex(config)
+        self._service_classes = service_classes(
+            config, class_priority=self._settings.class_priority
+        )
         self._outbound.limits = Limits(
             head_bytes=config.limits.head_bytes,
             body_bytes=config.limits.body_bytes,
@@ -449,6 +467,13 @@
         rules = self._state_holder.table.config.services.get(heartbeat.service)
         path = rules.health if rules else "/health"
         name = self._dialect.instance.lower()
+        with self._guard.health_check() as may_check:
+            if not may_check:
+                # It would not respond, which counts as being there, as below.
+                return True
+            return await self._reports_its_name(heartbeat, path, name)
+
+    async def _reports_its_name(self, heartbeat, path, name):
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
                 async with await self._prober.open(
--- a/guavastream/platform/tests/test_settings.py
+++ b/guavastream/platform/tests/test_settings.py
@@ -52,6 +52,14 @@
     assert parse_settings(SERVER_HOST + "Limits.LinkMbps=2\n").link_rate == 250_000
 
 
+def test_class_priority_is_on_only_with_the_contract_pressure():
+    # Other deployments must behave as before.
+    assert not parse_settings(SERVER_HOST).class_priority
+    for contracts, expected in (("pressure", True), ("a,pressure", True), ("a", False)):
+        settings = parse_settings(SERVER_HOST + f"Contracts={contracts}\n")
+        assert settings.class_priority is expected
+
+
 @pytest.mark.parametrize(
     "text, places",
     [
@@ -79,6 +87,20 @@
     assert [finding.place for finding in caught.value.findings] == places
 
 
+@pytest.mark.parametrize(
+    "contracts, class_priority",
+    [
+        ("", False),
+        ("Contracts=pressure\n", True),
+        ("Contracts=download,pressure\n", True),
+        ("Contracts=download,pressures\n", False),
+    ],
+)
+def test_the_pressure_contract_switches_class_priority_on(contracts, class_priority):
+    settings = parse_settings(SERVER_HOST + contracts)
+    assert settings.class_priority is class_priority
+
+
 def test_a_missing_settings_file_is_reported(tmp_path):
     path = str(tmp_path / "none")
     with pytest.raises(FindingsError) as caught:
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -2,17 +2,26 @@
 
 import asyncio
 import contextlib
+import functools
+import random
 from dataclasses import dataclass, field
 
+import msgspec
+
 from guavastream.kernel import TimeLimit, part_logger, record
 from guavastream.relay.quarantine import Quarantine
 from guavastream.relay.server_client import ServerClient
 from guavastream.scheduling.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
+from guavastream.scheduling.class_admission import ClassAdmission
 from guavastream.scheduling.departures import Departures
+from guavastream.scheduling.hangs import SlowStart
+from guavastream.scheduling.levels import LevelBoard
 from guavastream.scheduling.outcome import NotRun
 from guavastream.scheduling.pick import Report
 from guavastream.scheduling.rate_limits import ServerRateLimiter
+from guavastream.scheduling.return_times import ReturnTimes
 from guavastream.scheduling.turns import LifoLock
+from guavastream.scheduling.work_meter import WorkMeter
 
 __all__ = ["Attempt", "Guard", "HeldKeys"]
 
@@ -24,11 +33,14 @@
 MIN_SERVER_ERROR_STATUS = 500
 # Requests that run at a time at a server that was there before this process, until an
 # answer says whether it is limited. The margin beyond a limit is five requests, and the
-# process may restart twice within the time over which they are counted.
+# process may restart twice within the time over which they are counted. `SlowStart`
+# then increases the number.
 MAX_UNHEARD_RUNNING = 2
 # Share of the time allowed for an evacuation during which an evacuated server still
 # serves the keys that it owns, while they are moved.
 EVACUATION_SHARE = 0.5
+# Shortest time between two log records of the admission levels.
+LEVELS_LOG_SECONDS = 1.0
 
 log = part_logger("guard")
 
@@ -75,6 +87,14 @@
         Time until which an answer counts as in time.
     deadline : float
         Time at which the request is given up.
+    sent_at : list of float
+        Times at which it may have begun to be written to the server. While it is
+        empty, the request has surely not run.
+    margin : float
+        Seconds before `deadline` at which it stops waiting, so that a refusal arrives
+        in time.
+    share : float
+        Share of such requests that the ingress admitted by their class.
     """
 
     id: bytes
@@ -95,6 +115,9 @@
     kind: str
     target_time: float
     deadline: float
+    sent_at: list = msgspec.field(default_factory=list)
+    margin: float = ANSWER_MARGIN_SECONDS
+    share: float = 1.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -145,6 +168,14 @@
     evacuation : float
         Time from the acknowledgement of a zone's evacuation until its servers must get
         no more requests, seconds.
+    classes : callable, optional
+        Returns the `ServiceClasses` of each service by its name.
+    class_priority : bool
+        Whether requests are admitted by urgency class.
+    set_gauge : callable, optional
+        Sets a gauge: its name and the value.
+    rng : random.Random, optional
+        Spreads retries for which no capacity is expected.
     """
 
     def __init__(
@@ -163,6 +194,10 @@
         rate_limiter=None,
         departures=None,
         evacuation=5.0,
+        classes=dict,
+        class_priority=False,
+        set_gauge=lambda name, value: None,
+        rng=None,
     ):
         self._loop = loop
         self._clock = loop.time
@@ -174,6 +209,7 @@
         self._on_ended = on_ended
         self._on_answered = on_answered
         self._on_leaving = on_leaving
+        self._classes = classes
         self._rate_limiter = rate_limiter or ServerRateLimiter(clock=self._clock)
         self._evacuation_grace = EVACUATION_SHARE * evacuation
         # Times at which evacuations of the local server's zone came into force here.
@@ -191,15 +227,36 @@
         )
         # Held by the suspect request that runs; only one of them runs at a time.
         self._suspect_turn = LifoLock(loop=loop)
-        self._admission_queue = AdmissionQueue(loop=loop, policy=policy)
+        return_times = ReturnTimes(clock=self._clock) if class_priority else None
+        self._admission_queue = AdmissionQueue(
+            loop=loop, policy=policy, return_times=return_times
+        )
+        self.level_board = self._class_admission = None
+        if class_priority:
+            rng = rng or random.Random()
+            self.level_board = LevelBoard(clock=self._clock, rng=rng)
+            self._class_admission = ClassAdmission(
+                clock=self._clock,
+                rng=rng,
+                queue=self._admission_queue,
+                return_times=return_times,
+                count=count,
+            )
+        self._set_gauge = set_gauge
+        # Levels that the gauges show.
+        self._shown_shares = {}
+        self._levels_logged_at = float("-inf")
         self._held_by = self._local_id = ""
         self._held = None
         self._departures = departures or Departures(clock=self._clock)
         # Local instances that were there before this process was, and whose answers it
         # has not seen.
         self._unheard = frozenset()
+        # Their `SlowStart` by id, until all of their slots are used.
+        self._starts = {}
         self._key_counts = {}
         self._running_attempts = {}
+        self._work_meter = WorkMeter(clock=self._clock)
 
     @property
     def local_id(self):
@@ -222,6 +279,7 @@
     def report(self, kind=""):
         """Return the load of the local server, with the times of a kind of request."""
         admission_queue = self._admission_queue
+        most_urgent_wait, least_urgent_wait = self._class_waits()
         return Report(
             running=admission_queue.running,
             waiting=admission_queue.waiting,
@@ -229,8 +287,88 @@
             seconds=admission_queue.seconds,
             of_kind=admission_queue.mean_seconds_for(kind),
             wait=self._limited_wait(),
+            most_urgent_wait=most_urgent_wait,
+            least_urgent_wait=least_urgent_wait,
+        )
+
+    def _local_classes(self):
+        """Return the `ServiceClasses` of the local server if it reserves slots."""
+        instance = self.find_local(self._local_id)
+        return instance and self._classes_of(instance)
+
+    def _classes_of(self, instance):
+        classes = self._classes().get(instance.service)
+        ordered = classes is not None and classes.need_order(instance.slots)
+        return classes if ordered else None
+
+    def _class_waits(self):
+        """Return the expected waits of the most and the least urgent requests."""
+        classes = self._local_classes()
+        if classes is None or not self._admission_queue.by_class:
+            return None, None
+        return (
+            self._admission_queue.expected_wait(classes.most_urgent),
+            self._admission_queue.expected_wait(classes.least_urgent),
         )
 
+    @property
+    def reserved_slots(self):
+        """Number of slots that the least urgent requests may not use now."""
+        classes = self._local_classes()
+        if classes is None:
+            return 0
+        return self._admission_queue.reserved_slots(classes.least_urgent)
+
+    @property
+    def urgent_load(self):
+        """Load of all but the least urgent requests, in slots that they occupy."""
+        classes = self._local_classes()
+        if classes is None:
+            return 0.0
+        return self._admission_queue.offered_load(classes.least_urgent)
+
+    def levels_header(self):
+        """Return the header value with admission levels, empty if there are none.
+
+        They are those of the local server, and some that this process has received.
+        """
+        if self._class_admission is None:
+            return b""
+        shares = self._class_admission.shares()
+        if shares is not self._shown_shares:
+            self._show_levels(shares)
+        passed_on = self.level_board.passed_on(except_for=self._local_id)
+        return self._class_admission.header() + passed_on
+
+    def _show_levels(self, shares):
+        """Set the gauges of levels and of reservations for retries."""
+        for cls in {**self._shown_shares, **shares}:
+            name = f'admission_level{{urgency="{cls.urgency}",late="{cls.late:d}"}}'
+            self._set_gauge(name, round(shares.get(cls, 1.0), 3))
+        self._set_gauge("retry_reservations", self._class_admission.reservations)
+        self._shown_shares = shares
+        now = self._clock()
+        if shares and now - self._levels_logged_at >= LEVELS_LOG_SECONDS:
+            self._levels_logged_at = now
+            log.info(
+                "Requests are admitted by their urgency class.",
+                extra={
+                    "server": self._local_id,
+                    "levels": [
+                        {
+                            "urgency": cls.urgency,
+                            "late": cls.late,
+                            "level": round(share, 3),
+                        }
+                        for cls, share in shares.items()
+                    ],
+                    "asked": self._class_admission.asked(),
+                    "running": self._admission_queue.running,
+                    "waiting": self._admission_queue.waiting,
+                    "reservations": self._class_admission.reservations,
+                },
+            )
+
     def _limited_wait(self):
         """Return the time until the local server, if limited, may get a request."""
         instance = self.find_local(self._local_id)
@@ -266,6 +404,9 @@
             self._unheard = frozenset(
                 id for id, i in fleet_state.instances.items() if i.door == self._door
             )
+            self._starts = {
+                id: SlowStart(limit=MAX_UNHEARD_RUNNING) for id in self._unheard
+            }
         for id, known in before.instances.items():
             if known.door != self._door:
                 continue
@@ -286,6 +427,23 @@
         if rules is None or not rules.keyed:
             self._admission_queue.refuse_waiting("evacuated")
 
+    @contextlib.contextmanager
+    def health_check(self):
+        """Occupy a slot for a health check; yield whether the server may get it.
+
+        A server that has been seen to hang would not respond if it were full, and the
+        check would make it so for a request that arrives at the same time.
+        """
+        if not self._server.hangs:
+            yield True
+            return
+        slot = self._admission_queue.take_free_slot()
+        try:
+            yield slot is not None
+        finally:
+            if slot is not None:
+                self._admission_queue.leave(slot, kind="")
+
     def note_refused(self, instance):
         """Note that the local server's address refused a connection."""
         self._server.watch.note_refused(instance)
@@ -303,6 +461,12 @@
             self._departures.note(id, since=since)
             self._on_leaving(instance)
         self._unheard -= {id}
+        start = self._starts.get(id)
+        if start is not None:
+            start.note_answer()
+            self._admission_queue.slots = self._usable_slots(instance)
+            if start.limit >= instance.slots:
+                del self._starts[id]
         known = (self.named_rate(id), id in self._departures)
         if known != known_before:
             self._log_statement(id, rate_before=known_before[0])
@@ -330,11 +494,20 @@
             self.quarantine.note_end(fingerprint, instance.id)
         self._on_ended(instance, requests)
 
+    @property
+    def counted_requests(self):
+        """Number of requests with a key since the last call of `take_key_counts`."""
+        return sum(self._key_counts.values())
+
     def take_key_counts(self):
         """Return the number of requests by key since the last call, and reset it."""
         key_counts, self._key_counts = self._key_counts, {}
         return key_counts
 
+    def take_work(self):
+        """Return the rows of `WorkMeter.take` for the local server."""
+        return self._work_meter.take()
+
     def note_leaving(self, id):
         """Note that an instance has announced its departure to this process."""
         self._departures.note(id)
@@ -392,7 +565,7 @@
             if attempt.key is not None:
                 await self._wait_for_key(attempt)
             with self._reserve_rate(attempt, instance) as reservation:
-                estimate = await self._wait_for_slot(attempt, instance)
+                slot = await self._wait_for_slot(attempt, instance)
                 began, seconds = self._clock(), None
                 self._running_attempts[attempt.id] = attempt
                 try:
@@ -402,8 +575,11 @@
                     # The key may have moved to another server during the wait.
                     if attempt.key is not None and not self._holds_key(attempt):
                         raise NotRun("moving")
+                    if self._clock() >= attempt.deadline:
+                        # Its time passed while this process was paused.
+                        raise NotRun("no_time")
                     self._use_reservation(reservation, attempt)
-                    answer = await self._server.send(instance, attempt)
+                    answer = await self._send_measured(instance, attempt)
                     try:
                         yield answer
                     finally:
@@ -412,13 +588,51 @@
                         seconds = self._clock() - began
                 finally:
                     self._running_attempts.pop(attempt.id, None)
-                    self._admission_queue.leave(
-                        estimate, kind=attempt.kind, seconds=seconds
-                    )
+                    self._leave_slot(attempt, slot, seconds)
         finally:
             if has_turn:
                 self._suspect_turn.release()
 
+    def _leave_slot(self, attempt, slot, seconds):
+        """Free the slot of an attempt as soon as the server does not run it."""
+        leave = functools.partial(
+            self._admission_queue.leave, slot, kind=attempt.kind, seconds=seconds
+        )
+        runs_on = self._server.pop_seconds_running_on(attempt)
+        if runs_on:
+            self._loop.call_later(runs_on, leave)
+        else:
+            leave()
+
+    async def _send_measured(self, instance, attempt):
+        """Send an attempt and return the answer; count its time at the server.
+
+        The time ends when the answer begins: how long the rest takes depends on the
+        link to the caller, too.
+        """
+        self._work_meter.begin(attempt.id, attempt.kind)
+        completed = failed = False
+        try:
+            answer = await self._server.send(instance, attempt)
+            failed = answer.status >= MIN_SERVER_ERROR_STATUS
+            completed = not failed
+            return answer
+        except NotRun:
+            failed = True
+            raise
+        finally:
+            self._work_meter.end(attempt.id, completed=completed, failed=failed)
+
+    @contextlib.contextmanager
+    def measure_call(self, id):
+        """Count the time of the context as that of a call, given the call's id."""
+        parent = id.partition(self._dialect.call_separator)[0]
+        self._work_meter.begin_call(parent)
+        try:
+            yield
+        finally:
+            self._work_meter.end_call(parent)
+
     def refuse_early(self, attempt):
         """Refuse an attempt that the server would not get, before its body is received.
 
@@ -448,7 +662,7 @@
         if suspect_status is None or not suspect_status.must_run_alone:
             return False
         needed = max(
-            ANSWER_MARGIN_SECONDS, self._admission_queue.estimated_seconds(attempt.kind)
+            attempt.margin, self._admission_queue.estimated_seconds(attempt.kind)
         )
         try:
             await self._suspect_turn.acquire(until=attempt.deadline - needed)
@@ -478,12 +692,23 @@
             raise
 
     async def _wait_for_slot(self, attempt, instance):
-        """Wait for a slot; return the estimate to pass to `AdmissionQueue.leave`."""
-        self._admission_queue.slots = instance.slots
-        if instance.id in self._unheard:
-            self._admission_queue.slots = min(instance.slots, MAX_UNHEARD_RUNNING)
+        """Wait for a slot and return it."""
+        self._admission_queue.slots = self._usable_slots(instance)
+        classes = self._classes_of(instance)
+        self._admission_queue.by_class = classes is not None
+        self._admission_queue.reserves_slots = (
+            classes is not None and classes.need_reservation(instance.slots)
+        )
+        enter = self._admission_queue.enter
+        if self._class_admission is not None:
+            enter = functools.partial(
+                self._class_admission.enter,
+                what=(attempt.kind, attempt.target),
+                keyed=attempt.key is not None,
+                share=attempt.share,
+            )
         try:
-            return await self._admission_queue.enter(
+            slot = await enter(
                 rank=attempt.rank,
                 kind=attempt.kind,
                 wanted_by=attempt.target_time,
@@ -493,10 +718,31 @@
                 urgency=attempt.urgency,
                 again=attempt.is_retry,
                 last=attempt.is_last,
+                margin=attempt.margin,
             )
         except NotRun as refused:
+            if (refused.reasons or {}).get("reserved"):
+                self._count("refused_with_reserved_slots")
             self._log_refusal(attempt, refused)
             raise
+        if slot.was_starved:
+            self._count("starved_requests_served")
+        return slot
+
+    def _usable_slots(self, instance):
+        """Return the slots that may be used now, fewer just after a restart.
+
+        Where long requests share slots with short ones, those of the process before
+        may occupy slots for long. Elsewhere they have ended by the first answer.
+        """
+        start = self._starts.get(instance.id)
+        if start is None:
+            return instance.slots
+        classes = self._classes_of(instance)
+        if classes is None or not classes.need_reservation(instance.slots):
+            if instance.id not in self._unheard:
+                return instance.slots
+        return min(instance.slots, start.limit)
 
     def _clear_if_answered(self, answer, attempt, instance):
         # An error does not clear the request: the server may have failed before it
@@ -550,7 +796,7 @@
 
     async def _wait_for_key(self, attempt):
         until = min(
-            attempt.deadline - ANSWER_MARGIN_SECONDS,
+            attempt.deadline - attempt.margin,
             self._clock() + MAX_GRANT_WAIT_SECONDS,
         )
         while not self._holds_key(attempt):
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -9,7 +9,7 @@
 from guavastream.relay.dialect import INTERNAL_PREFIX
 from guavastream.relay.guard import Attempt
 from guavastream.relay.job import read_body
-from guavastream.scheduling.admission import AdmissionQueue
+from guavastream.scheduling.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
 from guavastream.scheduling.outcome import FAILURE_RULES, NotRun, OutcomeUnknown
 from guavastream.scheduling.pick import LARGE_BYTES, format_report, parse_report
 
@@ -19,17 +19,31 @@
     "HopHandler",
     "HopHeader",
     "read_failure",
+    "read_levels",
     "read_report",
+    "share_header",
 ]
 
 # The remote host answers this much before the sending host gives up, so that its
 # statement on whether the request ran arrives in time.
 HOP_MARGIN_SECONDS = 0.02
+# Requests of other hosts stop waiting this long before their deadline, so that the
+# statement that they have not run arrives. A host with 0.43 cores may be paused for
+# 57 ms of each 100 ms. The request, the decision to refuse and the statement can each
+# meet such a pause, and the deadline counts from the arrival of the request here.
+# Calls wait longer: a refused one wastes the work of the request that it is part of.
+REFUSAL_MARGIN_SECONDS = 0.15
+# At most this share of the time that is left on arrival, so that short requests wait.
+MAX_REFUSAL_MARGIN_SHARE = 0.3
 # Idle time of connections between hosts. With hundreds of servers a host sends each
 # of them only a few requests a minute, and a new connection costs as much as the
 # request itself.
 HOP_IDLE_SECONDS = 60.0
 HOP_HEADER_NAME = INTERNAL_PREFIX + b"job"
+# Admission levels of the remote server, in answers while it refuses requests.
+LEVELS_HEADER_NAME = INTERNAL_PREFIX + b"levels"
+# Share of such requests that the ingress admits, in thousandths, if it refuses some.
+SHARE_HEADER_NAME = INTERNAL_PREFIX + b"share"
 # Sent when a kept connection is closed, in case a request is already under way.
 CLOSING_RESPONSE = format_head(
     b"HTTP/1.1 503 Service Unavailable",
@@ -108,18 +122,53 @@
     return parse_report(answer.headers.get(INTERNAL_PREFIX + b"report"))
 
 
+def read_levels(answer):
+    """Return the header value with the remote server's levels, empty if it has none."""
+    return answer.headers.get(LEVELS_HEADER_NAME)
+
+
+def share_header(share):
+    """Return the header that says by which share a request was admitted."""
+    return SHARE_HEADER_NAME, b"%d" % round(share * 1000)
+
+
+def _parse_share(value):
+    """Return the share in a header value, 1 if it is missing or malformed.
+
+    Examples
+    --------
+    >>> _parse_share(b"250"), _parse_share(b""), _parse_share(b"4000")
+    (0.25, 1.0, 1.0)
+    """
+    if not value.isdigit() or len(value) > 4:
+        return 1.0
+    return min(1.0, int(value) / 1000)
+
+
 def read_failure(answer):
     """Return the `NotRun` or `OutcomeUnknown` that the remote host reports, or None."""
     code = answer.headers.get(INTERNAL_PREFIX + b"code").decode("latin-1")
     if not code:
         return None
     rule = FAILURE_RULES.get(code)
-    if rule is None or rule.status != FAILURE_RULES["no_server"].status:
+    status = rule.status if rule else answer.status
+    if status != FAILURE_RULES["no_server"].status:
         return OutcomeUnknown(code if rule else "answer_lost")
+    if rule is None:
+        # A process of a newer version refuses for a reason that is unknown here.
+        code = "overloaded"
     ms = answer.headers.get(INTERNAL_PREFIX + b"retry-ms")
     return NotRun(code, retry_after=int(ms) / 1000 if ms.isdigit() else 0.0)
 
 
+def _refusal_margin(hop):
+    """Return how long before its deadline a request stops waiting, in seconds."""
+    if hop.is_call:
+        return ANSWER_MARGIN_SECONDS
+    share = MAX_REFUSAL_MARGIN_SHARE * hop.remaining_ms / 1000
+    return max(ANSWER_MARGIN_SECONDS, min(REFUSAL_MARGIN_SECONDS, share))
+
+
 class HopHandler:
     """Handles requests that other hosts send for the local server.
 
@@ -133,13 +182,16 @@
         Admits requests to the local server.
     link_rate : float
         Capacity of this host's link in bytes per second, 0 if unknown.
+    class_priority : bool
+        Whether requests are admitted by urgency class, and answers carry levels.
     """
 
-    def __init__(self, *, loop, dialect, guard, link_rate=0.0):
+    def __init__(self, *, loop, dialect, guard, link_rate=0.0, class_priority=False):
         self._loop = loop
         self._clock = loop.time
         self._dialect = dialect
         self._guard = guard
+        self._class_priority = class_priority
         # Set at the end of a stop; all further requests are refused as not run.
         self.leaving = False
         self._body_queue = AdmissionQueue(loop=loop, slots=MAX_CONCURRENT_BODIES)
@@ -181,10 +233,18 @@
         except OutcomeUnknown as unknown:
             await self._send_failure(responder, attempt.kind, unknown.code)
         except TimeoutError:
-            await self._send_failure(responder, attempt.kind, "no_answer")
+            code = self._code_after_timeout(attempt)
+            await self._send_failure(responder, attempt.kind, code)
         except IncompleteMessage:
             await responder.send(400)
 
+    def _code_after_timeout(self, attempt):
+        """Return the code for an attempt that was ended by a time limit."""
+        if attempt.sent_at:
+            return "no_answer"
+        # It only waited, and does not wait any more.
+        return "leaving" if self._clock() >= self._limits.end else "no_time"
+
     async def _receive_body(self, attempt, request, responder):
         """Return the attempt with its body, received once the link has capacity.
 
@@ -196,7 +256,8 @@
         in time is refused before its body is transferred.
         """
         try:
-            with TimeLimit(loop=self._loop, when=attempt.deadline):
+            until = attempt.deadline - attempt.margin
+            with TimeLimit(loop=self._loop, when=until):
                 if request.expects_continue and not 0 <= request.length < LARGE_BYTES:
                     body, stream = await self._receive_large_body(
                         attempt, request, responder
@@ -212,11 +273,12 @@
         self._guard.refuse_early(attempt)
         self._limit_bodies(request.length)
         work = self._guard.usual_seconds(attempt.kind)
-        usual = await self._body_queue.enter(
+        slot = await self._body_queue.enter(
             rank=attempt.rank,
             kind=attempt.kind,
             wanted_by=attempt.target_time - work,
             deadline=attempt.deadline - work,
+            margin=attempt.margin,
         )
         began, seconds = self._clock(), None
         try:
@@ -226,7 +288,7 @@
             seconds = self._clock() - began
             return received
         finally:
-            self._body_queue.leave(usual, kind=attempt.kind, seconds=seconds)
+            self._body_queue.leave(slot, kind=attempt.kind, seconds=seconds)
 
     def _limit_bodies(self, length):
         """Limit the bodies received at a time to what the link passes in time."""
@@ -266,14 +328,22 @@
             kind=hop.route,
             target_time=now + hop.target_ms / 1000,
             deadline=min(now + hop.remaining_ms / 1000, self._limits.end),
+            margin=_refusal_margin(hop),
+            share=_parse_share(headers.get(SHARE_HEADER_NAME)),
         )
 
+    def _load_headers(self, kind):
+        """Return the headers that tell the requesting host of the server's load."""
+        report = format_report(self._guard.report(kind))
+        headers = [(INTERNAL_PREFIX + b"report", report)]
+        if self._class_priority and (levels := self._guard.levels_header()):
+            headers.append((LEVELS_HEADER_NAME, levels))
+        return headers
+
     async def _send_answer(self, answer, responder, kind):
         """Send the server's answer to the requesting host."""
         headers = answer.headers.end_to_end(REPLACED_HEADERS)
-        headers.append(
-            (INTERNAL_PREFIX + b"report", format_report(self._guard.report(kind)))
-        )
+        headers += self._load_headers(kind)
         first = await answer.read()
         length = answer.headers.get(b"content-length")
         known = int(length) if length.isdigit() else None
@@ -297,7 +367,7 @@
             return
         headers = [
             (INTERNAL_PREFIX + b"code", code.encode()),
-            (INTERNAL_PREFIX + b"report", format_report(self._guard.report(kind))),
+            *self._load_headers(kind),
             (INTERNAL_PREFIX + b"retry-ms", b"%d" % math.ceil(retry_after * 1000)),
         ]
         await responder.send(FAILURE_RULES[code].status, headers)
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -14,11 +14,14 @@
     HOP_IDLE_SECONDS,
     HopHeader,
     read_failure,
+    read_levels,
     read_report,
+    share_header,
 )
 from guavastream.relay.job import BadRequest, JobReader
 from guavastream.relay.statements import read_statement
 from guavastream.scheduling.budget import RetryBudget
+from guavastream.scheduling.class_admission import IngressAdmission
 from guavastream.scheduling.outcome import FAILURE_RULES, NotRun, OutcomeUnknown
 from guavastream.scheduling.pick import LARGE_BYTES
 
@@ -46,6 +49,9 @@
 MAX_REFUSALS = 3
 # Codes of refusals by limited servers, which tell when there is room again.
 LIMITED_CODES = ("cold", "limited")
+# Codes of refusals whose Retry-After was chosen for this caller, if requests are
+# admitted by class.
+PLANNED_CODES = ("overloaded", "shed")
 # A request with less remaining time is refused. It could not reach a server, and would
 # time out with an unknown outcome if it were sent.
 MIN_REMAINING_SECONDS = 0.02
@@ -89,6 +95,13 @@
         Records a duration: its name and the seconds.
     policy : Policy, optional
         Mechanisms that are in force.
+    classes : callable, optional
+        Returns the `ServiceClasses` of each service by its name.
+
+    class_priority : bool
+        Whether requests are admitted by urgency class.
+    rng : random.Random, optional
+        Varies Retry-After, and decides which requests of a class are admitted.
     """
 
     def __init__(
@@ -106,8 +119,12 @@
         count,
         observe,
         policy=None,
+        classes=dict,
+        class_priority=False,
+        rng=None,
     ):
         self._policy = policy or Policy()
+        self._classes = classes
         self._loop = loop
         self._clock = loop.time
         self._dialect = dialect
@@ -119,10 +136,15 @@
         self._count = count
         self._observe = observe
         self._client = Client(connect_seconds=0.3, idle_seconds=HOP_IDLE_SECONDS)
-        self._rng = random.Random()
+        self._rng = rng or random.Random()
+        self._class_admission = None
+        if class_priority:
+            self._class_admission = IngressAdmission(
+                clock=self._clock, rng=self._rng, board=guard.level_board
+            )
         self._retry_budgets = {}
-        # Requests that were refused here since their owner is limited, by service and
-        # key: the process beside the owner does not see them.
+        # Requests that were refused here since their owner is limited, or by their
+        # class, by service and key: the process beside the owner does not see them.
         self._refused_keys = {}
         self._failure_rates = {}
         # Set at the end of a shutdown; all further requests are refused as not run.
@@ -146,11 +168,10 @@
             if self.leaving:
                 raise NotRun("leaving", retry_after=MIN_RETRY_AFTER_SECONDS)
             job = await self._reader.read(request, started=started)
-            if job.deadline - self._clock() < MIN_REMAINING_SECONDS:
-                raise NotRun("no_time")
+            self._refuse_if_out_of_time(job)
             if self._limits.end < job.deadline:
                 job = replace(job, deadline=self._limits.end)
-            with self._limits.until(job.deadline):
+            with self._limits.until(job.deadline), self._measure_call(job):
                 await self._serve(job, responder)
         except NotRun as refused:
             if job is not None and job.unknown_outcomes:
@@ -161,10 +182,12 @@
         except OutcomeUnknown as unknown:
             await self._answer_failure(responder, job, unknown.code)
         except TimeoutError:
-            if job is None or not job.sent_to:
-                await self._answer_refusal(responder, job, NotRun("no_time"))
-            else:
+            if job is not None and (job.sent_to or job.unknown_outcomes):
                 await self._answer_failure(responder, job, "no_answer")
+            else:
+                is_stopping = self._clock() >= self._limits.end
+                refused = NotRun("leaving" if is_stopping else "no_time")
+                await self._answer_refusal(responder, job, refused)
         except BadRequest as bad:
             self._count(f"rejected.{bad.status}")
             await responder.send(bad.status)
@@ -175,6 +198,16 @@
             raise
         self._observe("request", self._clock() - started)
 
+    def may_overlap(self, request):
+        """Whether a request may run while others of its connection run."""
+        return self._reader.may_overlap(request)
+
+    def _measure_call(self, job):
+        """Return a context in which a call counts as time that its parent waits."""
+        if not job.is_call:
+            return contextlib.nullcontext()
+        return self._guard.measure_call(job.id)
+
     def end_by(self, when):
         """Answer every request by the clock's time `when` at the latest.
 
@@ -185,6 +218,8 @@
 
     async def _serve(self, job, responder):
         """Send a job to one server after another until it is answered or given up."""
+        if self._class_admission is not None:
+            job = self._admit_by_class(job)
         retry_budget = self._retry_budgets.get(job.service)
         if retry_budget is None:
             retry_budget = self._retry_budgets[job.service] = RetryBudget(
@@ -202,6 +237,7 @@
             fleet_state = self._fleet_holder.table
             server = None
             try:
+                self._refuse_if_out_of_time(job)
                 server = self._choose(fleet_state, job, tried)
                 self._guard.quarantine.check(job, server)
                 last = self._is_last_attempt(fleet_state, job, server, tried, refusals)
@@ -235,7 +271,8 @@
                     raise failure
                 if reached_attempts >= job.route.attempts or not retry_budget.spend():
                     raise failure
-            if code == "server_failed":
+            if code in ("server_failed", "dropped"):
+                # The owner of a key is tried again, on another connection.
                 continue
             if rule.wait_for_owner and (job.keyed or code == "no_server"):
                 if self._is_evacuated(fleet_state, job):
@@ -253,6 +290,46 @@
             if not self._has_untried_server(fleet_state, job, tried):
                 raise failure
 
+    def _refuse_if_out_of_time(self, job):
+        if job.deadline - self._clock() < MIN_REMAINING_SECONDS:
+            raise NotRun("no_time")
+
+    def _admit_by_class(self, job):
+        """Return the job with the share by which it is admitted, or refuse it.
+
+        Raises
+        ------
+        NotRun
+            If its class has no capacity at the servers that may run it.
+        """
+        # A refused call would waste the work that its caller has already caused.
+        if not self._class_admission.board.is_restricting or job.is_call:
+            return job
+        fleet_state = self._fleet_holder.table
+        if job.keyed:
+            owner = fleet_state.owner_of(job.service, job.key)
+            ids = [] if owner is None else [owner.id]
+        else:
+            ids = [server.id for server in self._choices_for(fleet_state, job).subset]
+        if not ids:
+            return job
+        try:
+            share = self._class_admission.check(
+                ids,
+                urgency=job.urgency,
+                seconds=self._picker.usual_seconds(job.route.name),
+                target_time=job.target_time,
+                deadline=job.deadline,
+                again=job.is_retry,
+                retry_at=job.retry_at,
+                reserved=job.reserved,
+            )
+        except NotRun:
+            if job.keyed:
+                self._count_refused_key(job)
+            raise
+        return job if share >= 1.0 else replace(job, share=share)
+
     def _note_server_end(self, job, server):
         """Record that a server ended while it ran a job; return whether to give up.
 
@@ -268,7 +345,11 @@
     def _log_failed_attempt(self, job, server, code):
         if not log.isEnabledFor(logging.INFO):
             return
-        best_servers = self._picker.best_servers(job.considered_servers, job.route.name)
+        best_servers = self._picker.best_servers(
+            job.considered_servers,
+            job.route.name,
+            class_position=self._class_position(job),
+        )
         log.info(
             "Try failed.",
             extra={
@@ -339,6 +420,7 @@
             size=len(job.body),
             target=job.route.target,
             here=here,
+            class_position=self._class_position(job),
         )
         if server is not None:
             return server
@@ -347,13 +429,18 @@
             raise NotRun("limited", retry_after=wait)
         raise NotRun("no_server", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
 
+    def _class_position(self, job):
+        """Return the position of a job's urgency among the classes of its service."""
+        classes = self._classes().get(job.service)
+        return classes.position(job.urgency) if classes else 0.0
+
     def _count_refused_key(self, job):
         if not job.is_retry:
             by_key = self._refused_keys.setdefault(job.service, {})
             by_key[job.key] = by_key.get(job.key, 0) + 1
 
     def take_refused_keys(self):
-        """Return the requests refused for limited owners since the last call.
+        """Return the requests for owners that were refused here since the last call.
 
         Returns
         -------
@@ -366,14 +453,14 @@
     async def _try(self, job, server, responder, *, last):
         """Make one attempt at a server, and update what the picker knows of it."""
         self._picker.begin(server)
-        job.sent_to.append(server.id)
+        sent_before = len(job.sent_to)
         try:
             if self._guard.find_local(server.id) is not None:
                 await self._try_local(job, server, responder, last=last)
             else:
                 await self._try_remote(job, server, responder, last=last)
         except NotRun as refused:
-            job.sent_to.remove(server.id)
+            del job.sent_to[sent_before:]
             if refused.code == "unreachable":
                 self._picker.note_unreachable(server)
             else:
@@ -409,9 +496,14 @@
             kind=job.route.name,
             target_time=job.target_time,
             deadline=job.deadline,
+            share=job.share,
         )
-        async with self._guard.serve(attempt) as answer:
-            await self._send_answer(job, server, answer, answer.read, responder)
+        try:
+            async with self._guard.serve(attempt) as answer:
+                await self._send_answer(job, server, answer, answer.read, responder)
+        finally:
+            if attempt.sent_at:
+                job.sent_to.append(server.id)
         self._note_report(job, server, self._guard.report(job.route.name))
 
     async def _try_remote(self, job, server, responder, *, last):
@@ -421,20 +513,27 @@
             raise NotRun(
                 "unreachable", retry_after=DEFAULT_RETRY_AFTER_SECONDS
             ) from None
+        sent_before = len(job.sent_to)
         async with exchange:
             hop = HopHeader.of(job, server, now=self._clock(), last=last)
             headers = [*job.headers, hop.header()]
+            if job.share < 1.0:
+                headers.append(share_header(job.share))
             await self._send(exchange, job, server, headers)
             sent_at = self._clock()
             try:
                 answer = await exchange.answer()
             except IncompleteMessage as cut:
-                self._client.close_idle(server.door)
                 self._log_cut(job, server, exchange, cut, sent_at)
+                unreachable = self._unreachable(server)
+                if server.id not in job.sent_to[sent_before:]:
+                    raise unreachable from None
                 raise OutcomeUnknown("answer_lost") from None
             report = read_report(answer)
             if report is not None:
                 self._note_report(job, server, report)
+            if self._class_admission is not None:
+                self._class_admission.board.note(server.id, read_levels(answer))
             failure = read_failure(answer)
             if failure is not None:
                 with contextlib.suppress(IncompleteMessage):
@@ -469,6 +568,9 @@
         may_be_reset = bool(job.body) and not job.idempotent and not exchange.reused
         if job.stream is None and len(job.body) < LARGE_BYTES and not may_be_reset:
             exchange.send(job.method, job.target, headers, job.body)
+            if not exchange.written:
+                raise self._unreachable(server)
+            job.sent_to.append(server.id)
             return
         try:
             await exchange.send_after_continue(
@@ -476,10 +578,14 @@
             )
         except IncompleteMessage:
             # No byte of the body was sent, and a server runs no request without it.
-            self._client.close_idle(server.door)
-            raise NotRun(
-                "unreachable", retry_after=DEFAULT_RETRY_AFTER_SECONDS
-            ) from None
+            raise self._unreachable(server) from None
+        if exchange.body_written:
+            job.sent_to.append(server.id)
+
+    def _unreachable(self, server):
+        """Close the idle connections to a server's host; return the `NotRun`."""
+        self._client.close_idle(server.door)
+        return NotRun("unreachable", retry_after=DEFAULT_RETRY_AFTER_SECONDS)
 
     def _note_report(self, job, server, report):
         self._picker.note_report(server, report, kind=job.route.name)
@@ -533,12 +639,43 @@
         seconds = max(
             MIN_RETRY_AFTER_SECONDS, refused.retry_after or DEFAULT_RETRY_AFTER_SECONDS
         )
-        # Jitter keeps callers that are refused together from retrying together.
-        seconds *= self._rng.uniform(0.7, 1.3)
-        self._log_unserved(job, refused.code)
+        is_planned = (
+            self._class_admission is not None
+            and job is not None
+            and refused.code in PLANNED_CODES
+        )
+        if is_planned:
+            self._note_planned_retry(job, refused, seconds)
+        else:
+            # Jitter keeps callers that are refused together from retrying together.
+            seconds *= self._rng.uniform(0.7, 1.3)
+            self._log_unserved(job, refused.code)
         headers = [(b"Retry-After", b"%.2f" % seconds)]
         await responder.send(FAILURE_RULES[refused.code].status, headers)
 
+    def _note_planned_retry(self, job, refused, seconds):
+        """Log a refusal and remember when its caller is to retry."""
+        now = self._clock()
+        if refused.code == "shed":
+            late = "late" if refused.reasons["late"] else "in_time"
+            self._count(f"shed.{job.urgency}.{late}")
+            if refused.reasons["early"]:
+                self._count("shed_early")
+        # A server reserves capacity only for a retry that can be in time.
+        usual = self._picker.usual_seconds(job.route.name)
+        reserved = (
+            refused.code == "overloaded"
+            and job.keyed
+            and now + seconds + usual <= job.target_time
+        )
+        self._log_unserved(
+            job,
+            refused.code,
+            reasons=refused.reasons,
+            retry_at=self._class_admission.early_until(now, seconds, job.deadline),
+            reserved=reserved,
+        )
+
     async def _answer_failure(self, responder, job, code):
         if responder.complete:
             # The deadline passed just after the answer had been sent completely.
@@ -552,11 +689,11 @@
             return
         await responder.send(FAILURE_RULES[code].status)
 
-    def _log_unserved(self, job, code):
+    def _log_unserved(self, job, code, *, reasons=None, retry_at=None, reserved=False):
         if job is None:
             log.info("Refused: %s.", code)
             return
-        self._reader.note_unserved(job)
+        self._reader.note_unserved(job, retry_at=retry_at, reserved=reserved)
         # The fingerprint identifies a request that is sent again under a new id.
         may_recur = job.sent_to or code == "quarantined"
         log.info(
@@ -565,11 +702,13 @@
                 "request": job.id.decode("latin-1"),
                 "what": self._fingerprint_of(job).hex() if may_recur else None,
                 "code": code,
+                "sent": len(job.sent_to),
                 "service": job.service,
                 "kind": job.route.name,
                 "again": job.is_retry,
                 "key": job.key,
                 "took_ms": int((self._clock() - job.started) * 1000),
+                **(reasons or {}),
             },
         )
 
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -23,7 +23,7 @@
     ServiceRules,
     WeightedService,
 )
-from guavastream.scheduling import Picker, ServerLists
+from guavastream.scheduling import Picker, ServerLists, service_classes
 
 __all__ = ["DIALECT", "Host", "Mesh", "run_scenario", "route"]
 
@@ -58,6 +58,7 @@
         self.outbound = f"{self.ip}:1"
         self.fleet_holder = TableHolder(codec=FleetStateCodec())
         self.counts = {}
+        self.gauges = {}
         self.ended = []
         self.server = DialectServer(
             id=self.id, dialect=DIALECT, address=(self.ip, 3), seconds=SERVER_SECONDS
@@ -69,6 +70,10 @@
             door=self.inbound,
             count=self._count,
             on_ended=lambda instance, requests: self.ended.append(instance),
+            classes=lambda: mesh.classes,
+            class_priority=mesh.class_priority,
+            set_gauge=self.gauges.__setitem__,
+            rng=random.Random(number),
         )
         self.ingress = Ingress(
             loop=loop,
@@ -82,13 +87,23 @@
             ratio=0.2,
             count=self._count,
             observe=lambda name, seconds: None,
+            classes=lambda: mesh.classes,
+            class_priority=mesh.class_priority,
+            rng=random.Random(number),
         )
         self.ingress_listener = Server(
             address=(self.ip, 1),
             handler=self.ingress.handle,
             limits=Limits(head_bytes=2000, body_bytes=4 << 20, head_seconds=1.0),
+            may_overlap=self.ingress.may_overlap,
+            count=self._count,
+        )
+        self.hop_handler = HopHandler(
+            loop=loop,
+            dialect=DIALECT,
+            guard=self.guard,
+            class_priority=mesh.class_priority,
         )
-        self.hop_handler = HopHandler(loop=loop, dialect=DIALECT, guard=self.guard)
         self.hop_requests = 0
         self.hop_listener = Server(
             address=(self.ip, 2), handler=self._handle_hop, delays_continue=True
@@ -110,10 +125,21 @@
 class Mesh:
     """Hosts that share one fleet state and one configuration.
 
-    The hosts belong in turn to the zones of `regions`, a dict of region by zone.
+    The hosts belong in turn to the zones of `regions`, a dict of region by zone. With
+    `class_priority`, servers reserve slots for more urgent requests.
     """
 
-    def __init__(self, *, hosts=2, keyed=False, routes=None, regions=None):
+    def __init__(
+        self,
+        *,
+        hosts=2,
+        keyed=False,
+        routes=None,
+        regions=None,
+        class_priority=False,
+    ):
+
+        self.class_priority = class_priority
         routes = routes or (
             route("read"),
             route("pay", RetrySafety.UNSAFE),
@@ -125,6 +151,7 @@
             services={"s": ServiceRules(name="s", keyed=keyed)},
         )
         self.index = RouteIndex(config)
+        self.classes = service_classes(config, class_priority=class_priority)
         self.fleet_state = FleetState(config=config)
         self.regions = regions or {"z": ""}
         zones = list(self.regions)
@@ -169,12 +196,20 @@
         self.index = RouteIndex(replace(self.fleet_state.config, routes=routes))
 
     async def ask(
-        self, path, *, method=b"GET", at=0, body=b"", headers=(), deadline=1000
+        self,
+        path,
+        *,
+        method=b"GET",
+        at=0,
+        body=b"",
+        headers=(),
+        deadline=1000,
+        id=None,
     ):
         """Send a request; return status, headers, body and seconds of its answer."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        id = b"q%d" % next(self._numbers)
+        id = id or b"q%d" % next(self._numbers)
         fields = [
             (b"Host", b"a.example"),
             (DIALECT.request_id, id),
--- a/guavastream/scheduling/outcome.py
+++ b/guavastream/scheduling/outcome.py
@@ -37,6 +37,8 @@
     "moving": FailureRule(status=503, wait_for_owner=True),
     "leaving": FailureRule(status=503, wait_for_owner=True, try_elsewhere=True),
     "overloaded": FailureRule(status=503, try_elsewhere=True),
+    # Refused at the ingress: the class of the request has no capacity at its servers.
+    "shed": FailureRule(status=503),
     # The server takes no more requests for now: while it is cold, or by its own word.
     "cold": FailureRule(status=503, try_elsewhere=True),
     "limited": FailureRule(status=503, try_elsewhere=True),
@@ -58,6 +60,8 @@
     ),
     "server_failed": FailureRule(status=500, try_elsewhere=True, reached_server=True),
     "no_answer": FailureRule(status=504, reached_server=True),
+    # The server answers later requests, but will never answer this one.
+    "dropped": FailureRule(status=504, try_elsewhere=True, reached_server=True),
 }
 
 
