--- a/guavastream/relay/__init__.py
+++ b/guavastream/relay/__init__.py
@@ -1,5 +1,6 @@
 """The data path: carries requests to the host of the owner and to its server."""
 
+from guavastream.relay.attempt import *
 from guavastream.relay.dialect import *
 from guavastream.relay.fingerprint import *
 from guavastream.relay.guard import *
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -6,8 +6,8 @@
 
 from guavastream.http1 import IncompleteMessage, format_head
 from guavastream.kernel import TimeLimit, TimeLimitGroup, replace
+from guavastream.relay.attempt import Attempt
 from guavastream.relay.dialect import INTERNAL_PREFIX
-from guavastream.relay.guard import Attempt
 from guavastream.relay.job import read_body
 from guavastream.scheduling.admission import ANSWER_MARGIN_SECONDS, AdmissionQueue
 from guavastream.scheduling.outcome import FAILURE_RULES, NotRun, OutcomeUnknown
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -7,9 +7,9 @@
 
 from guavastream.http1 import Client, IncompleteMessage, NotSent
 from guavastream.kernel import Policy, TimeLimitGroup, part_logger, replace
+from guavastream.relay.attempt import Attempt
 from guavastream.relay.dialect import INTERNAL_PREFIX
 from guavastream.relay.fingerprint import fingerprint
-from guavastream.relay.guard import Attempt
 from guavastream.relay.hop import (
     HOP_IDLE_SECONDS,
     HopHeader,
--- a/guavastream/routes/mixed_work.py
+++ b/guavastream/routes/mixed_work.py
@@ -1,14 +1,27 @@
 """Tells from the configuration which services mix short and long requests."""
 
-__all__ = ["has_mixed_work"]
+__all__ = ["has_mixed_work", "is_mixed"]
+
+
+def is_mixed(targets, slots):
+    """Return whether a server that is full of long requests is late for short ones.
+
+    If all slots run requests that take up to the longest target, one becomes free after
+    about that time divided by the number of slots. Where this exceeds the shortest
+    target, a short request is late whenever the server is full.
+
+    Examples
+    --------
+    >>> is_mixed((0.3, 4.0), 6), is_mixed((0.3, 4.0), 20), is_mixed((), 6)
+    (True, False, False)
+    """
+    return bool(targets) and max(targets) / max(1, slots) > min(targets)
 
 
 def has_mixed_work(config, service, slots):
-    """Return whether short requests to a service are late behind long ones.
+    """Return whether the requests to a service are mixed by their targets.
 
-    That is so if the longest target of its routes, divided by the slots of a server,
-    exceeds the shortest one: a full server then frees a slot too rarely. Routes without
-    a target do not count: how long their requests take is not known.
+    Routes without a target do not count: how long their requests take is not known.
 
     Parameters
     ----------
@@ -38,4 +51,4 @@
         if route.has_target
         and any(part.service == service for part in route.weighted_services)
     ]
-    return bool(targets) and max(targets) > max(1, slots) * min(targets)
+    return is_mixed(targets, slots)
--- a/guavastream/scheduling/classes.py
+++ b/guavastream/scheduling/classes.py
@@ -1,6 +1,7 @@
 """Urgency classes of a service's requests, from the configuration of routes."""
 
 from guavastream.kernel import record
+from guavastream.routes import is_mixed
 
 __all__ = ["ServiceClasses", "service_classes"]
 
@@ -31,12 +32,6 @@
     def need_reservation(self, slots):
         """Whether servers with `slots` slots reserve some for urgent requests.
 
-        Notes
-        -----
-        If all slots run requests that take up to the longest target, one becomes free
-        after about that time divided by the number of slots. Where this exceeds the
-        shortest target, a short request would be late whenever the server is full.
-
         Examples
         --------
         >>> classes = ServiceClasses(
@@ -45,7 +40,7 @@
         >>> classes.need_reservation(6), classes.need_reservation(20)
         (True, False)
         """
-        return self.longest_target / max(1, slots) > self.shortest_target
+        return is_mixed((self.shortest_target, self.longest_target), slots)
 
     def need_order(self, slots):
         """Whether the queues of servers with `slots` slots are ordered by urgency.
