--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -568,11 +568,8 @@
         if instance is None:
             return
         self._refuse_without_work(attempt, instance)
-        try:
+        with self._logged_refusals(attempt):
             self._rate_limiter.check(instance.id, self._cold_rate(instance))
-        except NotRun as refused:
-            self._log_refusal(attempt, refused)
-            raise
 
     async def _wait_for_suspect_turn(self, attempt, instance):
         """Wait until no other suspect request runs, if this one is suspect.
@@ -601,18 +598,12 @@
 
     def _reserve_rate(self, attempt, instance):
         """Reserve one of the requests that a limited server may get."""
-        try:
+        with self._logged_refusals(attempt):
             return self._rate_limiter.reserve(instance.id, self._cold_rate(instance))
-        except NotRun as refused:
-            self._log_refusal(attempt, refused)
-            raise
 
     def _use_reservation(self, reservation, attempt):
-        try:
+        with self._logged_refusals(attempt):
             reservation.use()
-        except NotRun as refused:
-            self._log_refusal(attempt, refused)
-            raise
 
     async def _wait_for_slot(self, attempt, instance):
         """Wait for a slot and return it."""
@@ -630,7 +621,7 @@
                 keyed=attempt.key is not None,
                 share=attempt.share,
             )
-        try:
+        with self._logged_refusals(attempt):
             slot = await enter(
                 rank=attempt.rank,
                 kind=attempt.kind,
@@ -643,11 +634,6 @@
                 last=attempt.is_last,
                 margin=attempt.margin,
             )
-        except NotRun as refused:
-            if (refused.reasons or {}).get("reserved"):
-                self._count("refused_with_reserved_slots")
-            self._log_refusal(attempt, refused)
-            raise
         if slot.was_starved:
             self._count("starved_requests_served")
         return slot
@@ -677,6 +663,17 @@
             self.quarantine.note_answered(suspect_status.fingerprint)
             self._on_answered(suspect_status.fingerprint, instance)
 
+    @contextlib.contextmanager
+    def _logged_refusals(self, attempt):
+        """Log a refusal of an attempt within the context, and raise it on."""
+        try:
+            yield
+        except NotRun as refused:
+            if (refused.reasons or {}).get("reserved"):
+                self._count("refused_with_reserved_slots")
+            self._log_refusal(attempt, refused)
+            raise
+
     def _log_refusal(self, attempt, refused):
         """Log the reasons for a refusal; the ingress only receives its code."""
         log.info(
