make test runs test files in four processes

Change: pytest-xdist runs whole files side by side; no test shares a file, a port or a folder with another file.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+# Processes that run test files side by side; each file runs in one of them.
+TEST_WORKERS := 4
 
 .PHONY: demo test format capacity
 
@@ -17,7 +19,7 @@
 	$(BIN)/ruff format --check guavastream tools conftest.py
 	$(BIN)/ruff check guavastream tools conftest.py
 	$(BIN)/lint-imports --no-cache
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist loadfile
 
 format: $(VENV)/ready
 	$(BIN)/ruff format guavastream tools conftest.py
