--- a/guavastream/scheduling/levels.py
+++ b/guavastream/scheduling/levels.py
@@ -348,8 +348,9 @@
     -----
     A host asks each single server of a large service less than once a second, and would
     rarely hold a valid level of it. Answers therefore carry the levels of a few other
-    servers too, with their ages. Each host gets answers of all others, so that a level
-    spreads to all within a fraction of a second.
+    servers too, with their ages, as this host got them from the servers themselves. Each
+    host gets answers of many others, so that a level spreads within a fraction of a
+    second.
 
     References
     ----------
@@ -368,8 +369,8 @@
     0.625
     >>> board.level(["c"], RequestClass(urgency=0)).age
     0.4
-    >>> board.passed_on(except_for="a")
-    b';c=400=0:0:500:0'
+    >>> board.passed_on(except_for="b")
+    b';a=0=0:0:250:0'
     >>> now = 6.1
     >>> board.level(["a"], RequestClass(urgency=0)) is None
     True
