--- a/guavastream/scheduling/levels.py
+++ b/guavastream/scheduling/levels.py
@@ -348,9 +348,9 @@
     -----
     A host asks each single server of a large service less than once a second, and would
     rarely hold a valid level of it. Answers therefore carry the levels of a few other
-    servers too, with their ages, as this host got them from the servers themselves. Each
-    host gets answers of many others, so that a level spreads within a fraction of a
-    second.
+    servers too, with their ages, as this host got them from the servers themselves.
+    Each host gets answers of many others, so that a level spreads within a fraction of
+    a second.
 
     References
     ----------
