--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -7,9 +7,9 @@
 
 from guavastream.http1 import Client, IncompleteMessage, NotSent
 from guavastream.kernel import Policy, TimeLimitGroup, part_logger, replace
+from guavastream.relay.attempt import Attempt
 from guavastream.relay.dialect import INTERNAL_PREFIX
 from guavastream.relay.fingerprint import fingerprint
-from guavastream.relay.guard import Attempt
 from guavastream.relay.hop import (
     HOP_IDLE_SECONDS,
     HopHeader,
@@ -668,6 +668,9 @@
             and job.keyed
             and now + seconds + usual <= job.target_time
         )
+        if refused.code == "shed" and refused.reasons["early"]:
+            # The server still holds what it reserved for the retry in time.
+            reserved = job.reserved
         self._log_unserved(
             job,
             refused.code,
--- a/guavastream/scheduling/levels.py
+++ b/guavastream/scheduling/levels.py
@@ -305,10 +305,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Received:
-    """Levels of one server and the clock time at which the server sent them."""
+    """Levels of one server and the clock time at which the server sent them.
+
+    `direct` tells whether they came from the server's own host.
+    """
 
     levels: dict
     at: float
+    direct: bool
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -344,8 +348,9 @@
     -----
     A host asks each single server of a large service less than once a second, and would
     rarely hold a valid level of it. Answers therefore carry the levels of a few other
-    servers too, with their ages. Each host gets answers of all others, so that a level
-    spreads to all within a fraction of a second.
+    servers too, with their ages, as this host got them from the servers themselves.
+    Each host gets answers of many others, so that a level spreads within a fraction of
+    a second.
 
     References
     ----------
@@ -364,8 +369,8 @@
     0.625
     >>> board.level(["c"], RequestClass(urgency=0)).age
     0.4
-    >>> board.passed_on(except_for="a")
-    b';c=400=0:0:500:0'
+    >>> board.passed_on(except_for="b")
+    b';a=0=0:0:250:0'
     >>> now = 6.1
     >>> board.level(["a"], RequestClass(urgency=0)) is None
     True
@@ -392,23 +397,24 @@
         now = self._clock()
         if not value:
             # An older level that another server passes on must not replace this.
-            self._store(server_id, {}, now)
+            self._store(server_id, {}, now, direct=True)
             return
         own, *others = value.split(b";", MAX_PASSED_ON + 1)[: MAX_PASSED_ON + 1]
-        self._store(server_id, parse_levels(own), now)
+        self._store(server_id, parse_levels(own), now, direct=True)
         for part in others:
             id, _, rest = part.partition(b"=")
             ms, _, levels = rest.partition(b"=")
             if ms.isdigit() and len(ms) <= MAX_AGE_DIGITS and int(ms) < MAX_AGE_MS:
                 levels = parse_levels(levels)
-                self._store(id.decode("latin-1"), levels, now - int(ms) / 1000)
+                at = now - int(ms) / 1000
+                self._store(id.decode("latin-1"), levels, at, direct=False)
 
-    def _store(self, server_id, levels, at):
+    def _store(self, server_id, levels, at, *, direct):
         known = self._received.pop(server_id, None)
         if known is not None and known.at > at:
             self._received[server_id] = known
             return
-        self._received[server_id] = _Received(levels=levels, at=at)
+        self._received[server_id] = _Received(levels=levels, at=at, direct=direct)
         if levels:
             self._valid_until = max(self._valid_until, at + LEVEL_VALID_SECONDS)
         # Those that have not changed for longest are first.
@@ -432,6 +438,9 @@
                 (id, received)
                 for id, received in self._received.items()
                 if received.levels
+                # The time in transit is not part of the age. Passed on again and
+                # again, levels would outlive their server by seconds.
+                and received.direct
                 and now - received.at < LEVEL_FADE_SECONDS
                 and id != except_for
                 and _ID.fullmatch(id)
