Requests that are not idempotent are not ended early at a server that hangs

Cause: the order had taken six times the usual time at a server that had been seen to hang, and was taken for dropped; such requests can't be sent again, so that ending them gains nothing. Change: only idempotent requests are ended and sent again.

--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -103,6 +103,9 @@
         self._hangs = HangDetector(clock=loop.time)
         # Exchanges that were ended since the server has dropped their requests.
         self._dropped = set()
+        # Exchanges that may be ended early. A request that is not idempotent can't be
+        # sent again, so ending it gains nothing, and the server may still run it.
+        self._repeatable = set()
         # Seconds for which the server may still run attempts that were given up, by id.
         self._runs_on = {}
         self._loop = loop
@@ -150,6 +153,8 @@
         late_check = None
         try:
             self._write_request(exchange, instance, attempt)
+            if attempt.idempotent:
+                self._repeatable.add(exchange)
             late_check = self._schedule_late_check(exchange)
             answer = await self._receive_answer(exchange, attempt)
             self._note_response(exchange, answer)
@@ -186,6 +191,7 @@
             exchange.close()
             raise
         finally:
+            self._repeatable.discard(exchange)
             if late_check is not None:
                 late_check.cancel()
         return ServerAnswer(exchange=exchange, answer=answer, watch=self.watch)
@@ -253,9 +259,11 @@
         self._end_dropped()
 
     def _end_dropped(self):
-        """End the exchanges of the requests that the server has dropped."""
+        """End the exchanges of idempotent requests that the server has dropped."""
         for exchange in self._hangs.dropped():
-            if exchange in self._dropped or exchange.has_received_bytes:
+            if exchange not in self._repeatable or exchange in self._dropped:
+                continue
+            if exchange.has_received_bytes:
                 continue
             self._dropped.add(exchange)
             self._count("dropped_by_server")
