Less state beside hanging servers, one shortest Retry-After

A set told which exchanges may be ended early; the watch of the server knows the request on each of them. Two modules had the same shortest Retry-After, and the tracker of retries a field that nothing read.

--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -103,9 +103,6 @@
         self._hangs = HangDetector(clock=loop.time)
         # Exchanges that were ended since the server has dropped their requests.
         self._dropped = set()
-        # Exchanges that may be ended early. A request that is not idempotent can't be
-        # sent again, so ending it gains nothing, and the server may still run it.
-        self._repeatable = set()
         # Seconds for which the server may still run attempts that were given up, by id.
         self._runs_on = {}
         self._loop = loop
@@ -153,8 +150,6 @@
         late_check = None
         try:
             self._write_request(exchange, instance, attempt)
-            if attempt.idempotent:
-                self._repeatable.add(exchange)
             late_check = self._schedule_late_check(exchange)
             answer = await self._receive_answer(exchange, attempt)
             self._note_response(exchange, answer)
@@ -191,7 +186,6 @@
             exchange.close()
             raise
         finally:
-            self._repeatable.discard(exchange)
             if late_check is not None:
                 late_check.cancel()
         return ServerAnswer(exchange=exchange, answer=answer, watch=self.watch)
@@ -259,11 +253,15 @@
         self._end_dropped()
 
     def _end_dropped(self):
-        """End the exchanges of idempotent requests that the server has dropped."""
+        """End the exchanges of idempotent requests that the server has dropped.
+
+        Others can't be sent again, so that ending them gains nothing, and the server
+        may still run them.
+        """
         for exchange in self._hangs.dropped():
-            if exchange not in self._repeatable or exchange in self._dropped:
+            if exchange in self._dropped or exchange.has_received_bytes:
                 continue
-            if exchange.has_received_bytes:
+            if not self.watch.is_idempotent(exchange):
                 continue
             self._dropped.add(exchange)
             self._count("dropped_by_server")
--- a/guavastream/relay/server_watch.py
+++ b/guavastream/relay/server_watch.py
@@ -113,6 +113,11 @@
         """Drop a finished request that says nothing about the server."""
         self._runs.pop(exchange, None)
 
+    def is_idempotent(self, exchange):
+        """Whether the request that runs on a connection is idempotent."""
+        run = self._runs.get(exchange)
+        return run is not None and run.request.idempotent
+
     def describe(self, exchange):
         """Return the request on a connection and its server, for the log."""
         run = self._runs.get(exchange)
--- a/guavastream/scheduling/class_admission.py
+++ b/guavastream/scheduling/class_admission.py
@@ -9,6 +9,7 @@
 from guavastream.scheduling.outcome import NotRun
 from guavastream.scheduling.return_times import (
     MAX_RETRY_SHARE,
+    MIN_RETRY_SECONDS,
     spread_retry,
 )
 
@@ -16,8 +17,6 @@
 
 # Time for which a process sends the same header value.
 HEADER_SECONDS = 0.02
-# Shortest Retry-After of a refusal at an ingress.
-MIN_RETRY_SECONDS = 0.05
 # Share of the told Retry-After before which a retry counts as early. Callers measure
 # time themselves, and cap the wait at a third of their remaining time.
 EARLY_SHARE = 0.9
--- a/guavastream/scheduling/return_times.py
+++ b/guavastream/scheduling/return_times.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["MAX_RETRY_SHARE", "ReturnTimes", "spread_retry"]
+__all__ = ["MAX_RETRY_SHARE", "MIN_RETRY_SECONDS", "ReturnTimes", "spread_retry"]
 
 # Retries are planned in steps of this length; callers return about as precisely.
 STEP_SECONDS = 0.05
--- a/guavastream/scheduling/returns.py
+++ b/guavastream/scheduling/returns.py
@@ -58,7 +58,6 @@
 
     def __init__(self):
         self._unserved = OrderedDict()
-        self._numbers = 0
 
     def __len__(self):
         return len(self._unserved)
