Departures: lines that say who announced one, and what is still sent

Cause: no line of a host said that its server had announced its departure, by which way, or that a request still went there and whether it was a resend, so that the hypotheses of the incident could not be told apart. Change: one line a departure, one a request that goes to a leaving server, one counter.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -400,7 +400,7 @@
             )
             return None
         if heartbeat.leaving:
-            self._guard.note_leaving(heartbeat.id)
+            self._guard.note_leaving(heartbeat.id, told_by="heartbeat")
         # While the leader is unknown, a delayed answer could not be told from a
         # lost one, and the short attempts leave time to try several hosts.
         attempt = UNKNOWN_LEADER_ATTEMPT_SECONDS
@@ -456,7 +456,7 @@
             If no leader answered in time.
         """
         id = self._incarnation_id(name, born)
-        self._guard.note_leaving(id)
+        self._guard.note_leaving(id, told_by="departure")
         await self._control.call(Depart(id=id), timeout=HEARTBEAT_TIMEOUT_SECONDS)
 
     def _incarnation_id(self, name, born):
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -149,6 +149,7 @@
             on_ended=self._note_ended,
             on_resend=self._rate_limiter.note_sent,
             on_statement=self._note_statement,
+            before_send=self._note_send,
         )
         self.quarantine = Quarantine(fleet_holder=fleet_holder, count=count)
         # Held by the suspect request that runs; only one of them runs at a time.
@@ -385,6 +386,7 @@
             # it has been leaving.
             since = float("-inf") if id in self._unheard else None
             self._departures.note(id, since=since)
+            self._log_departure(id, "answer")
             self._on_leaving(instance)
         self._unheard -= {id}
         start = self._starts.get(id)
@@ -434,9 +436,51 @@
         """Return the rows of `WorkMeter.take` for the local server."""
         return self._work_meter.take()
 
-    def note_leaving(self, id):
-        """Note that an instance has announced its departure to this process."""
+    def note_leaving(self, id, *, told_by=""):
+        """Note that an instance has announced its departure to this process.
+
+        `told_by` names the announcement for the log.
+        """
+        if id in self._departures:
+            return
         self._departures.note(id)
+        self._log_departure(id, told_by)
+
+    def _log_departure(self, id, told_by):
+        instance = self.find_local(id)
+        age = self._departures.age(id)
+        log.info(
+            "The local server is leaving.",
+            extra={
+                "server": id,
+                "told_by": told_by,
+                "since_ms": round(age * 1e3) if age < float("inf") else None,
+                "in_fleet_state": instance is not None and instance.leaving,
+                "book_ms": self._fleet_holder.confirmation.age_ms,
+                "running": self._admission_queue.running,
+                "waiting": self._admission_queue.waiting,
+            },
+        )
+
+    def _note_send(self, instance, attempt, again):
+        """Log a request that is about to be sent to a server that leaves."""
+        current = self.find_local(instance.id)
+        age = self._departures.age(instance.id)
+        if age is None and current is not None and not current.leaving:
+            return
+        self._count("sent_to_leaving")
+        log.info(
+            "Sent to a server that leaves or is gone.",
+            extra={
+                "request": attempt.id.decode("latin-1"),
+                "server": instance.id,
+                "since_ms": round(age * 1e3) if age is not None else None,
+                "in_fleet_state": current is not None,
+                "again": again,
+                "key": attempt.key,
+                "book_ms": self._fleet_holder.confirmation.age_ms,
+            },
+        )
 
     def narrow_held_keys(self, id, rows):
         """Reduce the held keys to those in `rows`, before the server is told to."""
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -82,6 +82,9 @@
         Called before an attempt is sent again on a new connection.
     on_statement : callable
         Called with the instance and the `ServerStatement` of each of its answers.
+    before_send : callable
+        Called with the instance, the attempt and whether it is sent again, just before
+        it is written to the server.
     """
 
     def __init__(
@@ -93,8 +96,10 @@
         on_ended,
         on_resend=lambda: None,
         on_statement=lambda instance, statement: None,
+        before_send=lambda instance, attempt, again: None,
     ):
         self._on_statement = on_statement
+        self._before_send = before_send
         self._clock = loop.time
         self._dialect = dialect
         self._count = count
@@ -215,6 +220,7 @@
         headers = list(attempt.headers)
         headers.append((names.deadline_ms, b"%d" % left))
         headers.append((names.expected, instance.server_name.encode()))
+        self._before_send(instance, attempt, bool(attempt.sent_at))
         exchange.send(
             attempt.method, attempt.target, headers, attempt.body, attempt.stream
         )
--- a/guavastream/scheduling/departures.py
+++ b/guavastream/scheduling/departures.py
@@ -43,6 +43,14 @@
         while len(self._since) > MAX_REMEMBERED:
             del self._since[next(iter(self._since))]
 
+    def age(self, id):
+        """Return the seconds for which a server is known to be leaving, or None.
+
+        Infinite if it is not known since when.
+        """
+        since = self._since.get(id)
+        return None if since is None else self._clock() - since
+
     def is_over(self, id):
         """Whether a server that leaves must get nothing more.
 
