Departures are recorded before they are acknowledged

What callers saw: a server that had announced its end by DELETE went on to get requests until it was gone. Cause: a process that had just started did not know the server's current incarnation and passed the bare name on; the leader answered whether it knew that name or not, so 200 meant nothing. Ruled out: slow news, for no news existed. Change: the id of the incarnation is made from the body of the DELETE as from that of a heartbeat; without one the process waits until its copy of the fleet state is complete; the leader records unknown ids as gone, so that a late heartbeat does not let them join, and keeps a leaving server out that it removes as silent; the last heartbeats of one that is gone are acknowledged. Result: both tests of a just started process failed before and pass.

--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -424,10 +424,17 @@
             log.info("Server %s has ended and was removed.", report.id)
 
     async def mark_leaving(self, id):
-        """Mark a server as leaving that sends no heartbeat to say so."""
+        """Mark a server as leaving that sends no heartbeat to say so.
+
+        If it is not known, a late heartbeat must not let it join.
+        """
         self.ensure_term()
         instance = self._state.instances.get(id)
-        if instance is not None and not instance.leaving:
+        if instance is None:
+            if id not in self._state.gone:
+                await self._propose(RemoveInstances(ids=(id,), forever=True))
+                log.info("Unknown server %s is leaving.", id)
+        elif not instance.leaving:
             await self._propose(LeaveInstance(id=id))
             log.info("Server %s is leaving.", id)
 
@@ -497,9 +504,13 @@
             log.info(
                 "Removing silent servers without a valid hold: %s.", ", ".join(expired)
             )
-            await self._remove_servers(
-                tuple(expired), RemoveInstances(ids=tuple(expired))
-            )
+            # A late heartbeat must not bring back a server that was leaving.
+            leaving = tuple(id for id in expired if state.instances[id].leaving)
+            others = tuple(id for id in expired if id not in leaving)
+            for ids, forever in ((leaving, True), (others, False)):
+                if ids:
+                    command = RemoveInstances(ids=ids, forever=forever)
+                    await self._remove_servers(ids, command)
         await self._expire_moves()
 
     async def _remove_servers(self, ids, command):
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from guavastream.exception import GuavastreamError
+from guavastream.exception import GuavastreamError, NotReady
 from guavastream.fleet import Depart, FleetStateCodec, LiftSuspects
 from guavastream.hosts.book_follower import FleetStateFollower
 from guavastream.hosts.end_reporter import EndReporter
@@ -440,27 +440,36 @@
             self._held_seq[heartbeat.id] = heartbeat.seq
             self._guard.set_held_keys(heartbeat.id, rows, until)
 
-    async def depart(self, name, *, born=0):
+    async def depart(self, name, *, id=""):
         """Forward the announcement that the local server is stopping.
 
         Parameters
         ----------
         name : str
             Name that the server gives itself.
-        born : int
-            Incarnation that is stopping; 0 stands for the newest known one.
+        id : str
+            Incarnation that is stopping, the newest one of that name by default.
 
         Raises
         ------
         NotReady, PeerFailure
-            If no leader answered in time.
+            If the departure may not have been recorded.
         """
-        id = self._incarnation_id(name, born)
+        id = id or await self._newest_incarnation(name)
         self._guard.note_leaving(id, told_by="departure")
         await self._control.call(Depart(id=id), timeout=HEARTBEAT_TIMEOUT_SECONDS)
 
-    def _incarnation_id(self, name, born):
-        """Return the id of an incarnation of the local server."""
+    async def _newest_incarnation(self, name):
+        """Return the id of the newest incarnation of a server.
+
+        Raises
+        ------
+        NotReady
+            If it may not be known yet, as in a process that has just started.
+        """
+        confirmation = self._state_holder.confirmation
+        if not await confirmation.wait_valid(HEARTBEAT_TIMEOUT_SECONDS):
+            raise NotReady("The incarnations of the server are not known.")
         ids_by_start = {
             i.born: i.id
             for i in self._state_holder.table.instances.values()
@@ -470,7 +479,7 @@
         heartbeat = self._newest_heartbeats.get(name)
         if heartbeat is not None:
             ids_by_start[heartbeat.born] = heartbeat.id
-        return ids_by_start.get(born or max(ids_by_start, default=0), name)
+        return ids_by_start[max(ids_by_start)] if ids_by_start else name
 
     async def _is_at_its_address(self, heartbeat):
         """Whether the sender of a heartbeat, which is unknown, answers at its address.
--- a/guavastream/hosts/tests/test_departures.py
+++ b/guavastream/hosts/tests/test_departures.py
@@ -48,7 +48,7 @@
         return [round(wait, 3) for wait in waits if wait > DRAIN_SECONDS]
 
     async def announce(self):
-        """Let the next heartbeat say that the server leaves; wait until acknowledged."""
+        """Let heartbeats say that the server leaves, until that is acknowledged."""
         self.server.leaving = True
         while not self.is_known_to_leader:
             await asyncio.sleep(0.01)
@@ -60,13 +60,13 @@
         instance = self._fleet.leader_state.instances.get(self.id)
         return instance is None or instance.leaving
 
-    async def delete(self, *, born=None):
+    async def delete(self, *, names_life):
         """Announce it by a departure without a heartbeat, again until acknowledged."""
         self._host.stop_heartbeats()
-        born = self._host.incarnations if born is None else born
+        id = self.id if names_life else ""
         while True:
             try:
-                await self._host.process.depart(self.server.id, born=born)
+                await self._host.process.depart(self.server.id, id=id)
             except GuavastreamError:
                 await asyncio.sleep(0.05)
                 continue
@@ -172,7 +172,7 @@
             if starts:
                 await host.kill_process()
                 await host.start_process()
-            await departure.delete(born=None if names_life else 0)
+            await departure.delete(names_life=names_life)
             assert departure.is_known_to_leader
             await asyncio.sleep(DRAIN_SECONDS + 1.0)
             assert departure.late == []
--- a/guavastream/platform/api.py
+++ b/guavastream/platform/api.py
@@ -77,7 +77,7 @@
         try:
             if request.method == b"DELETE":
                 body = await _read_body(request, MAX_HEARTBEAT_BYTES)
-                await self._host.depart(id, born=decode_departure(body))
+                await self._host.depart(id, id=decode_departure(id, body))
                 await responder.send(200, JSON_HEADERS, b"{}")
                 return
             if request.method != b"PUT":
@@ -103,7 +103,9 @@
             door=self._settings.inbound,
         )
         answer = await self._host.beat(heartbeat)
-        if answer is None or answer.gone:
+        # A server that is no longer known gets nothing, which acknowledges that it
+        # leaves.
+        if answer is None or (answer.gone and not heartbeat.leaving):
             await responder.send(409)
             return
         await responder.send(200, JSON_HEADERS, encode_acknowledgement(answer))
--- a/guavastream/platform/tests/test_fuzz.py
+++ b/guavastream/platform/tests/test_fuzz.py
@@ -126,7 +126,8 @@
 @given(body=bodies)
 def test_a_departure_is_decoded_or_rejected(body):
     try:
-        assert 0 <= decode_departure(body) < 2**63
+        id = decode_departure("i-1", body)
+        assert not id or 0 < int(id.removeprefix("i-1~")) < 2**63
     except FindingsError as error:
         assert error.findings
 
--- a/guavastream/platform/wire.py
+++ b/guavastream/platform/wire.py
@@ -194,7 +194,7 @@
     if findings:
         raise FindingsError(findings)
     return Heartbeat(
-        id=f"{id}{INSTANCE_SEPARATOR}{raw.born}" if raw.born else id,
+        id=_incarnation_id(id, raw.born),
         name=id,
         born=raw.born,
         service=raw.service,
@@ -212,6 +212,11 @@
     )
 
 
+def _incarnation_id(id, born):
+    """Return the id of an incarnation of a server that names its start time or 0."""
+    return f"{id}{INSTANCE_SEPARATOR}{born}" if born else id
+
+
 def _heartbeat_errors(id, raw):
     """Yield the field name and an error text for each bad value of a heartbeat."""
     if not 0 < len(id) <= MAX_ID_LENGTH:
@@ -255,20 +260,22 @@
         return False
 
 
-def decode_departure(data):
-    """Decode the body of a departure: the start time of the departing instance.
+def decode_departure(id, data):
+    """Decode the body of a departure of the server with this id.
 
     Returns
     -------
-    int
-        Unix time in ms, or 0 if the body is empty or does not contain it.
+    str
+        Id of the departing incarnation, as in `Heartbeat.id`; empty if the body does
+        not tell which one it is.
 
     Raises
     ------
     FindingsError
         If the body is malformed.
     """
-    return _decode_json(_DepartureBody, data, "departure").born if data else 0
+    born = _decode_json(_DepartureBody, data, "departure").born if data else 0
+    return _incarnation_id(id, born) if born else ""
 
 
 def encode_acknowledgement(answer):
