Whether a server may get a request is decided as it is written

What servers saw: requests 2.1 to 2.4 s after their departure had been acknowledged, where 2 s are allowed. Cause: the guard decided before it took a connection. An idempotent request whose kept connection broke was written again on a new one, as long after the decision as the server had worked on it; opening a connection may take 0.5 s. Ruled out for these: slow news, since the host beside the server knew. Change: one check, for departures, fleet state, routes, evacuations, limits, keys, suspect requests and deadlines, called in the same turn of the loop as each write, the first one and the resend; nothing comes between. A connection that was opened for a request that is then refused returns to the pool. What may have run and is not sent again is 'not_sent_again': other servers, or the next owner of the key, are tried within the retry budget.

--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -262,7 +262,7 @@
             self._connection.reusable = False
         complete = self._response is not None and self._response.body.ended
         self._connection.end()
-        if not complete:
+        if self.written and not complete:
             self._connection.reusable = False
         self._client.release(self._connection)
 
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -43,6 +43,11 @@
 log = part_logger("guard")
 
 
+def _to_ms(seconds):
+    """Return whole milliseconds, or None if the time is unknown."""
+    return round(seconds * 1e3) if seconds < float("inf") else None
+
+
 @dataclass(kw_only=True, slots=True)
 class HeldKeys:
     """Key ranges that the local server was last told to hold, and until when."""
@@ -147,9 +152,7 @@
             dialect=dialect,
             count=count,
             on_ended=self._note_ended,
-            on_resend=self._rate_limiter.note_sent,
             on_statement=self._note_statement,
-            before_send=self._note_send,
         )
         self.quarantine = Quarantine(fleet_holder=fleet_holder, count=count)
         # Held by the suspect request that runs; only one of them runs at a time.
@@ -382,11 +385,7 @@
         if statement.is_unlimited or statement.rate_limit is not None:
             self._rate_limiter.set_named_rate(id, statement.rate_limit)
         if statement.leaving and id not in self._departures:
-            # A process that was started beside a leaving server does not know how long
-            # it has been leaving.
-            since = float("-inf") if id in self._unheard else None
-            self._departures.note(id, since=since)
-            self._log_departure(id, "answer")
+            self.note_leaving(id, told_by="answer", is_new=id not in self._unheard)
             self._on_leaving(instance)
         self._unheard -= {id}
         start = self._starts.get(id)
@@ -436,14 +435,21 @@
         """Return the rows of `WorkMeter.take` for the local server."""
         return self._work_meter.take()
 
-    def note_leaving(self, id, *, told_by=""):
-        """Note that an instance has announced its departure to this process.
-
-        `told_by` names the announcement for the log.
+    def note_leaving(self, id, *, told_by="", is_new=True):
+        """Note that an instance has announced its departure.
+
+        Parameters
+        ----------
+        id : str
+            Id of the instance.
+        told_by : str
+            Kind of the announcement, for the log.
+        is_new : bool
+            False if the process before this one may have passed it on already.
         """
         if id in self._departures:
             return
-        self._departures.note(id)
+        self._departures.note(id, since=None if is_new else float("-inf"))
         self._log_departure(id, told_by)
 
     def _log_departure(self, id, told_by):
@@ -454,7 +460,7 @@
             extra={
                 "server": id,
                 "told_by": told_by,
-                "since_ms": round(age * 1e3) if age < float("inf") else None,
+                "since_ms": _to_ms(age),
                 "in_fleet_state": instance is not None and instance.leaving,
                 "book_ms": self._fleet_holder.confirmation.age_ms,
                 "running": self._admission_queue.running,
@@ -462,21 +468,18 @@
             },
         )
 
-    def _note_send(self, instance, attempt, again):
-        """Log a request that is about to be sent to a server that leaves."""
-        current = self.find_local(instance.id)
-        age = self._departures.age(instance.id)
-        if age is None and current is not None and not current.leaving:
+    def _log_late_send(self, attempt, instance):
+        """Log a request that is sent to a server that leaves."""
+        if instance.id not in self._departures:
             return
         self._count("sent_to_leaving")
         log.info(
-            "Sent to a server that leaves or is gone.",
+            "Sent to a server that leaves.",
             extra={
                 "request": attempt.id.decode("latin-1"),
                 "server": instance.id,
-                "since_ms": round(age * 1e3) if age is not None else None,
-                "in_fleet_state": current is not None,
-                "again": again,
+                "since_ms": _to_ms(self._departures.age(instance.id)),
+                "again": bool(attempt.sent_at),
                 "key": attempt.key,
                 "book_ms": self._fleet_holder.confirmation.age_ms,
             },
@@ -538,18 +541,9 @@
                 slot = await self._wait_for_slot(attempt, instance)
                 began, seconds = self._clock(), None
                 self._running_attempts[attempt.id] = attempt
+                check = functools.partial(self._check_send, attempt, reservation)
                 try:
-                    self._refuse_without_work(
-                        attempt, self.find_local(instance.id) or instance
-                    )
-                    # The key may have moved to another server during the wait.
-                    if attempt.key is not None and not self._holds_key(attempt):
-                        raise NotRun("moving")
-                    if self._clock() >= attempt.deadline:
-                        # Its time passed while this process was paused.
-                        raise NotRun("no_time")
-                    self._use_reservation(reservation, attempt)
-                    answer = await self._send_measured(instance, attempt)
+                    answer = await self._send_measured(instance, attempt, check)
                     try:
                         yield answer
                     finally:
@@ -574,7 +568,30 @@
         else:
             leave()
 
-    async def _send_measured(self, instance, attempt):
+    def _check_send(self, attempt, reservation):
+        """Refuse an attempt that the server must not get now.
+
+        This is the only decision that counts: the earlier ones spare callers a wait.
+
+        Raises
+        ------
+        NotRun
+            If something has changed since the attempt was admitted.
+        """
+        instance = self.find_local(attempt.instance)
+        if instance is None:
+            raise NotRun("no_server")
+        self._refuse_without_work(attempt, instance)
+        self.quarantine.check(attempt, instance)
+        if attempt.key is not None and not self._holds_key(attempt):
+            raise NotRun("moving")
+        if self._clock() >= attempt.deadline:
+            raise NotRun("no_time")
+        with self._logged_refusals(attempt):
+            reservation.use()
+        self._log_late_send(attempt, instance)
+
+    async def _send_measured(self, instance, attempt, check):
         """Send an attempt and return the answer; count its time at the server.
 
         The time ends when the answer begins: how long the rest takes depends on the
@@ -583,7 +600,7 @@
         self._work_meter.begin(attempt.id, attempt.kind)
         completed = failed = False
         try:
-            answer = await self._server.send(instance, attempt)
+            answer = await self._server.send(instance, attempt, check)
             failed = answer.status >= MIN_SERVER_ERROR_STATUS
             completed = not failed
             return answer
@@ -648,10 +665,6 @@
         with self._logged_refusals(attempt):
             return self._rate_limiter.reserve(instance.id, self._cold_rate(instance))
 
-    def _use_reservation(self, reservation, attempt):
-        with self._logged_refusals(attempt):
-            reservation.use()
-
     async def _wait_for_slot(self, attempt, instance):
         """Wait for a slot and return it."""
         self._admission_queue.slots = self._usable_slots(instance)
@@ -779,8 +792,7 @@
         if not instance.leaving and instance.id not in self._departures:
             return
         # Requests that were on their way to this host when the server announced its
-        # departure still run; later ones go to another server. A process that was
-        # started after that does not know its time and refuses at once.
+        # departure still run, and those for its keys until they have moved.
         if self._departures.is_over(instance.id):
             raise NotRun("leaving")
 
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -15,6 +15,13 @@
 MAX_UNSAFE_IDLE_SECONDS = 1.0
 MISDIRECTED_STATUS = 421
 MIN_SERVER_ERROR_STATUS = 500
+# Codes of attempts that may have run and were not run again, by the code of the second
+# refusal. Any other one is a refusal of this process.
+CODES_AFTER_RESEND = {
+    "server_refused": "answer_lost",
+    "server_not_owner": "server_ended",
+    "unreachable": "server_ended",
+}
 
 log = part_logger("guard")
 
@@ -78,13 +85,8 @@
         Counts an event by name.
     on_ended : callable
         Passed on to `ServerWatch`.
-    on_resend : callable
-        Called before an attempt is sent again on a new connection.
     on_statement : callable
         Called with the instance and the `ServerStatement` of each of its answers.
-    before_send : callable
-        Called with the instance, the attempt and whether it is sent again, just before
-        it is written to the server.
     """
 
     def __init__(
@@ -94,16 +96,12 @@
         dialect,
         count,
         on_ended,
-        on_resend=lambda: None,
         on_statement=lambda instance, statement: None,
-        before_send=lambda instance, attempt, again: None,
     ):
         self._on_statement = on_statement
-        self._before_send = before_send
         self._clock = loop.time
         self._dialect = dialect
         self._count = count
-        self._on_resend = on_resend
         self._client = Client()
         self._hangs = HangDetector(clock=loop.time)
         # Exchanges that were ended since the server has dropped their requests.
@@ -122,9 +120,21 @@
         """Return the time for which the server may still run an ended attempt."""
         return self._runs_on.pop(attempt.id, 0.0)
 
-    async def send(self, instance, attempt):
+    async def send(self, instance, attempt, check):
         """Send an attempt and return its `ServerAnswer`.
 
+        Parameters
+        ----------
+        instance : Instance
+            The server.
+        attempt : Attempt
+            The request.
+        check : callable
+            Raises `NotRun` if the server must not get the attempt now. It is called
+            each time that the attempt is written, in the same turn of the loop: opening
+            a connection takes a while, and an attempt that is sent again was decided on
+            as long ago as the server has worked on it.
+
         Raises
         ------
         NotRun
@@ -133,27 +143,25 @@
             If it may have run.
         """
         try:
-            return await self._exchange(instance, attempt, fresh=False)
+            return await self._exchange(instance, attempt, check, fresh=False)
         except _StaleConnection as stale:
             if not stale.written:
-                return await self._exchange(instance, attempt, fresh=True)
+                return await self._exchange(instance, attempt, check, fresh=True)
             # Most likely the server closed the connection while it was idle, but it
             # may also have ended while it ran the request.
-            self._on_resend()
             try:
-                return await self._exchange(instance, attempt, fresh=True)
+                return await self._exchange(instance, attempt, check, fresh=True)
             except NotRun as error:
-                same = error.code == "server_refused"
-                raise OutcomeUnknown(
-                    "answer_lost" if same else "server_ended"
-                ) from None
+                code = CODES_AFTER_RESEND.get(error.code, "not_sent_again")
+                raise OutcomeUnknown(code) from None
 
-    async def _exchange(self, instance, attempt, *, fresh):
+    async def _exchange(self, instance, attempt, check, *, fresh):
         exchange = await self._open(instance, attempt, fresh=fresh)
         sent_at = self._clock()
         self.watch.begin(instance.id, exchange, attempt)
         late_check = None
         try:
+            check()
             self._write_request(exchange, instance, attempt)
             late_check = self._schedule_late_check(exchange)
             answer = await self._receive_answer(exchange, attempt)
@@ -220,7 +228,6 @@
         headers = list(attempt.headers)
         headers.append((names.deadline_ms, b"%d" % left))
         headers.append((names.expected, instance.server_name.encode()))
-        self._before_send(instance, attempt, bool(attempt.sent_at))
         exchange.send(
             attempt.method, attempt.target, headers, attempt.body, attempt.stream
         )
--- a/guavastream/scheduling/departures.py
+++ b/guavastream/scheduling/departures.py
@@ -44,17 +44,22 @@
             del self._since[next(iter(self._since))]
 
     def age(self, id):
-        """Return the seconds for which a server is known to be leaving, or None.
+        """Return the seconds for which a server has been known to be leaving.
 
         Infinite if it is not known since when.
         """
-        since = self._since.get(id)
-        return None if since is None else self._clock() - since
+        return self._clock() - self._since.get(id, float("-inf"))
+
+    def remaining(self, id):
+        """Return the seconds for which a server that leaves still gets requests.
+
+        Negative if it must get nothing more.
+        """
+        return DEPARTURE_GRACE_SECONDS - self.age(id)
 
     def is_over(self, id):
         """Whether a server that leaves must get nothing more.
 
         True as well if it is not known since when it has been leaving.
         """
-        since = self._since.get(id, float("-inf"))
-        return self._clock() - since > DEPARTURE_GRACE_SECONDS
+        return self.remaining(id) < 0
--- a/guavastream/scheduling/outcome.py
+++ b/guavastream/scheduling/outcome.py
@@ -59,6 +59,10 @@
     ),
     # Raised as `OutcomeUnknown`: the request may have run.
     "answer_lost": FailureRule(status=502, try_elsewhere=True, reached_server=True),
+    # The same, and the server must not get the request again.
+    "not_sent_again": FailureRule(
+        status=502, wait_for_owner=True, try_elsewhere=True, reached_server=True
+    ),
     "server_ended": FailureRule(
         status=502, wait_for_owner=True, try_elsewhere=True, reached_server=True
     ),
