A departure that may have been acknowledged before grants no time

What servers saw: a process that was started beside a server that had left sent it requests for 1.6 s more. Cause: it counted from the first heartbeat that it heard itself. Change: the time is granted only if the process's copy of the fleet state, complete through its own start, does not know the departure; what was acknowledged is in it. A departure that only the fleet state tells is recorded as the others are.

--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -344,7 +344,10 @@
             if instance is None:
                 if id in fleet_state.gone:
                     self._server.watch.note_replaced(known)
-            elif instance.evacuated and not known.evacuated:
+                continue
+            if instance.leaving and not known.leaving:
+                self.note_leaving(id, told_by="fleet state")
+            if instance.evacuated and not known.evacuated:
                 self._begin_evacuation(instance, fleet_state)
             elif known.evacuated and not instance.evacuated:
                 self._evacuated_at.pop(id, None)
@@ -449,9 +452,21 @@
         """
         if id in self._departures:
             return
+        # How long ago the process before this one heard of it is not known.
+        is_new = is_new and not self._may_be_acknowledged(id)
         self._departures.note(id, since=None if is_new else float("-inf"))
         self._log_departure(id, told_by)
 
+    def _may_be_acknowledged(self, id):
+        """Whether a process before this one may have acknowledged a departure.
+
+        It is in the fleet state then, once that is complete through this one's start.
+        """
+        instance = self.find_local(id)
+        if instance is None or instance.leaving:
+            return True
+        return not self._fleet_holder.confirmation.is_valid
+
     def _log_departure(self, id, told_by):
         instance = self.find_local(id)
         age = self._departures.age(id)
