Requests do not wait for a server that will take nothing more

What callers saw: requests queued beside a leaving server waited for its slots, up to their deadline, and were refused when their turn came. Change: they are refused when the server's time ends, and at once if the wait that is expected is longer than the time that is left, so that another server is tried.

--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -456,6 +456,9 @@
         is_new = is_new and not self._may_be_acknowledged(id)
         self._departures.note(id, since=None if is_new else float("-inf"))
         self._log_departure(id, told_by)
+        # The queued requests can still be served by other servers.
+        remaining = max(0.0, self._departures.remaining(id))
+        self._loop.call_later(remaining, self._refuse_waiting_at, id)
 
     def _may_be_acknowledged(self, id):
         """Whether a process before this one may have acknowledged a departure.
@@ -467,6 +470,11 @@
             return True
         return not self._fleet_holder.confirmation.is_valid
 
+    def _refuse_waiting_at(self, id):
+        """Refuse the requests that wait for an instance, if it is the local one."""
+        if self._local_id == id:
+            self._admission_queue.refuse_waiting()
+
     def _log_departure(self, id, told_by):
         instance = self.find_local(id)
         age = self._departures.age(id)
@@ -685,6 +693,10 @@
         self._admission_queue.slots = self._usable_slots(instance)
         classes = self._classes_of(instance)
         self._admission_queue.by_class = classes is not None
+        if instance.id in self._departures:
+            wait = self._admission_queue.expected_wait(attempt.urgency)
+            if wait > self._departures.remaining(instance.id):
+                raise NotRun("leaving")
         self._admission_queue.reserves_slots = (
             classes is not None and classes.need_reservation(instance.slots)
         )
