--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -455,11 +455,13 @@
         NotReady, PeerFailure
             If the departure may not have been recorded.
         """
-        id = id or await self._newest_incarnation(name)
+        deadline = self._loop.time() + HEARTBEAT_TIMEOUT_SECONDS
+        id = id or await self._newest_incarnation(name, deadline)
         self._guard.note_leaving(id, told_by="departure")
-        await self._control.call(Depart(id=id), timeout=HEARTBEAT_TIMEOUT_SECONDS)
+        remaining = deadline - self._loop.time()
+        await self._control.call(Depart(id=id), timeout=remaining)
 
-    async def _newest_incarnation(self, name):
+    async def _newest_incarnation(self, name, deadline):
         """Return the id of the newest incarnation of a server.
 
         Raises
@@ -468,7 +470,7 @@
             If it may not be known yet, as in a process that has just started.
         """
         confirmation = self._state_holder.confirmation
-        if not await confirmation.wait_valid(HEARTBEAT_TIMEOUT_SECONDS):
+        if not await confirmation.wait_valid(deadline - self._loop.time()):
             raise NotReady("The incarnations of the server are not known.")
         ids_by_start = {
             i.born: i.id
