--- a/guavastream/platform/emulator/server.py
+++ b/guavastream/platform/emulator/server.py
@@ -35,6 +35,8 @@
     state: str = "ready"
     hold_expires_at: float = 0.0
     acknowledged_state: str = ""
+    # Whether its end is under way; its heartbeats may not say so.
+    is_ending: bool = False
     seq: int = 0
     # Start of this instance, Unix time in ms.
     started_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
@@ -98,10 +100,14 @@
         """Return whether a key is held now."""
         return self.fence_of(key) is not None
 
-    async def send_departure(self):
-        """Announce the departure of this server; return whether it was acknowledged."""
+    async def send_departure(self, *, names_life=False):
+        """Announce the departure of this server; return whether it was acknowledged.
+
+        With `names_life` the body tells which instance of the server leaves.
+        """
         path = b"/api/instances/" + self.id.encode()
-        status, _ = await call(self.control_address, b"DELETE", path)
+        body = {"born": self.started_ms} if names_life else None
+        status, _ = await call(self.control_address, b"DELETE", path, body)
         if status == 200:
             self.on_departure()
         return status == 200
--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -343,8 +343,9 @@
         Its connections are cut; with `silent` they stay open but carry
         nothing until the other end gives up.
         """
-        if server_host.server is not server or server.state != "ready":
+        if server_host.server is not server or server.is_ending:
             return
+        server.is_ending = True
         server.state = "ending"
         if not silent:
             server_host.proxy.cut_open()
@@ -425,10 +426,11 @@
             proxy.delay = SLOW_CHUNK_DELAY_SECONDS
             await asyncio.sleep(fault.seconds)
             proxy.delay = 0.0
-        elif not server_host.task.done() and server.state == "ready":
+        elif not server_host.task.done() and not server.is_ending:
             await self._end_server(server_host, fault, server)
 
     async def _end_server(self, server_host, fault, server):
+        server.is_ending = True
         server.state = "ending"
         server.server.leaving = self.states_departures and fault.kind != "crash"
         if fault.kind == "drain":
--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -18,6 +18,7 @@
     make_route,
     wait_until,
 )
+from guavastream.platform.soak_departures import Departures
 from guavastream.platform.soak_evacuations import EVACUATING_PLATFORM, EvacuationCheck
 from guavastream.platform.soak_pipelining import PipeliningCallers
 from guavastream.platform.soak_routes import RouteChanges
@@ -96,6 +97,8 @@
         Whether further callers send several requests at once on a connection.
     rerouting : bool
         Whether routes are added and lead elsewhere while hosts are frozen.
+    departing : bool
+        Whether servers leave while they are slow and lose answers.
     """
 
     callers: int = 6
@@ -107,6 +110,7 @@
     limiting: bool = False
     pipelining: bool = False
     rerouting: bool = False
+    departing: bool = False
 
 
 class _SoakRun:
@@ -145,6 +149,11 @@
             self._route_changes = RouteChanges(
                 platform=self._platform, ledger=self.ledger, seed=seed
             )
+        self._departures = None
+        if options.departing:
+            self._departures = Departures(
+                platform=self._platform, ledger=self.ledger, seed=seed
+            )
         self._pipelining = None
         if options.pipelining:
             self._pipelining = PipeliningCallers(
@@ -190,6 +199,8 @@
             route_changes_task = None
             if self._route_changes is not None:
                 route_changes_task = asyncio.ensure_future(self._route_changes.run())
+            if self._departures is not None:
+                self._departures.start()
             if self._pipelining is not None:
                 background_tasks.append(asyncio.ensure_future(self._pipelining.run()))
             limits_task = None
@@ -204,6 +215,8 @@
                 task.cancel()
             if self._evacuations is not None:
                 await self._evacuations.end()
+            if self._departures is not None:
+                await self._departures.end()
             if route_changes_task is not None:
                 # It freezes hosts.
                 route_changes_task.cancel()
@@ -561,6 +574,11 @@
         action="store_true",
         help="with routes that are added and lead elsewhere while hosts are frozen",
     )
+    parser.add_argument(
+        "--departing",
+        action="store_true",
+        help="with servers that leave while they are slow and lose answers",
+    )
     parser.add_argument("--folder", help="keep settings, data and logs here")
     return _run_command
 
