A connection that its caller has reset is closed, not left behind with an error

Cause: write_eof raises on a socket that is reset before the loop has read that. Change: the connection is aborted. Result: the test, with a transport that raises, waited for ever before and passes.

--- a/guavastream/http1/connection.py
+++ b/guavastream/http1/connection.py
@@ -212,7 +212,12 @@
             return
         self._lingering = True
         self._resume()
-        self._transport.write_eof()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The caller has reset the connection, which the transport does not know.
+            self._transport.abort()
+            return
         self._server.connection_lingering(self)
         self._linger_timer = self._loop.call_later(
             LINGER_SECONDS, self._transport.close
--- a/guavastream/http1/tests/test_no_answer_missing.py
+++ b/guavastream/http1/tests/test_no_answer_missing.py
@@ -1,6 +1,8 @@
 """Every request that was sent completely gets a response on its connection."""
 
 import asyncio
+import errno
+import gc
 import socket
 
 import pytest
@@ -519,3 +521,30 @@
         server.close()
 
     run_stalling(scenario())
+
+
+def test_a_connection_that_its_caller_has_reset_is_closed_quietly(monkeypatch):
+    """Guards against an error that nobody handles for each caller that resets."""
+    unhandled = []
+
+    def write_eof(transport):
+        raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+
+    monkeypatch.setattr(
+        asyncio.selector_events._SelectorSocketTransport, "write_eof", write_eof
+    )
+
+    async def scenario(server, connect):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: unhandled.append(context))
+        caller = await connect()
+        caller.send(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9999\r\n\r\nx")
+        assert await caller.reader.read(1 << 16)
+        # Without an end of the connection, the test would wait for ever.
+        async with asyncio.timeout(IDLE_SECONDS):
+            assert await caller.reader.read() == b""
+        gc.collect()
+        await asyncio.sleep(0)
+
+    run_scenario(scenario, handler=refuse)
+    assert unhandled == []
