--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 
 from guavastream.kernel import TimeLimit, part_logger
+from guavastream.relay.departure_gate import DepartureGate
+from guavastream.relay.level_reporter import LevelReporter
 from guavastream.relay.quarantine import Quarantine
 from guavastream.relay.server_client import ServerClient
 from guavastream.scheduling.admission import AdmissionQueue
@@ -37,17 +39,10 @@
 # Share of the time allowed for an evacuation during which an evacuated server still
 # serves the keys that it owns, while they are moved.
 EVACUATION_SHARE = 0.5
-# Shortest time between two log records of the admission levels.
-LEVELS_LOG_SECONDS = 1.0
 
 log = part_logger("guard")
 
 
-def _to_ms(seconds):
-    """Return whole milliseconds, or None if the time is unknown."""
-    return round(seconds * 1e3) if seconds < float("inf") else None
-
-
 @dataclass(kw_only=True, slots=True)
 class HeldKeys:
     """Key ranges that the local server was last told to hold, and until when."""
@@ -161,7 +156,7 @@
         self._admission_queue = AdmissionQueue(
             loop=loop, policy=policy, return_times=return_times
         )
-        self.level_board = self._class_admission = None
+        self.level_board = self._class_admission = self._level_reporter = None
         if class_priority:
             rng = rng or random.Random()
             self.level_board = LevelBoard(clock=self._clock, rng=rng)
@@ -172,13 +167,24 @@
                 return_times=return_times,
                 count=count,
             )
-        self._set_gauge = set_gauge
-        # Levels that the gauges show.
-        self._shown_shares = {}
-        self._levels_logged_at = float("-inf")
+            self._level_reporter = LevelReporter(
+                clock=self._clock,
+                class_admission=self._class_admission,
+                board=self.level_board,
+                queue=self._admission_queue,
+                set_gauge=set_gauge,
+            )
         self._held_by = self._local_id = ""
         self._held = None
-        self._departures = departures or Departures(clock=self._clock)
+        self._departure_gate = DepartureGate(
+            loop=loop,
+            fleet_holder=fleet_holder,
+            find_local=self.find_local,
+            local_id=lambda: self._local_id,
+            queue=self._admission_queue,
+            departures=departures or Departures(clock=self._clock),
+            count=count,
+        )
         # Local instances that were there before this process was, and whose answers it
         # has not seen.
         self._unheard = frozenset()
@@ -262,42 +268,9 @@
 
         They are those of the local server, and some that this process has received.
         """
-        if self._class_admission is None:
+        if self._level_reporter is None:
             return b""
-        shares = self._class_admission.shares()
-        if shares is not self._shown_shares:
-            self._show_levels(shares)
-        passed_on = self.level_board.passed_on(except_for=self._local_id)
-        return self._class_admission.header() + passed_on
-
-    def _show_levels(self, shares):
-        """Set the gauges of levels and of reservations for retries."""
-        for cls in {**self._shown_shares, **shares}:
-            name = f'admission_level{{urgency="{cls.urgency}",late="{cls.late:d}"}}'
-            self._set_gauge(name, round(shares.get(cls, 1.0), 3))
-        self._set_gauge("retry_reservations", self._class_admission.reservations)
-        self._shown_shares = shares
-        now = self._clock()
-        if shares and now - self._levels_logged_at >= LEVELS_LOG_SECONDS:
-            self._levels_logged_at = now
-            log.info(
-                "Requests are admitted by their urgency class.",
-                extra={
-                    "server": self._local_id,
-                    "levels": [
-                        {
-                            "urgency": cls.urgency,
-                            "late": cls.late,
-                            "level": round(share, 3),
-                        }
-                        for cls, share in shares.items()
-                    ],
-                    "asked": self._class_admission.asked(),
-                    "running": self._admission_queue.running,
-                    "waiting": self._admission_queue.waiting,
-                    "reservations": self._class_admission.reservations,
-                },
-            )
+        return self._level_reporter.header(self._local_id)
 
     def _limited_wait(self):
         """Return the time until the local server, if limited, may get a request."""
@@ -346,7 +319,7 @@
                     self._server.watch.note_replaced(known)
                 continue
             if instance.leaving and not known.leaving:
-                self.note_leaving(id, told_by="fleet state")
+                self._departure_gate.note(id, told_by="fleet state")
             if instance.evacuated and not known.evacuated:
                 self._begin_evacuation(instance, fleet_state)
             elif known.evacuated and not instance.evacuated:
@@ -384,11 +357,12 @@
     def _note_statement(self, instance, statement):
         """Act on what the local server says of itself in an answer."""
         id = instance.id
-        known_before = (self.named_rate(id), id in self._departures)
+        known_before = (self.named_rate(id), id in self._departure_gate)
         if statement.is_unlimited or statement.rate_limit is not None:
             self._rate_limiter.set_named_rate(id, statement.rate_limit)
-        if statement.leaving and id not in self._departures:
-            self.note_leaving(id, told_by="answer", is_new=id not in self._unheard)
+        if statement.leaving and id not in self._departure_gate:
+            is_new = id not in self._unheard
+            self._departure_gate.note(id, told_by="answer", is_new=is_new)
             self._on_leaving(instance)
         self._unheard -= {id}
         start = self._starts.get(id)
@@ -397,7 +371,7 @@
             self._admission_queue.slots = self._usable_slots(instance)
             if start.limit >= instance.slots:
                 del self._starts[id]
-        known = (self.named_rate(id), id in self._departures)
+        known = (self.named_rate(id), id in self._departure_gate)
         if known != known_before:
             self._log_statement(id, rate_before=known_before[0])
 
@@ -409,7 +383,7 @@
                 "server": id,
                 "per_second": self.named_rate(id),
                 "before_per_second": rate_before,
-                "leaving": id in self._departures,
+                "leaving": id in self._departure_gate,
                 "running": self._admission_queue.running,
                 "waiting": self._admission_queue.waiting,
                 "sent": self._rate_limiter.count_sent(),
@@ -417,7 +391,7 @@
         )
 
     def _note_ended(self, instance, requests):
-        if instance.leaving or instance.id in self._departures:
+        if instance.leaving or instance.id in self._departure_gate:
             # After a planned end, the running requests are not suspected as its cause.
             requests = ()
         for fingerprint in requests:
@@ -438,75 +412,9 @@
         """Return the rows of `WorkMeter.take` for the local server."""
         return self._work_meter.take()
 
-    def note_leaving(self, id, *, told_by="", is_new=True):
-        """Note that an instance has announced its departure.
-
-        Parameters
-        ----------
-        id : str
-            Id of the instance.
-        told_by : str
-            Kind of the announcement, for the log.
-        is_new : bool
-            False if the process before this one may have passed it on already.
-        """
-        if id in self._departures:
-            return
-        # How long ago the process before this one heard of it is not known.
-        is_new = is_new and not self._may_be_acknowledged(id)
-        self._departures.note(id, since=None if is_new else float("-inf"))
-        self._log_departure(id, told_by)
-        # The queued requests can still be served by other servers.
-        remaining = max(0.0, self._departures.remaining(id))
-        self._loop.call_later(remaining, self._refuse_waiting_at, id)
-
-    def _may_be_acknowledged(self, id):
-        """Whether a process before this one may have acknowledged a departure.
-
-        It is in the fleet state then, once that is complete through this one's start.
-        """
-        instance = self.find_local(id)
-        if instance is None or instance.leaving:
-            return True
-        return not self._fleet_holder.confirmation.is_valid
-
-    def _refuse_waiting_at(self, id):
-        """Refuse the requests that wait for an instance, if it is the local one."""
-        if self._local_id == id:
-            self._admission_queue.refuse_waiting()
-
-    def _log_departure(self, id, told_by):
-        instance = self.find_local(id)
-        age = self._departures.age(id)
-        log.info(
-            "The local server is leaving.",
-            extra={
-                "server": id,
-                "told_by": told_by,
-                "since_ms": _to_ms(age),
-                "in_fleet_state": instance is not None and instance.leaving,
-                "book_ms": self._fleet_holder.confirmation.age_ms,
-                "running": self._admission_queue.running,
-                "waiting": self._admission_queue.waiting,
-            },
-        )
-
-    def _log_late_send(self, attempt, instance):
-        """Log a request that is sent to a server that leaves."""
-        if instance.id not in self._departures:
-            return
-        self._count("sent_to_leaving")
-        log.info(
-            "Sent to a server that leaves.",
-            extra={
-                "request": attempt.id.decode("latin-1"),
-                "server": instance.id,
-                "since_ms": _to_ms(self._departures.age(instance.id)),
-                "again": bool(attempt.sent_at),
-                "key": attempt.key,
-                "book_ms": self._fleet_holder.confirmation.age_ms,
-            },
-        )
+    def note_leaving(self, id, *, told_by=""):
+        """Note that an instance has announced its departure; `told_by` says how."""
+        self._departure_gate.note(id, told_by=told_by)
 
     def narrow_held_keys(self, id, rows):
         """Reduce the held keys to those in `rows`, before the server is told to."""
@@ -612,7 +520,7 @@
             raise NotRun("no_time")
         with self._logged_refusals(attempt):
             reservation.use()
-        self._log_late_send(attempt, instance)
+        self._departure_gate.note_send(attempt, instance)
 
     async def _send_measured(self, instance, attempt, check):
         """Send an attempt and return the answer; count its time at the server.
@@ -693,10 +601,7 @@
         self._admission_queue.slots = self._usable_slots(instance)
         classes = self._classes_of(instance)
         self._admission_queue.by_class = classes is not None
-        if instance.id in self._departures:
-            wait = self._admission_queue.expected_wait(attempt.urgency)
-            if wait > self._departures.remaining(instance.id):
-                raise NotRun("leaving")
+        self._departure_gate.check_wait(attempt, instance)
         self._admission_queue.reserves_slots = (
             classes is not None and classes.need_reservation(instance.slots)
         )
@@ -784,7 +689,7 @@
             raise NotRun("unconfirmed")
         self._refuse_if_rerouted(attempt)
         self._refuse_if_evacuated(attempt, instance)
-        self._refuse_if_leaving(instance)
+        self._departure_gate.check(instance)
 
     def _refuse_if_rerouted(self, attempt):
         """Refuse an attempt that a newer configuration than the sender's leads away."""
@@ -815,14 +720,6 @@
         if attempt.key is None or self._clock() - since > self._evacuation_grace:
             raise NotRun("evacuated")
 
-    def _refuse_if_leaving(self, instance):
-        if not instance.leaving and instance.id not in self._departures:
-            return
-        # Requests that were on their way to this host when the server announced its
-        # departure still run, and those for its keys until they have moved.
-        if self._departures.is_over(instance.id):
-            raise NotRun("leaving")
-
     async def _wait_for_key(self, attempt):
         until = min(
             attempt.deadline - attempt.margin,
