--- a/guavastream/platform/tests/test_soak.py
+++ b/guavastream/platform/tests/test_soak.py
@@ -59,3 +59,11 @@
         seed=1, seconds=14, folder=tmp_path, rerouting=True
     )
     assert violations == [] and counts[200] > 50
+
+
+def test_servers_that_leave_get_nothing_after_the_drain(tmp_path):
+    """Guards against requests that are decided in time and sent later."""
+    violations, counts, _ = run_soak(
+        seed=1, seconds=14, folder=tmp_path, departing=True
+    )
+    assert violations == [] and counts[200] > 50
