The leader finds out which incarnation departs, if the host does not say

Change: such a departure names the server; the leader, which has all that is committed, finds the incarnation, and acknowledges nothing if it knows none of that name.

--- a/guavastream/control/fleet.py
+++ b/guavastream/control/fleet.py
@@ -107,8 +107,7 @@
             await self._granter.release_keys(request)
             return request
         if isinstance(request, Depart):
-            await self._granter.mark_leaving(request.id)
-            return request
+            return Depart(id=await self._granter.mark_leaving(request))
         if isinstance(request, ReportEnd):
             await self._granter.remove_ended(request)
             return request
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -9,7 +9,7 @@
 from guavastream.control.loads import report_interval
 from guavastream.control.moves import KeyMoves
 from guavastream.control.settling import SettlingTimer
-from guavastream.exception import NotLeader
+from guavastream.exception import NotLeader, NotReady
 from guavastream.fleet import (
     EndInstance,
     GrantKeys,
@@ -423,12 +423,20 @@
         if present:
             log.info("Server %s has ended and was removed.", report.id)
 
-    async def mark_leaving(self, id):
-        """Mark a server as leaving that sends no heartbeat to say so.
+    async def mark_leaving(self, departure):
+        """Mark a server as leaving that sends no heartbeat to say so; return its id.
 
-        If it is not known, a late heartbeat must not let it join.
+        If the incarnation is not known, a late heartbeat must not let it join.
+
+        Raises
+        ------
+        NotReady
+            If no server of that name is known; it may be about to join.
         """
         self.ensure_term()
+        id = departure.id
+        if departure.name:
+            id = self._id_by_name(departure.name)
         instance = self._state.instances.get(id)
         if instance is None:
             if id not in self._state.gone:
@@ -437,6 +445,13 @@
         elif not instance.leaving:
             await self._propose(LeaveInstance(id=id))
             log.info("Server %s is leaving.", id)
+        return id
+
+    def _id_by_name(self, name):
+        for instance in self._state.instances.values():
+            if instance.server_name == name:
+                return instance.id
+        raise NotReady(f"No server has the name {name}.")
 
     def record_load(self, report):
         """Record a report of the requests by key and of their latency."""
--- a/guavastream/fleet/messages.py
+++ b/guavastream/fleet/messages.py
@@ -128,9 +128,14 @@
 
 @message
 class Depart:
-    """Announce, outside of a heartbeat, that a backend server is about to end."""
+    """Announce, outside of a heartbeat, that a backend server is about to end.
+
+    `id` identifies the incarnation. With `name` set, it is the one that the leader
+    knows under this name of a server. The answer has the id that was recorded.
+    """
 
     id: str
+    name: str = ""
 
 
 @message
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from guavastream.exception import GuavastreamError, NotReady
+from guavastream.exception import GuavastreamError
 from guavastream.fleet import Depart, FleetStateCodec, LiftSuspects
 from guavastream.hosts.book_follower import FleetStateFollower
 from guavastream.hosts.end_reporter import EndReporter
@@ -455,23 +455,14 @@
         NotReady, PeerFailure
             If the departure may not have been recorded.
         """
-        deadline = self._loop.time() + HEARTBEAT_TIMEOUT_SECONDS
-        id = id or await self._newest_incarnation(name, deadline)
-        self._guard.note_leaving(id, told_by="departure")
-        remaining = deadline - self._loop.time()
-        await self._control.call(Depart(id=id), timeout=remaining)
-
-    async def _newest_incarnation(self, name, deadline):
-        """Return the id of the newest incarnation of a server.
-
-        Raises
-        ------
-        NotReady
-            If it may not be known yet, as in a process that has just started.
-        """
-        confirmation = self._state_holder.confirmation
-        if not await confirmation.wait_valid(deadline - self._loop.time()):
-            raise NotReady("The incarnations of the server are not known.")
+        departure = Depart(id=id) if id else Depart(id=name, name=name)
+        known_id = id or self._known_incarnation(name)
+        self._guard.note_leaving(known_id, told_by="departure")
+        answer = await self._control.call(departure, timeout=HEARTBEAT_TIMEOUT_SECONDS)
+        self._guard.note_leaving(answer.id, told_by="departure")
+
+    def _known_incarnation(self, name):
+        """Return the id of the newest incarnation of a server that is known here."""
         ids_by_start = {
             i.born: i.id
             for i in self._state_holder.table.instances.values()
--- a/guavastream/hosts/tests/test_departures.py
+++ b/guavastream/hosts/tests/test_departures.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from guavastream.exception import GuavastreamError
+from guavastream.exception import GuavastreamError, NotReady
 from guavastream.fleet import ChangeRoutes, ChangeRoutesResult
 from guavastream.hosts.tests.rig import make_route, run_fleet
 from guavastream.kernel import replace
@@ -157,10 +157,25 @@
     run_fleet(tmp_path, scenario, pages=1, orders=1)
 
 
+async def run_on(host):
+    """Leave the process of a host as it is."""
+
+
+async def restart(host):
+    """Start the process of a host again."""
+    await host.kill_process()
+    await host.start_process()
+
+
+async def fall_behind(host):
+    """Let the process of a host know no server, as if its last watch were late."""
+    host.process._known_incarnation = lambda name: name
+
+
 @pytest.mark.parametrize("names_life", [True, False])
-@pytest.mark.parametrize("starts", [True, False], ids=["just-started", "running"])
+@pytest.mark.parametrize("disturb", [run_on, restart, fall_behind])
 def test_departures_are_recorded_before_they_are_acknowledged(
-    tmp_path, names_life, starts
+    tmp_path, names_life, disturb
 ):
     """Guards against a process that does not know yet who has said that it leaves."""
 
@@ -169,9 +184,7 @@
         await asyncio.sleep(1.0)
         for host in fleet.hosts:
             departure = Departure(fleet, host)
-            if starts:
-                await host.kill_process()
-                await host.start_process()
+            await disturb(host)
             await departure.delete(names_life=names_life)
             assert departure.is_known_to_leader
             await asyncio.sleep(DRAIN_SECONDS + 1.0)
@@ -180,6 +193,17 @@
     run_fleet(tmp_path, scenario, pages=1, orders=1)
 
 
+def test_a_departure_of_nobody_is_not_acknowledged(tmp_path):
+    """Guards against a server that joins after its departure was acknowledged."""
+
+    async def scenario(fleet):
+        with pytest.raises(NotReady):
+            await fleet.hosts[0].process.depart("stranger")
+        assert "stranger" not in fleet.leader_state.gone
+
+    run_fleet(tmp_path, scenario, pages=1, orders=1)
+
+
 def test_requests_that_open_a_connection_do_not_reach_a_server_that_left(tmp_path):
     """Guards against a decision that is older than the connection for its request."""
 
