Test: a process that is told to stop is not ready from then on

The last line of the promise had no test with a real process: nothing asked for readiness between SIGTERM and the end.

--- a/guavastream/platform/tests/test_system.py
+++ b/guavastream/platform/tests/test_system.py
@@ -213,3 +213,36 @@
             assert name in errors
 
     asyncio.run(main())
+
+
+def test_a_process_that_is_told_to_stop_is_not_ready_from_then_on(tmp_path):
+    """Guards against callers that go on coming to hosts that stop."""
+
+    async def scenario(platform):
+        stopping = platform.server_hosts[0]
+        # It has a request to finish, so that it does not end at once.
+        stopping.server.server.seconds = 1.5
+        request = asyncio.ensure_future(send_read(platform, stopping, 5))
+        process, address = stopping.machine.process, stopping.machine.address("ready")
+
+        async def is_running_it():
+            return stopping.server.server.running
+
+        await wait_until(is_running_it)
+        process.send_signal(signal.SIGTERM)
+
+        async def ask():
+            return await call(address, b"GET", b"/api/readiness")
+
+        async def is_not_ready():
+            return (await ask())[0] != 200
+
+        await wait_until(is_not_ready)
+        statuses = []
+        while process.returncode is None:
+            statuses.append((await ask())[0])
+            await asyncio.sleep(0)
+        assert statuses and 200 not in statuses
+        assert (await request)[0] == 200
+
+    run_scenario(tmp_path, scenario)
