Requests that still run at a leaving server are not cut when it is removed as silent

Found by reading: since leaving servers that are removed as silent can't join again, the host beside took them for replaced, and reset what ran there; a caller of a long request got 502. Change: only an instance whose address or name another one has is replaced.

--- a/guavastream/hosts/tests/test_departures.py
+++ b/guavastream/hosts/tests/test_departures.py
@@ -204,6 +204,25 @@
     run_fleet(tmp_path, scenario, pages=1, orders=1)
 
 
+def test_requests_run_on_at_a_leaving_server_that_sends_no_more_heartbeats(tmp_path):
+    """Guards against cutting what still runs once the server is removed as silent."""
+
+    async def scenario(fleet):
+        await allow_long_requests(fleet)
+        host = fleet.host_of(fleet.leader_state.owner_of("pages", 0))
+        departure = Departure(fleet, host)
+        host.server.seconds = 5.5
+        tasks = send(fleet, host, b"page", 1)
+        await asyncio.sleep(0.1)
+        await departure.delete(names_life=True)
+        await asyncio.sleep(5.0)
+        assert departure.id not in fleet.leader_state.instances
+        assert {status for status, _ in await asyncio.gather(*tasks)} == {200}
+        assert departure.server.cut == [] != departure.arrivals
+
+    run_fleet(tmp_path, scenario, pages=2, orders=1)
+
+
 def test_requests_that_open_a_connection_do_not_reach_a_server_that_left(tmp_path):
     """Guards against a decision that is older than the connection for its request."""
 
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -43,6 +43,17 @@
 log = part_logger("guard")
 
 
+def _is_replaced(instance, fleet_state):
+    """Whether another instance has the address or the name of one that is gone.
+
+    A leaving server that is gone since it is silent may still run requests.
+    """
+    return any(
+        other.address == instance.address or other.server_name == instance.server_name
+        for other in fleet_state.instances.values()
+    )
+
+
 @dataclass(kw_only=True, slots=True)
 class HeldKeys:
     """Key ranges that the local server was last told to hold, and until when."""
@@ -315,7 +326,7 @@
                 continue
             instance = fleet_state.instances.get(id)
             if instance is None:
-                if id in fleet_state.gone:
+                if id in fleet_state.gone and _is_replaced(known, fleet_state):
                     self._server.watch.note_replaced(known)
                 continue
             if instance.leaving and not known.leaving:
