Test of a stopping process: a key that its own server holds

Seen once, in the whole script beside a load of 16: the request for key 5 never ran at the server that was to stop, and the test waited for it. Cause: which server holds key 5 depends on who joins first. Change: the key is one of those that the server holds. The checks are the same.

--- a/guavastream/platform/tests/test_system.py
+++ b/guavastream/platform/tests/test_system.py
@@ -222,7 +222,8 @@
         stopping = platform.server_hosts[0]
         # It has a request to finish, so that it does not end at once.
         stopping.server.server.seconds = 1.5
-        request = asyncio.ensure_future(send_read(platform, stopping, 5))
+        key = stopping.server.rows[0][0]
+        request = asyncio.ensure_future(send_read(platform, stopping, key))
         process, address = stopping.machine.process, stopping.machine.address("ready")
 
         async def is_running_it():
