--- a/guavastream/platform/api.py
+++ b/guavastream/platform/api.py
@@ -77,7 +77,8 @@
         try:
             if request.method == b"DELETE":
                 body = await _read_body(request, MAX_HEARTBEAT_BYTES)
-                await self._host.depart(id, id=decode_departure(id, body))
+                incarnation = decode_departure(id, body)
+                await self._host.depart(id, id=incarnation)
                 await responder.send(200, JSON_HEADERS, b"{}")
                 return
             if request.method != b"PUT":
--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -18,7 +18,7 @@
     make_route,
     wait_until,
 )
-from guavastream.platform.soak_departures import Departures
+from guavastream.platform.soak_departures import ServerDepartures
 from guavastream.platform.soak_evacuations import EVACUATING_PLATFORM, EvacuationCheck
 from guavastream.platform.soak_pipelining import PipeliningCallers
 from guavastream.platform.soak_routes import RouteChanges
@@ -151,7 +151,7 @@
             )
         self._departures = None
         if options.departing:
-            self._departures = Departures(
+            self._departures = ServerDepartures(
                 platform=self._platform, ledger=self.ledger, seed=seed
             )
         self._pipelining = None
--- a/guavastream/platform/soak_departures.py
+++ b/guavastream/platform/soak_departures.py
@@ -6,7 +6,7 @@
 from guavastream.platform.emulator import call
 from guavastream.soak import Fault
 
-__all__ = ["Departures"]
+__all__ = ["ServerDepartures"]
 
 PAUSE_SECONDS = (0.3, 1.5)
 # Time that a request takes at a server that is about to leave. Callers wait for 2 s.
@@ -29,7 +29,7 @@
 READY = 200
 
 
-class Departures:
+class ServerDepartures:
     """Lets servers leave, strikes the hosts beside them, and checks readiness.
 
     That nothing reaches a server that has left is checked by the ledger.
