--- a/review/rig.py
+++ b/review/rig.py
@@ -135,6 +135,7 @@
         self.waiting = 0
         self.ran = []
         self.last_status = 0
+        self._silent = False
         self._seq = 0
         # Rows (first, last, fence, expires_at).
         self._rows = []
@@ -162,13 +163,29 @@
         """End without a word: all connections break, and the address is closed."""
         self.up = False
         self._rows = []
+        if self._beats is not None:
+            self._beats.cancel()
+        self.close()
+        self.rig.record(f"backend {self.label} has crashed")
+
+    def crash_silently(self):
+        """End without a word, as if the machine were gone: nothing answers any more.
+
+        `close` must be called before another incarnation starts.
+        """
+        self.up = False
+        self._rows = []
+        self._silent = True
+        self._beats.cancel()
+        self.rig.record(f"backend {self.label} has crashed silently")
+
+    def close(self):
+        """Close the address and all connections of a backend that has crashed."""
         self._server.close()
         for writer in self._writers:
             writer.transport.abort()
-        for task in [*self._tasks, self._beats]:
-            if task is not None:
-                task.cancel()
-        self.rig.record(f"backend {self.label} has crashed")
+        for task in self._tasks:
+            task.cancel()
 
     # Keys
 
@@ -250,6 +267,8 @@
         try:
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head[1])
+                if self._silent:
+                    await asyncio.sleep(3600)
                 method, path, _ = head[0].split(" ")
                 answer = await self._answer(method, path, head[1], body)
                 writer.write(answer)
