--- a/review/rig.py
+++ b/review/rig.py
@@ -117,6 +117,33 @@
     return left
 
 
+class ExtraAnswers:
+    """Picks refusals that a faulty backend sends a second time, at a bounded share.
+
+    Parameters
+    ----------
+    backend : Backend
+        The faulty backend.
+    share : float
+        Share of its answers, counted from now on, that it may send twice.
+    """
+
+    def __init__(self, *, backend, share):
+        self._backend, self._share = backend, share
+        self._before = backend.answers
+        self.count = 0
+
+    def spoils(self, answer):
+        """Return whether to send an answer, which has been counted, twice."""
+        counted = self._backend.answers - self._before
+        if not answer.startswith(b"HTTP/1.1 421"):
+            return False
+        if self.count + 1 > self._share * counted:
+            return False
+        self.count += 1
+        return True
+
+
 class Backend:
     """One incarnation of a backend server."""
 
@@ -135,6 +162,12 @@
         self.waiting = 0
         self.ran = []
         self.last_status = 0
+        self.state = "ready"
+        # Time that it takes to act on the answer to a heartbeat.
+        self.apply_seconds = 0.0
+        self.answers = 0
+        # How it spoils its answers, or None.
+        self.garble = None
         self._silent = False
         self._seq = 0
         # Rows (first, last, fence, expires_at).
@@ -224,7 +257,7 @@
             "Zone": self.machine.zone,
             "Version": "v1",
             "Slots": self.slots,
-            "State": "ready",
+            "State": self.state,
             "ColdRemaining": f"{self._cold_ms()}ms",
             "Seq": self._seq,
         }
@@ -256,6 +289,7 @@
             return HEARTBEAT_SECONDS
         hold = float(said["Hold"].removesuffix("ms")) / 1000
         rows = [tuple(row[:3]) for row in said["Holds"]]
+        await asyncio.sleep(self.apply_seconds)
         return 0.1 if self._take(rows, sent + hold) else HEARTBEAT_SECONDS
 
     # Requests
@@ -264,13 +298,23 @@
         task = asyncio.current_task()
         self._tasks.add(task)
         self._writers.add(writer)
+        extra = b""
         try:
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head[1])
                 if self._silent:
                     await asyncio.sleep(3600)
+                if extra:
+                    # Late, at the point where the next answer is expected.
+                    writer.write(extra)
                 method, path, _ = head[0].split(" ")
                 answer = await self._answer(method, path, head[1], body)
+                self.answers += 1
+                spoils = self.garble is not None and self.garble.spoils(answer)
+                extra = answer if spoils else b""
+                if spoils:
+                    line = answer.split(b"\r\n")[:2]
+                    self.rig.record(f"{self.label} will send this answer twice: {line}")
                 writer.write(answer)
                 await writer.drain()
         except (
