--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,13 +19,15 @@
 
 BACKENDS = 7
 RELEASED = 3
+# Three of seven are replaced, and later those that took their place.
+RELEASES = (1, 2, 3, 8, 9, 10)
 FAULTY = (4, 5, 6, 7)
 SHARE = 0.03
 # Pause before each release, and after the last one.
-GAP_SECONDS = 3.0
+GAP_SECONDS = 2.5
 CLIENTS = 16
 SLOTS, WORK_SECONDS = 5, 0.156
-APPLY_SECONDS = 0.012
+APPLY_SECONDS = 0.008
 # Share of the requests that are about the busy keys, which are close to one another.
 BUSY_SHARE = 0.8
 REFUSALS = (408, 421, 429, 503)
@@ -83,12 +85,14 @@
                 await asyncio.sleep(float(fields.get("retry-after", 0.1)))
 
 
-async def release(rig, backends, n):
+async def release(rig, backends, old):
     """Replace a backend: the new one starts first, the old one drains."""
-    await make(rig, BACKENDS + n).start()
+    new = len(backends) + 1
+    backends[new] = make(rig, new)
+    await backends[new].start()
     await asyncio.sleep(1.0)
-    backends[n].state = "draining"
-    rig.record(f"{backends[n].label} drains")
+    backends[old].state = "draining"
+    rig.record(f"{backends[old].label} drains")
 
 
 async def scenario(rig, trouble):
@@ -115,9 +119,9 @@
     for backend in faulty:
         backend.garble = r.ExtraAnswers(backend=backend, share=SHARE)
     before = sum(backends[n].answers for n in FAULTY)
-    for n in range(1, RELEASED + 1):
+    for old in RELEASES:
         await asyncio.sleep(GAP_SECONDS)
-        await release(rig, backends, n)
+        await release(rig, backends, old)
     await asyncio.sleep(GAP_SECONDS)
     answers = sum(backends[n].answers for n in FAULTY) - before
     count = sum(backend.garble.count for backend in faulty)
@@ -154,7 +158,7 @@
         folder=HERE,
         apps=[
             (f"swap-{n}", "swapdesk", r.ZONES[n % 3])
-            for n in range(1, BACKENDS + RELEASED + 1)
+            for n in range(1, BACKENDS + len(RELEASES) + 1)
         ],
         services={
             "swapdesk": r.make_service(Sharding=True, Warmup="5s", Grants="heartbeat")
--- a/review/rig.py
+++ b/review/rig.py
@@ -22,6 +22,8 @@
 ACK_SECONDS = 1.0
 SAMPLE_SECONDS = 0.01
 MAX_OVERLAP_SECONDS = 0.5
+# Longer work is watched: it ends if its caller leaves.
+LONG_WORK_SECONDS = 2.0
 PORT_NAMES = ("control", "outbound", "inbound", "ready", "app", "first", "last")
 ZONES = ("leith-a", "livingston-b", "gyle-c")
 HOST = "jepu9.example"
@@ -161,6 +163,8 @@
         self.running = 0
         self.waiting = 0
         self.ran = []
+        # When the callers of requests left while they ran, by id.
+        self.broken_off = {}
         self.last_status = 0
         self.state = "ready"
         # Time that it takes to act on the answer to a heartbeat.
@@ -308,7 +312,7 @@
                     # Late, at the point where the next answer is expected.
                     writer.write(extra)
                 method, path, _ = head[0].split(" ")
-                answer = await self._answer(method, path, head[1], body)
+                answer = await self._answer(method, path, head[1], body, reader)
                 self.answers += 1
                 spoils = self.garble is not None and self.garble.spoils(answer)
                 extra = answer if spoils else b""
@@ -329,7 +333,7 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _answer(self, method, path, fields, body):
+    async def _answer(self, method, path, fields, body, reader):
         if path == "/api/grant":
             return self._grant(fields, body)
         if path == "/api/release":
@@ -359,11 +363,29 @@
                 f"{len(body)} bytes, sha256 {digest[:16]}"
             )
             cold = time.monotonic() < self.cold_until
-            await asyncio.sleep(self.work * (self.cold_factor if cold else 1.0))
+            seconds = self.work * (self.cold_factor if cold else 1.0)
+            status = await self._work(id, seconds, fields, reader)
         seal = hashlib.sha256(f"{self.id} {id}".encode()).hexdigest()[:24]
         text = json.dumps({"bytes": len(body), "sha256": digest}).encode()
         extra = [("Response-Seal", seal), ("Server-Load", self._load())]
-        return format_message("HTTP/1.1 200 OK", [*echo, *extra], text)
+        return format_message(f"HTTP/1.1 {status} Done", [*echo, *extra], text)
+
+    async def _work(self, id, seconds, fields, reader):
+        """Work until the end, the deadline (504), or until the caller has left."""
+        began = time.monotonic()
+        left = int(fields.get("deadline-ms", 3_600_000)) / 1000
+        if seconds < min(left, LONG_WORK_SECONDS):
+            await asyncio.sleep(seconds)
+            return 200
+        while time.monotonic() < began + min(seconds, left):
+            await asyncio.sleep(0.002)
+            if reader.at_eof() or reader.exception():
+                self.broken_off[id] = time.monotonic()
+                self.rig.record(f"{self.label}: {id} is broken off")
+                raise ConnectionResetError
+        if seconds > left:
+            self.rig.record(f"{self.label}: the deadline of {id} is over")
+        return 200 if seconds <= left else 504
 
     def _load(self):
         return f"{self.running},{self.waiting},{self.slots}"
