An upload that its caller breaks off, or that is too large, is not a failed server

Cause: the end of the source of a body was raised as `IncompleteMessage`, like the end of the connection to the host or the server. The ingress answered 502 for it or closed the connections to the host, and the process beside the server counted the request among those that may have ended the server.

Change: it is a `BodyLost`, which ends the request at once, so that the connection can answer 413. Nothing is held against the host or the server.

--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -5,7 +5,7 @@
 import logging
 import random
 
-from guavastream.http1 import Client, IncompleteMessage, NotSent
+from guavastream.http1 import BodyLost, Client, IncompleteMessage, NotSent
 from guavastream.kernel import Policy, TimeLimitGroup, part_logger, replace
 from guavastream.relay.attempt import Attempt
 from guavastream.relay.dialect import INTERNAL_PREFIX
@@ -579,6 +579,8 @@
             sent_at = self._clock()
             try:
                 answer = await exchange.answer()
+            except BodyLost:
+                raise
             except IncompleteMessage as cut:
                 self._log_cut(job, server, exchange, cut, sent_at)
                 unreachable = self._unreachable(server)
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -1,6 +1,6 @@
 """Sends requests to the local backend server and classifies the results."""
 
-from guavastream.http1 import Client, IncompleteMessage, NotSent
+from guavastream.http1 import BodyLost, Client, IncompleteMessage, NotSent
 from guavastream.kernel import part_logger
 from guavastream.relay.fingerprint import fingerprint_of
 from guavastream.relay.server_watch import ServerWatch
@@ -141,6 +141,8 @@
             If the server has not run it and will not run it.
         OutcomeUnknown
             If it may have run.
+        BodyLost
+            If its caller broke off its body, so that it does not run.
         """
         try:
             return await self._exchange(instance, attempt, check, fresh=False)
@@ -168,6 +170,12 @@
             self._note_response(exchange, answer)
             self._note_statement(instance, answer)
             self._check_answer(answer)
+        except BodyLost:
+            # The caller's doing, which says nothing about the server.
+            self._hangs.forget(exchange)
+            self.watch.forget(exchange)
+            exchange.close()
+            raise
         except IncompleteMessage as cut:
             self._hangs.forget(exchange)
             if exchange in self._dropped:
--- a/guavastream/relay/tests/test_large_bodies.py
+++ b/guavastream/relay/tests/test_large_bodies.py
@@ -199,6 +199,20 @@
     run_scenario(scenario, hosts=2, routes=ROUTES)
 
 
+@pytest.mark.parametrize("size", [0, BODY_BYTES])
+def test_chunked_body_above_the_limit_is_answered_with_413(size):
+    """Guards against an oversized upload whose connection ends without an answer."""
+
+    async def scenario(mesh):
+        limits = mesh.hosts[0].ingress_listener.limits
+        body = bytes(limits.body_bytes + 1 + size)
+        assert await upload(mesh, b"u", body, chunked=True) == 413
+        await asyncio.sleep(5.0)
+        assert mesh.ran() == []
+
+    run_scenario(scenario, hosts=2, routes=ROUTES)
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_large_bodies_run_whole_or_not_at_all(seed):
     """Guards against holes, repeats and untrue refusals under random faults."""
