A body is asked for when it is read

What callers saw: a caller that waits for "100 Continue" was asked for its body at once, also if the answer was 404 or 503 whatever the body.

Cause: the listener for callers sent "100 Continue" as soon as the head was complete; only the one for other hosts left that to its handler.

Change: reading a body asks for it, on every listener, so the option for one of them is gone. Routes, confirmed state and time limits are checked before.

The new test fails on ("100 Continue" before the 404) and passes now. The option is left out of two tests, which check what they did.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -240,7 +240,6 @@
             limits=Limits(
                 head_bytes=1 << 20, body_bytes=1 << 30, idle_seconds=HOP_IDLE_SECONDS
             ),
-            delays_continue=True,
             # The other hosts know this timeout, and traffic between zones is billed.
             announces_idle_timeout=False,
             closing_response=CLOSING_RESPONSE,
--- a/guavastream/http1/connection.py
+++ b/guavastream/http1/connection.py
@@ -139,26 +139,24 @@
         size = len(self._target) + sum([len(k) + len(v) + 4 for k, v in headers])
         if size > self._server.limits.head_bytes:
             self._reject(431)
-        body = BodyStream(
-            loop=self._loop, pause=self._pause, resume=self._update_reading
-        )
-        self._receiving = Request(
+        self._receiving = request = Request(
             method=self._parser.get_method(),
             target=self._target,
             headers=headers,
-            body=body,
+            body=BodyStream(
+                loop=self._loop,
+                pause=self._pause,
+                resume=self._update_reading,
+                ask=lambda: self.send_continue(request),
+            ),
             keep_alive=self._parser.should_keep_alive(),
             length=-1 if coding else length,
         )
         self._head_started_at = None
         if self._rejection_status:
             return
-        self._receiving.expects_continue = (
-            headers.get(b"expect").lower() == b"100-continue"
-        )
-        if self._responder is None and not self._requests:
-            self._send_prompt_continue(self._receiving)
-        self._requests.append(self._receiving)
+        request.expects_continue = headers.get(b"expect").lower() == b"100-continue"
+        self._requests.append(request)
         if len(self._requests) >= MAX_WAITING_REQUESTS:
             self._pause()
         self._progress.set()
@@ -279,7 +277,6 @@
                 self._responder = Responder(connection=self, request=request)
                 self._update_reading()
                 self._start_overlapping()
-                self._send_prompt_continue(request)
                 received = await self._handle(self._responder)
         finally:
             self._handling = False
@@ -348,11 +345,6 @@
 
     # Used by the responder and the server
 
-    def _send_prompt_continue(self, request):
-        """Send "100 Continue", unless its time is the handler's decision."""
-        if not self._server.delays_continue:
-            self.send_continue(request)
-
     def send_continue(self, request):
         """Send "100 Continue" if the caller waits for it before sending the body."""
         if request.expects_continue:
--- a/guavastream/http1/message.py
+++ b/guavastream/http1/message.py
@@ -125,11 +125,14 @@
         The running loop.
     pause, resume : callable
         Pause and resume reading from the connection.
+    ask : callable, optional
+        Called before the first read: asks a sender that waits for that.
     """
 
-    def __init__(self, *, loop, pause, resume):
+    def __init__(self, *, loop, pause, resume, ask=None):
         self._pause = pause
         self._resume = resume
+        self._ask = ask
         self._pieces = deque()
         self._buffered_bytes = 0
         self._paused = False
@@ -176,6 +179,9 @@
         IncompleteMessage
             If the connection ended before the body was complete.
         """
+        if self._ask is not None:
+            ask, self._ask = self._ask, None
+            ask()
         while not self._pieces:
             if self._ended:
                 return b""
--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -54,9 +54,6 @@
         `Connection: close`. Peers must tolerate responses without a request.
     announces_idle_timeout : bool
         Whether responses announce the idle timeout in a `Keep-Alive` field.
-    delays_continue : bool
-        Whether the handler decides when "100 Continue" is sent to a caller that
-        waits for it; otherwise it is sent at once.
     may_overlap : callable, optional
         Returns whether a `Request` may run while others of its connection run. It is
         called only for requests that are pipelined. By default the requests of a
@@ -76,7 +73,6 @@
         note_aborted=None,
         closing_response=b"",
         announces_idle_timeout=True,
-        delays_continue=False,
         may_overlap=None,
         count=None,
     ):
@@ -90,7 +86,6 @@
         self.limits = limits or Limits()
         self.closing = False
         self.closing_idle = False
-        self.delays_continue = delays_continue
         self.may_overlap = may_overlap
         self.count = count or (lambda name: None)
         self.announces_idle_timeout = announces_idle_timeout
--- a/guavastream/http1/tests/test_http1.py
+++ b/guavastream/http1/tests/test_http1.py
@@ -262,7 +262,7 @@
                     assert received == body
             await responder.send(200 if sends_continue else 503)
 
-        server = Server(address=BIND_ADDRESS, handler=handle, delays_continue=True)
+        server = Server(address=BIND_ADDRESS, handler=handle)
         await server.start()
         client = Client()
         async with await client.open(SERVER_ADDRESS) as exchange:
--- a/guavastream/relay/body_queue.py
+++ b/guavastream/relay/body_queue.py
@@ -114,18 +114,15 @@
     Parameters
     ----------
     stream : BodyStream
-        Where it comes from.
-    ask : callable
-        Asks the sender for it.
+        Asks for the body when it is read first.
     length : int or None
         Length in bytes, None if unknown.
     enter : callable
         Coroutine function that waits for a `BodyPlace`.
     """
 
-    def __init__(self, *, stream, ask, length, enter):
+    def __init__(self, *, stream, length, enter):
         super().__init__(stream=stream, length=length)
-        self._ask = ask
         self._enter = enter
         self._place = None
 
@@ -135,7 +132,6 @@
 
     async def read(self):
         """Return the next piece, or empty bytes at the end."""
-        self._ask()
         piece = await super().read()
         if not piece:
             self.end(received=True)
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -271,9 +271,7 @@
         nothing but the server itself can refuse the request any more.
         """
         if not 0 <= request.length <= MAX_BUFFERED_BODY_BYTES:
-            return replace(
-                attempt, rest=self._body_on_demand(attempt, request, responder)
-            )
+            return replace(attempt, rest=self._body_on_demand(attempt, request))
         try:
             until = attempt.deadline - attempt.margin
             with TimeLimit(loop=self._loop, when=until):
@@ -288,17 +286,12 @@
             raise NotRun("no_time") from None
         return replace(attempt, body=body)
 
-    def _body_on_demand(self, attempt, request, responder):
+    def _body_on_demand(self, attempt, request):
         def enter():
             return self._enter_body_queue(attempt, request)
 
         length = None if request.length < 0 else request.length
-        return RequestedBody(
-            stream=request.body,
-            ask=responder.send_continue,
-            length=length,
-            enter=enter,
-        )
+        return RequestedBody(stream=request.body, length=length, enter=enter)
 
     async def _receive_large_body(self, attempt, request, responder):
         self._guard.refuse_early(attempt)
--- a/guavastream/relay/tests/rig.py
+++ b/guavastream/relay/tests/rig.py
@@ -106,9 +106,7 @@
         )
         # Requests of other hosts, and bytes of their bodies that were received.
         self.hop_requests = self.body_bytes = 0
-        self.hop_listener = Server(
-            address=(self.ip, 2), handler=self._handle_hop, delays_continue=True
-        )
+        self.hop_listener = Server(address=(self.ip, 2), handler=self._handle_hop)
 
     async def _handle_hop(self, request, responder):
         self.hop_requests += 1
--- a/guavastream/relay/tests/test_large_bodies.py
+++ b/guavastream/relay/tests/test_large_bodies.py
@@ -213,6 +213,21 @@
     run_scenario(scenario, hosts=2, routes=ROUTES)
 
 
+def test_body_of_a_request_without_a_route_is_not_asked_for():
+    """Guards against callers that upload a body only to be told 404."""
+
+    async def scenario(mesh):
+        head, _ = encode(b"u", make_body(1), expect=True)
+        reader, writer = await asyncio.open_connection(mesh.hosts[0].ip, 1)
+        writer.write(head.replace(b"/load/", b"/none/"))
+        assert (await reader.readline()).startswith(b"HTTP/1.1 404")
+        reader, writer = await asyncio.open_connection(mesh.hosts[0].ip, 1)
+        writer.write(head)
+        assert (await reader.readline()).startswith(b"HTTP/1.1 100")
+
+    run_scenario(scenario, hosts=2, routes=ROUTES)
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_large_bodies_run_whole_or_not_at_all(seed):
     """Guards against holes, repeats and untrue refusals under random faults."""
