An answer of a server belongs to one sending, not to an id that may be sent again

Servers may send an answer twice, the second time where the next one is expected. Extra answers were told by the request id. After 421 (the owner has not taken the key yet) and after 500 (an idempotent request is retried) the same id is sent again by the same process, as a rule on the connection that was used last. The second copy of the first answer then has the right id: "not run" for a request that runs, or an old 500 for one that succeeds. An answer without any id passed as well, so a stranger's 421, 429 or 503 became a promise.

A connection remembers the ids that it carried until they cannot be sent again (deadline and 5 s), and is passed over for a request with one of them; other idle connections are used, or a new one. An answer without the id of its request is not passed on and promises nothing: the outcome is unknown, and the connection is closed. A connection that ends amid a second answer is not used again either. Each stray answer is logged and counted (`stray_answers`).

--- a/guavastream/emulator/__init__.py
+++ b/guavastream/emulator/__init__.py
@@ -6,5 +6,6 @@
 from guavastream.emulator.members import *
 from guavastream.emulator.network import *
 from guavastream.emulator.proxy import *
+from guavastream.emulator.repeats import *
 from guavastream.emulator.stalls import *
 from guavastream.emulator.statements import *
--- a/guavastream/emulator/dialect.py
+++ b/guavastream/emulator/dialect.py
@@ -58,6 +58,8 @@
         Ids of the requests to which it never responds.
     finishes_cut : bool
         Whether a request runs on, and occupies its slot, after its caller has left.
+    repeats : RepeatedAnswers or None
+        Answers of any kind that come twice.
     """
 
     def __init__(self, *, id, dialect, address, slots=8, seconds=0.1):
@@ -80,6 +82,7 @@
         self.drops = lambda id: False
         self.hung = []
         self.finishes_cut = False
+        self.repeats = None
         self._arrivals = deque()
         self.running = 0
         # Keys of the requests that run, as often as each runs.
@@ -144,6 +147,8 @@
         self.running_keys.remove(number)
 
     async def _handle(self, request, responder):
+        if self.repeats is not None:
+            responder = await self.repeats.wrap(responder)
         names, headers = self._dialect, request.headers
         id = headers.get(names.request_id.lower())
         echo = [(names.request_id, id)]
--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -31,6 +31,8 @@
 MAX_IDLE_CONNECTIONS = 400
 NO_BODY_STATUSES = (204, 304)
 CONTINUE_STATUS = 100
+# Requests whose ids a connection remembers; with more it is not used again.
+MAX_REMEMBERED_IDS = 1024
 
 
 class NotSent(Exception):
@@ -77,6 +79,10 @@
         self._head_bytes = 0
         self._has_received_bytes = False
         self._continue_received = False
+        self._in_response = False
+        # Ids of the requests that it carried, and the loop times until which they may
+        # be sent again.
+        self._ids = {}
         self.in_use = False
         self.reusable = True
         self.idle_since = 0.0
@@ -121,6 +127,7 @@
         self._fail(IncompleteMessage(f"the connection was lost: {error}"))
 
     def on_message_begin(self):
+        self._in_response = True
         self._reason = b""
         self._headers = Headers()
         self._head_bytes = 0
@@ -171,6 +178,7 @@
             self._receiving.body.feed(data)
 
     def on_message_complete(self):
+        self._in_response = False
         if self._receiving is not None:
             if self._receiving.has_framing:
                 self._receiving.body.feed_end()
@@ -182,10 +190,22 @@
             if name.lower() == b"timeout" and value.isdigit():
                 self.idle_seconds = float(value)
 
-    def begin(self):
-        """Reserve the connection for one request."""
+    def has_carried(self, id):
+        """Whether a request with this id was sent on the connection before."""
+        return id in self._ids
+
+    def begin(self, id=None, until=0.0):
+        """Reserve the connection for one request, and remember its id until a time."""
         self.in_use = True
         self._has_received_bytes = self._continue_received = False
+        if id is None:
+            return
+        now = self._loop.time()
+        while self._ids and self._ids[oldest := next(iter(self._ids))] < now:
+            del self._ids[oldest]
+        self._ids[id] = until
+        if len(self._ids) > MAX_REMEMBERED_IDS:
+            self.reusable = False
 
     async def next_response(self):
         """Return the next response on the connection, once its head is complete.
@@ -220,7 +240,7 @@
     def end(self):
         """Finish the current request; unread responses make the connection unusable."""
         self.in_use = False
-        if self._responses or self._receiving is not None:
+        if self._responses or self._in_response:
             self.reusable = False
         self.idle_since = self._loop.time()
 
@@ -279,6 +299,10 @@
         """Send a TCP reset, so that the peer loses data that it has not read."""
         self._connection.reset()
 
+    def discard(self):
+        """Do not use the connection for another request."""
+        self._connection.reusable = False
+
     def send(self, method, target, headers, body=b"", rest=None):
         """Send a request.
 
@@ -445,7 +469,9 @@
         pooled = self._idle.get(address, ())
         return sum(connection.usable for connection in pooled)
 
-    async def open(self, address, *, fresh=False, idle_seconds=None):
+    async def open(
+        self, address, *, fresh=False, idle_seconds=None, id=None, until=0.0
+    ):
         """Return an `Exchange` on an idle or a new connection.
 
         Parameters
@@ -456,6 +482,12 @@
             Whether to open a new connection even if an idle one is usable.
         idle_seconds : float, optional
             Reuse only connections that were idle for less than this time.
+        id : bytes, optional
+            Id of the request, by which its response is recognized. No connection is
+            reused that has carried the id before: if the response to that sending came
+            once more, it would be taken for the one to this sending.
+        until : float
+            Loop time until which the id may be sent again.
 
         Raises
         ------
@@ -464,21 +496,34 @@
         """
         if self._loop is None:
             self._loop = asyncio.get_running_loop()
-        connection = None if fresh else self._take_idle(address, idle_seconds)
+        connection = None if fresh else self._take_idle(address, idle_seconds, id)
         reused = connection is not None
         if connection is None:
             connection = await self._connect(address)
             if not connection.usable:
                 connection.abort()
                 raise NotSent(f"{address}: the peer closed the new connection")
-        connection.begin()
+        connection.begin(id, until)
         return Exchange(client=self, connection=connection, reused=reused)
 
-    def _take_idle(self, address, idle_seconds):
-        now = self._loop.time()
+    def _take_idle(self, address, idle_seconds, id):
+        """Return the idle connection that was used last and may be used, or None."""
         pooled = self._idle.get(address)
+        if not pooled:
+            return None
+        passed_over = []
+        try:
+            return self._take_usable(pooled, idle_seconds, id, passed_over)
+        finally:
+            pooled.extend(reversed(passed_over))
+
+    def _take_usable(self, pooled, idle_seconds, id, passed_over):
+        now = self._loop.time()
         while pooled:
             connection = pooled.pop()
+            if id is not None and connection.has_carried(id):
+                passed_over.append(connection)
+                continue
             self._idle_total -= 1
             allowed = connection.idle_seconds * USABLE_IDLE_SHARE
             if idle_seconds is not None:
--- a/guavastream/http1/responder.py
+++ b/guavastream/http1/responder.py
@@ -107,6 +107,11 @@
         """The request to respond to."""
         return self._request
 
+    @property
+    def connection(self):
+        """The connection on which the response is sent."""
+        return self._connection
+
     def release(self):
         """Send what is buffered; from now on the response is written directly."""
         turn, self._turn = self._turn, None
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -283,7 +283,8 @@
                 if not self._retry_budget(job.service).spend():
                     raise failure
             if code in ("server_failed", "dropped"):
-                # The owner of a key is tried again, on another connection.
+                # The owner of a key is tried again. Its host sends no id twice on a
+                # connection.
                 continue
             if rule.wait_for_owner and (job.keyed or code in WAITING_CODES):
                 if self._is_evacuated(fleet_state, job):
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -13,6 +13,9 @@
 # Requests that must not run twice use no connection that was idle for longer: the
 # server may close it at any moment, and a reset does not tell whether they ran.
 MAX_UNSAFE_IDLE_SECONDS = 1.0
+# Time after its deadline for which a request may be sent again under its id: it may
+# be delayed that long on its way from another host.
+LATE_SENDING_SECONDS = 5.0
 MISDIRECTED_STATUS = 421
 MIN_SERVER_ERROR_STATUS = 500
 # Codes of attempts that may have run and were not run again, by the code of the second
@@ -222,7 +225,11 @@
         idle = None if attempt.idempotent else MAX_UNSAFE_IDLE_SECONDS
         try:
             return await self._client.open(
-                instance.address, fresh=fresh, idle_seconds=idle
+                instance.address,
+                fresh=fresh,
+                idle_seconds=idle,
+                id=attempt.id,
+                until=attempt.deadline + LATE_SENDING_SECONDS,
             )
         except NotSent as error:
             self._count("server_unreachable")
@@ -251,11 +258,32 @@
     async def _receive_answer(self, exchange, attempt):
         id_header = self._dialect.request_id.lower()
 
-        def is_for_attempt(answer):
+        def may_be_for_attempt(answer):
             echoed = answer.headers.get(id_header)
+            if echoed != attempt.id:
+                self._log_stray(attempt, answer)
             return not echoed or echoed == attempt.id
 
-        return await exchange.answer(is_for_attempt)
+        answer = await exchange.answer(may_be_for_attempt)
+        if answer.headers.get(id_header) != attempt.id:
+            # Without an id it may belong to any request that the server got.
+            exchange.discard()
+            raise OutcomeUnknown("answer_lost")
+        return answer
+
+    def _log_stray(self, attempt, answer):
+        self._count("stray_answers")
+        log.warning(
+            "The server sent an answer that belongs to another request.",
+            extra={
+                "request": attempt.id.decode("latin-1"),
+                "server": attempt.instance,
+                "answers": answer.headers.get(self._dialect.request_id.lower()).decode(
+                    "latin-1"
+                ),
+                "status": answer.status,
+            },
+        )
 
     def _schedule_late_check(self, exchange):
         """Check later whether the server has dropped a request; return the timer."""
