A release of keys is not ended by the answer to an earlier call

What could happen: the second copy of the answer to a grant, which a server sends where the next answer is expected, was taken for the answer to the release of other keys. They were returned to the leader and granted elsewhere while their holder still worked on them. A late 409 gave up keys that had been granted.

Cause: these connections are kept, and the next answer counted for the next call.

Change: each call has an id of its own. A connection is used again only if the server names the call in its answer, and then another call's answer is skipped; otherwise each call has a connection of its own.

The emulated servers name calls or not, by their names, and can keep the digests of long bodies only.

--- a/guavastream/emulator/dialect.py
+++ b/guavastream/emulator/dialect.py
@@ -1,11 +1,31 @@
 """A small backend server that speaks a dialect, for tests in one loop."""
 
 import asyncio
+import hashlib
 from collections import deque
 
 from guavastream.http1 import Server
 
-__all__ = ["DialectServer"]
+__all__ = ["DialectServer", "summarize_body"]
+
+# Largest body that a server keeps as it is if it does not keep all bodies.
+MAX_KEPT_BODY_BYTES = 64 << 10
+
+
+def summarize_body(body):
+    """Return a short body, or the length and the digest of a long one, as bytes.
+
+    Examples
+    --------
+    >>> summarize_body(b"abc")
+    b'abc'
+    >>> summarize_body(bytes(100_000))[:13]
+    b'100000 bytes,'
+    """
+    if len(body) <= MAX_KEPT_BODY_BYTES:
+        return body
+    digest = hashlib.sha256(body).hexdigest()
+    return f"{len(body)} bytes, sha256 {digest}".encode()
 
 
 class DialectServer:
@@ -60,6 +80,9 @@
         Whether a request runs on, and occupies its slot, after its caller has left.
     repeats : RepeatedAnswers or None
         Answers of any kind that come twice.
+    keeps_bodies : bool
+        Whether `ran` has all bodies as they are, or long ones as `summarize_body`
+        returns them.
     """
 
     def __init__(self, *, id, dialect, address, slots=8, seconds=0.1):
@@ -83,6 +106,7 @@
         self.hung = []
         self.finishes_cut = False
         self.repeats = None
+        self.keeps_bodies = True
         self._arrivals = deque()
         self.running = 0
         # Keys of the requests that run, as often as each runs.
@@ -125,6 +149,11 @@
         is_text = isinstance(self.rate_limit, bytes)
         return self.rate_limit if is_text else b"%.1f" % self.rate_limit
 
+    def echo(self, request):
+        """Return the header in which an answer names its request."""
+        name = self._dialect.request_id
+        return [(name, request.headers.get(name.lower()))]
+
     async def start(self):
         """Begin to serve."""
         await self._server.start()
@@ -151,7 +180,7 @@
             responder = await self.repeats.wrap(responder)
         names, headers = self._dialect, request.headers
         id = headers.get(names.request_id.lower())
-        echo = [(names.request_id, id)]
+        echo = self.echo(request)
         refused = [*echo, (names.not_run, b"1")]
         if request.path == b"/health":
             if self.hangs_when_full and self._is_full:
@@ -160,6 +189,8 @@
             await responder.send(200, fields)
             return
         body, _ = await request.body.read_up_to(1 << 24)
+        if not self.keeps_bodies:
+            body = summarize_body(body)
         if request.path in self.calls:
             await self.calls[request.path](body, responder)
             return
--- a/guavastream/hosts/key_keeper.py
+++ b/guavastream/hosts/key_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 from dataclasses import dataclass
 
@@ -57,11 +58,29 @@
     ----------
     dialect : KeyDialect
         How the calls are encoded.
+    rng : random.Random, optional
+        Distinguishes the ids of calls from those of other processes.
+
+    Notes
+    -----
+    A server may send an answer twice. If the second one were taken for the answer to a
+    release, keys would be granted elsewhere while their holder still works on them. So
+    a connection is used again only if the server names in its answers the call that
+    they belong to.
     """
 
-    def __init__(self, *, dialect):
+    def __init__(self, *, dialect, rng=None):
         self._dialect = dialect
         self._client = Client(connect_seconds=CONNECT_TIMEOUT_SECONDS)
+        self._prefix = b"keys%08x" % (rng or random.Random()).getrandbits(32)
+        self._numbers = itertools.count(1)
+        # Id of the instance whose answers name their calls.
+        self._naming_id = ""
+
+    @property
+    def opened_count(self):
+        """Number of connections that were opened."""
+        return self._client.opened_count
 
     async def send(self, instance, call):
         """Send a `KeyCall`; return its `KeyResult`, or None if it is inconclusive.
@@ -76,16 +95,30 @@
         IncompleteMessage
             If the connection ended before the answer.
         """
+        id = b"%s-%d" % (self._prefix, next(self._numbers))
         path, body = self._dialect.encode(call)
-        headers = self._dialect.headers(instance)
-        async with await self._client.open(instance.address) as exchange:
+        headers = self._dialect.headers(instance, id)
+        fresh = self._naming_id != instance.id
+
+        def is_for_call(answer):
+            named = self._dialect.answered_id(answer.headers)
+            return named == id or (fresh and not named)
+
+        async with await self._client.open(instance.address, fresh=fresh) as exchange:
             try:
                 exchange.send(b"POST", path, headers, body)
-                answer = await exchange.answer()
+                answer = await exchange.answer(is_for_call)
                 await answer.body.read_up_to(MAX_ANSWER_BYTES)
             except BaseException:
                 exchange.reset()
+                if self._naming_id == instance.id:
+                    self._naming_id = ""
                 raise
+            if self._dialect.answered_id(answer.headers) != id:
+                exchange.discard()
+            elif fresh:
+                self._naming_id = instance.id
+                log.info("Server %s names calls in its answers.", instance.id)
             return self._dialect.decode(answer.status, answer.headers)
 
 
--- a/guavastream/platform/emulator/server.py
+++ b/guavastream/platform/emulator/server.py
@@ -75,7 +75,11 @@
         )
         server.holds = made.holds
         if call_granted:
-            made.call_granted = CallGrantedKeys(server=server, late_share=late_share)
+            made.call_granted = CallGrantedKeys(
+                server=server,
+                late_share=late_share,
+                names_calls=random.Random(f"{id} names calls").random() < 0.5,
+            )
         return made
 
     @property
@@ -180,9 +184,12 @@
         Receives the calls.
     late_share : float
         Share of grant calls that get no answer and are executed later.
+    names_calls : bool
+        Whether answers name the call that they belong to.
     """
 
-    def __init__(self, *, server, late_share):
+    def __init__(self, *, server, late_share=0.0, names_calls=True):
+        self._names_calls = names_calls
         self._server = server
         self._late_share = late_share
         self._rng = random.Random(server.id)
@@ -247,7 +254,11 @@
             await self._execute_later(lambda: self._grant(row))
             responder.abort()
             return
-        await responder.send(200 if self._grant(row) else 409)
+        status = 200 if self._grant(row) else 409
+        await responder.send(status, self._name(responder.request))
+
+    def _name(self, request):
+        return self._server.echo(request) if self._names_calls else []
 
     def _grant(self, row):
         first, last, fence, hold_expires_at = row
@@ -271,4 +282,5 @@
         self._remove_range(first, last)
         while any(first <= key <= last for key in self._server.running_keys):
             await asyncio.sleep(RELEASE_POLL_SECONDS)
-        await responder.send(200, [(b"Handover", b"t%d" % first)])
+        fields = [(b"Handover", b"t%d" % first), *self._name(responder.request)]
+        await responder.send(200, fields)
--- a/guavastream/platform/keys.py
+++ b/guavastream/platform/keys.py
@@ -43,9 +43,10 @@
 class PlatformKeyDialect(KeyDialect):
     """Encodes grants and releases as HTTP calls to a backend server's own address."""
 
-    def headers(self, instance):
+    def headers(self, instance, id):
         return [
             (b"Host", instance.address.encode()),
+            (b"Request-Id", id),
             (b"Content-Type", b"application/json"),
             (b"Expected-Instance", instance.server_name.encode()),
         ]
@@ -60,6 +61,9 @@
         )
         return GRANT_PATH if call.hold else RELEASE_PATH, msgspec.json.encode(body)
 
+    def answered_id(self, headers):
+        return headers.get(b"request-id")
+
     def decode(self, status, headers):
         outcome = OUTCOME_BY_STATUS.get(status)
         if headers.get(b"not-executed"):
--- a/guavastream/relay/dialect.py
+++ b/guavastream/relay/dialect.py
@@ -81,8 +81,15 @@
     """Encodes orders about keys for backend servers, and decodes their answers."""
 
     @abc.abstractmethod
-    def headers(self, instance):
-        """Return the headers of an order to an `Instance`, as pairs of bytes."""
+    def headers(self, instance, id):
+        """Return the headers of an order to an `Instance`, as pairs of bytes.
+
+        `id` is the id of this one order, which no other has.
+        """
+
+    @abc.abstractmethod
+    def answered_id(self, headers):
+        """Return the id of the order that an answer names, empty if it names none."""
 
     @abc.abstractmethod
     def encode(self, call):
