The connection of a health check is closed after it

Checks open a new connection each time, so that an answer belongs to its check. The connection then stayed open and idle though no check uses one again: it counted among the few that a server takes until the server closed it. Found while the kept connections were looked through for answers that come twice; no fault was seen from it.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -498,6 +498,8 @@
                     probe.send(b"GET", path.encode(), headers)
                     answer = await probe.answer()
                     await answer.body.read_up_to(1 << 16)
+                    # Checks use new connections only, and the server has few.
+                    probe.discard()
         except (NotSent, IncompleteMessage):
             return False
         except TimeoutError:
