Soak: large bodies, full servers, and answers that come twice

`--uploading`: six callers upload 0.1 to 3.5 MB by a length or in chunks, some slowly, after "100 Continue" or only in part, to keyed and plain services, while servers are full for a while in turn; servers compare bodies by digest. `--repeating`: a fifth of all answers of servers, calls for keys and health checks among them, come a second time where the next one is expected.

--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from guavastream.commands import command
+from guavastream.emulator import RepeatedAnswers
 from guavastream.exception import GuavastreamError
 from guavastream.http1 import Client, IncompleteMessage, NotSent
 from guavastream.platform.emulator import (
@@ -23,6 +24,7 @@
 from guavastream.platform.soak_pipelining import PipeliningCallers
 from guavastream.platform.soak_routes import RouteChanges
 from guavastream.platform.soak_statements import ServerStatements
+from guavastream.platform.soak_uploads import UploadingCallers
 from guavastream.soak import Ledger, make_schedule
 
 __all__ = ["run_soak"]
@@ -40,6 +42,8 @@
 PROBED_KEYS = 16
 # Share of grant calls that get no answer and are executed late.
 LATE_CALL_SHARE = 0.05
+# Share of the answers of servers, of any kind, that come twice.
+REPEATED_ANSWER_SHARE = 0.2
 MAX_BODY_BYTES = 20000
 # Routes of the harmful requests, which crash the server that runs them.
 HARMFUL_ROUTES = ("read", "order")
@@ -99,6 +103,10 @@
         Whether routes are added and lead elsewhere while hosts are frozen.
     departing : bool
         Whether servers leave while they are slow and lose answers.
+    uploading : bool
+        Whether further callers upload large bodies, also to servers that are full.
+    repeating : bool
+        Whether some answers of servers come a second time, in place of a later one.
     """
 
     callers: int = 6
@@ -111,6 +119,8 @@
     pipelining: bool = False
     rerouting: bool = False
     departing: bool = False
+    uploading: bool = False
+    repeating: bool = False
 
 
 class _SoakRun:
@@ -162,6 +172,15 @@
                 seed=seed,
                 on_send=self._note_sent,
             )
+        self._uploads = None
+        if options.uploading:
+            self._uploads = UploadingCallers(
+                platform=self._platform,
+                ledger=self.ledger,
+                seed=seed,
+                on_send=self._note_sent,
+            )
+        self._repeated_share = REPEATED_ANSWER_SHARE if options.repeating else 0.0
         counts = {
             "control": len(self._platform.control_hosts),
             "host": len(self._platform.server_hosts),
@@ -203,6 +222,8 @@
                 self._departures.start()
             if self._pipelining is not None:
                 background_tasks.append(asyncio.ensure_future(self._pipelining.run()))
+            if self._uploads is not None:
+                background_tasks.append(asyncio.ensure_future(self._uploads.run()))
             limits_task = None
             if self._statements is not None:
                 limits_task = asyncio.ensure_future(self._statements.run())
@@ -249,7 +270,8 @@
             self._statements.report()
         if self._pipelining is not None:
             self._pipelining.report()
-            for status, count in self._pipelining.counts.items():
+        for callers in (self._pipelining, self._uploads):
+            for status, count in (callers.counts if callers else {}).items():
                 self.counts[status] = self.counts.get(status, 0) + count
         return self.ledger.all_violations()
 
@@ -316,6 +338,12 @@
             )
 
         server.server.on_run = on_run
+        if self._repeated_share:
+            server.server.repeats = RepeatedAnswers(
+                rng=self._rng, share=self._repeated_share
+            )
+        if self._uploads is not None:
+            self._uploads.note_start(server)
         if self._evacuations is not None:
             self._evacuations.note_start(server)
         if self._statements is not None:
@@ -579,6 +607,16 @@
         action="store_true",
         help="with servers that leave while they are slow and lose answers",
     )
+    parser.add_argument(
+        "--uploading",
+        action="store_true",
+        help="with callers that upload large bodies, also to servers that are full",
+    )
+    parser.add_argument(
+        "--repeating",
+        action="store_true",
+        help="with servers that send some of their answers twice",
+    )
     parser.add_argument("--folder", help="keep settings, data and logs here")
     return _run_command
 
--- a/guavastream/platform/tests/test_soak.py
+++ b/guavastream/platform/tests/test_soak.py
@@ -67,3 +67,11 @@
         seed=1, seconds=14, folder=tmp_path, departing=True
     )
     assert violations == [] and counts[200] > 50
+
+
+def test_large_bodies_run_whole_while_answers_come_twice(tmp_path):
+    """Guards against bodies with holes, and answers to other sendings of a request."""
+    violations, counts, _ = run_soak(
+        seed=1, seconds=12, folder=tmp_path, uploading=True, repeating=True
+    )
+    assert violations == [] and counts[200] > 50
