Slow callers do not occupy the link of the host that receives their bodies

The place on the link was held until the whole body had arrived, at the pace of its caller, so that three slow callers kept all others out ("overloaded" from the queue of bodies). Now it is held, as before, for the part that the sending host has kept. The new test fails without this (some of six slow uploads 503) and passes with it.

--- a/guavastream/relay/body_queue.py
+++ b/guavastream/relay/body_queue.py
@@ -2,6 +2,7 @@
 
 from guavastream.http1 import BodyRest
 from guavastream.kernel import TimeLimit
+from guavastream.relay.job import MAX_BUFFERED_BODY_BYTES
 from guavastream.scheduling.admission import AdmissionQueue
 
 __all__ = ["MAX_CONCURRENT_BODIES", "MAX_LINK_BUSY_SECONDS", "BodyQueue"]
@@ -109,7 +110,7 @@
     """A body that its sender sends once, when this host asks for it.
 
     The request waits for everything else first, since a refusal after that would cost
-    its caller the body.
+    its caller the body. It has a place on the link for the part that its sender keeps.
 
     Parameters
     ----------
@@ -133,7 +134,8 @@
     async def read(self):
         """Return the next piece, or empty bytes at the end."""
         piece = await super().read()
-        if not piece:
+        # What the other host has not kept comes as fast as its caller sends it.
+        if not piece or self.read_bytes >= MAX_BUFFERED_BODY_BYTES:
             self.end(received=True)
         return piece
 
--- a/guavastream/relay/tests/test_large_bodies.py
+++ b/guavastream/relay/tests/test_large_bodies.py
@@ -59,8 +59,11 @@
         return 0
 
 
-async def upload(mesh, id, body, *, at=0, leaves_after=None, **framing):
-    """Upload to a host; with `leaves_after`, close after so many pieces."""
+async def upload(mesh, id, body, *, at=0, leaves_after=None, pause=0.0, **framing):
+    """Upload to a host; with `leaves_after`, close after so many pieces.
+
+    `pause` is the time between two pieces in seconds.
+    """
     head, pieces = encode(id, body, **framing)
     reader, writer = await asyncio.open_connection(mesh.hosts[at].ip, 1)
     answered = asyncio.ensure_future(read_status(reader))
@@ -70,6 +73,7 @@
             break
         writer.write(piece)
         await writer.drain()
+        await asyncio.sleep(pause)
     if leaves_after is not None:
         writer.close()
         answered.cancel()
@@ -183,6 +187,24 @@
     run_scenario(scenario, hosts=2, routes=ROUTES)
 
 
+def test_callers_that_send_slowly_do_not_keep_others_from_uploading():
+    """Guards against refusals while the link only waits for slow callers."""
+
+    async def scenario(mesh):
+        mesh.apply(LeaveInstance(id=mesh.hosts[0].id))
+        sent = {b"u%d" % n: make_body(n) for n in range(6)}
+        # The rest of each body takes two seconds.
+        tasks = [
+            asyncio.ensure_future(upload(mesh, id, body, pause=0.08))
+            for id, body in sent.items()
+        ]
+        statuses = dict(zip(sent, await asyncio.gather(*tasks), strict=True))
+        check_whole(mesh, sent, statuses)
+        assert set(statuses.values()) == {200}
+
+    run_scenario(scenario, hosts=2, routes=ROUTES)
+
+
 def test_body_that_its_caller_breaks_off_does_not_run():
     """Guards against a truncated body that looks whole to the server."""
 
