Test rig: bodies in chunks are sent as the client expects them

Since the client takes a BodyRest, the recurring requests with chunked bodies of test_harmful_requests raised AttributeError in their own tasks, and the test passed on those with a length alone.

--- a/guavastream/hosts/tests/rig.py
+++ b/guavastream/hosts/tests/rig.py
@@ -24,7 +24,7 @@
 )
 from guavastream.hosts import FleetSettings
 from guavastream.hosts.server_host import ServerHost
-from guavastream.http1 import Client, IncompleteMessage, NotSent
+from guavastream.http1 import BodyRest, Client, IncompleteMessage, NotSent
 from guavastream.relay import Dialect, fingerprint
 from guavastream.routes import RetrySafety, Route, ServiceRules, WeightedService
 
@@ -288,7 +288,8 @@
                         exchange.send(method, target, fields, body)
                     else:
                         remaining = _BodyChunks([body[chunks:], b""])
-                        exchange.send(method, target, fields, body[:chunks], remaining)
+                        rest = BodyRest(stream=remaining, length=None)
+                        exchange.send(method, target, fields, body[:chunks], rest)
                     answer = await exchange.answer()
                     await answer.body.read_up_to(1 << 20)
         except (NotSent, IncompleteMessage, TimeoutError):
