A late heartbeat does not drive out a server that is too busy to answer a check

Cause: the process asks the health path who is at the address, and took no answer within half a second, or one without a name, for "the sender is there". A server with all slots in use answers later. The leader then frees the keys of the one that it replaces, at once.

Change: without an answer, the sender counts as there only if no other server was heard at that address within the longest hold; a life of the same name is told by its start, as before. A dropped heartbeat no longer counts as heard either: it hid the end of a server.

--- a/guavastream/emulator/dialect.py
+++ b/guavastream/emulator/dialect.py
@@ -68,6 +68,8 @@
         Whether its answers say that it is about to stop.
     on_arrival : callable
         Called with the id of each request that it gets and does not misdirect.
+    reports_name : bool
+        Whether it names itself when its health is checked.
     hangs_when_full : bool
         Whether it never responds to a request for which it has no free slot, health
         checks included, nor to anything later on that connection.
@@ -101,6 +103,7 @@
         self.rate_limit = None
         self.leaving = False
         self.on_arrival = lambda id: None
+        self.reports_name = True
         self.hangs_when_full = False
         self.drops = lambda id: False
         self.hung = []
@@ -185,7 +188,7 @@
         if request.path == b"/health":
             if self.hangs_when_full and self._is_full:
                 await self._hang(id)
-            fields = [(names.instance, self.id.encode())]
+            fields = [(names.instance, self.id.encode())] if self.reports_name else []
             await responder.send(200, fields)
             return
         body, _ = await request.body.read_up_to(1 << 24)
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -256,6 +256,10 @@
             on_malformed=lambda: self.counters.count("malformed_messages"),
         )
         self._prober = Client()
+        # Times of the last heartbeats of local servers by id. Those that were there
+        # before this process count as heard at its start.
+        self._began = clock()
+        self._heard_at = {}
         self._held_seq = {}
         self._leader_answered_at = float("-inf")
         self._tasks = Tasks()
@@ -387,7 +391,6 @@
             If no leader answered in time.
         """
         arrived, lease_begins = self._loop.time(), self._clock()
-        self._guard.note_heard(heartbeat)
         if (
             heartbeat.id not in self._state_holder.table.instances
             and not await self._is_at_its_address(heartbeat)
@@ -398,6 +401,8 @@
                 heartbeat.id,
             )
             return None
+        self._guard.note_heard(heartbeat)
+        self._heard_at[heartbeat.id] = lease_begins
         if heartbeat.leaving:
             self._guard.note_leaving(heartbeat.id, told_by="heartbeat")
         # While the leader is unknown, a delayed answer could not be told from a
@@ -477,18 +482,34 @@
         """Whether the sender of a heartbeat, which is unknown, answers at its address.
 
         A delayed heartbeat may arrive when its sender has ended and another
-        server uses the address.
+        server uses the address. Without an answer the sender counts as there, unless it
+        would displace a server that may hold keys.
         """
+        if_unknown = not self._has_other_server(heartbeat)
         rules = self._state_holder.table.config.services.get(heartbeat.service)
         path = rules.health if rules else "/health"
         name = self._dialect.instance.lower()
         with self._guard.health_check() as may_check:
             if not may_check:
-                # It would not respond, which counts as being there, as below.
-                return True
-            return await self._reports_its_name(heartbeat, path, name)
+                # It would not respond.
+                return if_unknown
+            return await self._reports_its_name(heartbeat, path, name, if_unknown)
 
-    async def _reports_its_name(self, heartbeat, path, name):
+    def _has_other_server(self, heartbeat):
+        """Whether another server was heard at its address within the longest hold.
+
+        One of the same name is an earlier or a later life of the sender, which the
+        leader tells by the times at which they started.
+        """
+        since = self._clock() - self._settings.longest_hold
+        return any(
+            other.address == heartbeat.address
+            and other.server_name != (heartbeat.name or heartbeat.id)
+            and self._heard_at.get(other.id, self._began) >= since
+            for other in self._state_holder.table.instances.values()
+        )
+
+    async def _reports_its_name(self, heartbeat, path, name, if_unknown):
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
                 async with await self._prober.open(
@@ -503,11 +524,11 @@
         except (NotSent, IncompleteMessage):
             return False
         except TimeoutError:
-            return True
+            return if_unknown
         reported_id = answer.headers.get(name)
-        return (
-            not reported_id or reported_id == (heartbeat.name or heartbeat.id).encode()
-        )
+        if not reported_id:
+            return if_unknown
+        return reported_id == (heartbeat.name or heartbeat.id).encode()
 
     # Stopping
 
