Keys that calls may have granted to a restarted server are not granted elsewhere

Cause: "a server that restarts under its name no longer holds the keys it had" is true of keys granted in answers to heartbeats, which belong to one life. Calls name the server only.

Change: for grants by calls the leader refuses the heartbeats of the new life, and renews the earlier one no more, until its permission has expired; then it is removed, and the new one joins.

--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -270,6 +270,7 @@
             known.address,
             known.slots,
         ):
+            self._refuse_while_earlier_life_holds(heartbeat)
             if not await self._propose(_join_command(heartbeat)):
                 return False
             log.info(
@@ -285,6 +286,28 @@
         await self._release_reported(heartbeat)
         return True
 
+    def _refuse_while_earlier_life_holds(self, heartbeat):
+        """Refuse a server that has restarted under its name while it may hold keys.
+
+        Calls that grant keys name the server, so the process beside it may have granted
+        keys of its earlier life to the new one, which then holds them.
+
+        Raises
+        ------
+        NotReady
+            If a permission to grant such keys has not expired.
+        """
+        if self._granting_mode(heartbeat.service) is not Granting.CALL:
+            return
+        name = heartbeat.name or heartbeat.id
+        for earlier in self._state.instances.values():
+            if earlier.server_name != name or earlier.born >= heartbeat.born:
+                continue
+            if not self._holds.is_expired(earlier.id):
+                # It is not renewed from now on.
+                self._removing.add(earlier.id)
+                raise NotReady("The server may hold keys of its earlier life.")
+
     def _accepts_service(self, service):
         """Whether servers of a service may join.
 
--- a/guavastream/hosts/tests/orders.py
+++ b/guavastream/hosts/tests/orders.py
@@ -159,6 +159,21 @@
         self.fleet.incarnations[id] = self.server
         self.heartbeat_task = asyncio.ensure_future(self._send_heartbeats(id))
 
+    def restart_server(self, *, unheard_seconds):
+        """Let the server crash silently and start again under its name.
+
+        Calls reach its new life at once, its first heartbeat comes later.
+        """
+        before = f"{self.door}-{self.incarnations}"
+        self.crash_server()
+        self.incarnations += 1
+        id = f"{self.door}-{self.incarnations}"
+        self.server = SimulatedServer(id=before, fences=self.fleet.fences)
+        self.fleet.incarnations |= {before: self.server, id: self.server}
+        self.heartbeat_task = asyncio.ensure_future(
+            self._send_heartbeats(id, after=unheard_seconds)
+        )
+
     def crash_server(self):
         """Crash the server."""
         self.heartbeat_task.cancel()
@@ -215,8 +230,9 @@
         except GuavastreamError:
             self._reported_ends.discard(id)
 
-    async def _send_heartbeats(self, id):
+    async def _send_heartbeats(self, id, *, after=0.0):
         client = self.fleet.cluster.client(self.name)
+        await asyncio.sleep(after)
         for seq in range(1, 10**6):
             heartbeat = Heartbeat(
                 id=id,
@@ -229,6 +245,8 @@
                 leaving=self.leaving,
                 cold_seconds=0.0,
                 seq=seq,
+                name=self.door if self.fleet.named else "",
+                born=self.incarnations if self.fleet.named else 0,
             )
             try:
                 await client.call(heartbeat, timeout=0.85)
@@ -238,10 +256,14 @@
 
 
 class SimulatedFleet:
-    """Hosts and control hosts; checks that no key has two holders."""
+    """Hosts and control hosts; checks that no key has two holders.
+
+    With `named`, servers keep their names when they start again.
+    """
 
-    def __init__(self, cluster, *, count, seed, faults, late):
+    def __init__(self, cluster, *, count, seed, faults, late, named):
         self.cluster = cluster
+        self.named = named
         self.fences = {}
         self.incarnations = {}
         self.rng = random.Random(seed)
@@ -255,7 +277,8 @@
 
     def holders(self, key):
         """Return the servers that hold a key now."""
-        return [server for server in self.incarnations.values() if server.holds(key)]
+        servers = {id(server): server for server in self.incarnations.values()}
+        return [server for server in servers.values() if server.holds(key)]
 
     def all_keys_held(self):
         """Whether each sampled key has a holder."""
@@ -309,7 +332,15 @@
 
 
 def run_key_fleet(
-    folder, scenario, *, count=3, seed=0, faults=None, late=LATE_CALL_SECONDS, **network
+    folder,
+    scenario,
+    *,
+    count=3,
+    seed=0,
+    faults=None,
+    late=LATE_CALL_SECONDS,
+    named=False,
+    **network,
 ):
     """Run a scenario with a simulated fleet; return the fleet.
 
@@ -319,7 +350,7 @@
     async def main():
         cluster = ControlCluster(folder, FakeNetwork(seed=seed, **network))
         fleet = SimulatedFleet(
-            cluster, count=count, seed=seed, faults=faults, late=late
+            cluster, count=count, seed=seed, faults=faults, late=late, named=named
         )
         await fleet.run(scenario)
         return fleet
--- a/guavastream/hosts/tests/test_key_keeper.py
+++ b/guavastream/hosts/tests/test_key_keeper.py
@@ -206,6 +206,22 @@
 # are not taken into account; 8, 9 and 14 if a release does not wait for a grant in
 # flight; 16 and 40 if a fencing token is reused after a release; 4 and 10 if the
 # permission does not expire; all of them if a release counts immediately.
+@pytest.mark.parametrize("unheard_seconds", [0.05, 0.3, 0.8, 2.0])
+def test_keys_of_a_server_that_restarts_under_its_name_have_one_holder(
+    tmp_path, unheard_seconds
+):
+    """Guards against keys granted elsewhere that calls have granted to its new life."""
+
+    async def scenario(fleet):
+        host = fleet.hosts[0]
+        host.restart_server(unheard_seconds=unheard_seconds)
+        await asyncio.sleep(unheard_seconds + 8.0)
+        assert fleet.all_keys_held()
+        assert any(host.server.holds(key) for key in SAMPLED_KEYS)
+
+    run_key_fleet(tmp_path, scenario, named=True)
+
+
 @pytest.mark.parametrize("seed", [1, 4, 5, 6, 8, 9, 10, 14, 16, 40])
 def test_keys_have_one_holder_under_random_faults_and_lost_calls(tmp_path, seed):
     # Guards against two servers holding one key. Calls get no answer and are
