A late request is ended as dropped only if it can be sent again

Servers of that site may hang, and idempotent requests that seem to be dropped are ended and sent again; without an attempt or a retry token left, their callers got 504 though the server may only be slow.

Change: the ingress says with each attempt whether it could make another (idempotent, kept, attempts and a token left), and the process beside the server ends only those. Older processes say nothing, and their requests are not ended early.

The new test of a host without tokens fails before at another host's server (504 after 0.3 s) and passes now; at the local server it passes before as well.

--- a/guavastream/relay/attempt.py
+++ b/guavastream/relay/attempt.py
@@ -45,6 +45,8 @@
         whether that holds for the request that caused it.
     is_last : bool
         Whether no other server is tried if this one refuses the request.
+    may_be_retried : bool
+        Whether it can be made again if it is ended before its answer.
     kind : str
         Name of a class of requests that take about the same time.
     target_time : float
@@ -88,6 +90,7 @@
     share: float = 1.0
     config_version: int = 0
     told_fingerprint: bytes = b""
+    may_be_retried: bool = False
 
     @property
     def has_whole_body(self):
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -84,9 +84,10 @@
     urgency: int | None = None
     is_last: bool = True
     config: int = 0
+    may_be_retried: bool = False
 
     @classmethod
-    def of(cls, job, server, *, now, last=True):
+    def of(cls, job, server, *, now, last=True, may_be_retried=False):
         """Return the header for a `Job` that is sent to a server."""
         left = int((job.deadline - HOP_MARGIN_SECONDS - now) * 1000)
         return cls(
@@ -103,6 +104,7 @@
             urgency=job.urgency,
             is_last=last,
             config=job.config_version,
+            may_be_retried=may_be_retried,
         )
 
     def header(self):
@@ -338,6 +340,7 @@
             is_call=hop.is_call,
             is_retry=hop.is_retry,
             is_last=hop.is_last,
+            may_be_retried=hop.may_be_retried,
             rank=hop.rank,
             urgency=hop.rank if hop.urgency is None else hop.urgency,
             kind=hop.route,
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -6,7 +6,7 @@
 import random
 
 from guavastream.http1 import BodyLost, Client, IncompleteMessage, NotSent
-from guavastream.kernel import Policy, TimeLimitGroup, part_logger, replace
+from guavastream.kernel import Policy, TimeLimitGroup, part_logger, record, replace
 from guavastream.relay.attempt import Attempt
 from guavastream.relay.dialect import INTERNAL_PREFIX
 from guavastream.relay.fingerprint import fingerprint_of
@@ -70,6 +70,18 @@
 log = part_logger("ingress")
 
 
+@record
+class _Outlook:
+    """What follows if an attempt ends without an answer.
+
+    `last` says that no other server is tried after a refusal, `may_be_retried` that the
+    request can be sent again if its outcome is unknown.
+    """
+
+    last: bool
+    may_be_retried: bool
+
+
 class Ingress:
     """Handles requests of local callers.
 
@@ -251,8 +263,13 @@
                 self._refuse_if_out_of_time(job)
                 server = self._choose(fleet_state, job, tried)
                 self._guard.quarantine.check(job, server)
-                last = self._is_last_attempt(fleet_state, job, server, tried, refusals)
-                return await self._try(job, server, responder, last=last)
+                outlook = _Outlook(
+                    last=self._is_last_attempt(
+                        fleet_state, job, server, tried, refusals
+                    ),
+                    may_be_retried=self._may_be_retried(job, reached_attempts),
+                )
+                return await self._try(job, server, responder, outlook)
             except NotRun as error:
                 failure, code = error, error.code
             except OutcomeUnknown as error:
@@ -440,6 +457,16 @@
             return True
         return not self._has_untried_server(fleet_state, job, tried | {server.id})
 
+    def _may_be_retried(self, job, reached_attempts):
+        """Whether a job can be sent again if its next attempt gets no answer."""
+        return (
+            job.idempotent
+            and job.rest is None
+            and self._policy.second_tries
+            and reached_attempts + 1 < job.route.attempts
+            and self._retry_budget(job.service).has_token
+        )
+
     async def _wait_for_newer_state(self, index, until):
         """Wait for a fleet state after `index`, for one poll interval at most."""
         left = min(FLEET_POLL_SECONDS, until - self._clock())
@@ -504,15 +531,15 @@
         refused, self._refused_keys = self._refused_keys, {}
         return refused
 
-    async def _try(self, job, server, responder, *, last):
+    async def _try(self, job, server, responder, outlook):
         """Make one attempt at a server, and update what the picker knows of it."""
         self._picker.begin(server)
         sent_before = len(job.sent_to)
         try:
             if self._guard.find_local(server.id) is not None:
-                await self._try_local(job, server, responder, last=last)
+                await self._try_local(job, server, responder, outlook)
             else:
-                await self._try_remote(job, server, responder, last=last)
+                await self._try_remote(job, server, responder, outlook)
         except NotRun as refused:
             del job.sent_to[sent_before:]
             if refused.code == "unreachable":
@@ -530,7 +557,7 @@
         finally:
             self._picker.end(server)
 
-    async def _try_local(self, job, server, responder, *, last):
+    async def _try_local(self, job, server, responder, outlook):
         attempt = Attempt(
             id=job.id,
             service=job.service,
@@ -546,7 +573,8 @@
             urgency=job.urgency,
             is_call=job.is_call,
             is_retry=job.is_retry,
-            is_last=last,
+            is_last=outlook.last,
+            may_be_retried=outlook.may_be_retried,
             kind=job.route.name,
             target_time=job.target_time,
             deadline=job.deadline,
@@ -561,7 +589,7 @@
                 job.sent_to.append(server.id)
         self._note_report(job, server, self._guard.report(job.route.name))
 
-    async def _try_remote(self, job, server, responder, *, last):
+    async def _try_remote(self, job, server, responder, outlook):
         try:
             exchange = await self._client.open(server.door)
         except NotSent:
@@ -570,7 +598,13 @@
             ) from None
         sent_before = len(job.sent_to)
         async with exchange:
-            hop = HopHeader.of(job, server, now=self._clock(), last=last)
+            hop = HopHeader.of(
+                job,
+                server,
+                now=self._clock(),
+                last=outlook.last,
+                may_be_retried=outlook.may_be_retried,
+            )
             headers = [*job.headers, hop.header()]
             if job.share < 1.0:
                 headers.append(share_header(job.share))
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -302,15 +302,15 @@
         self._end_dropped()
 
     def _end_dropped(self):
-        """End the exchanges of idempotent requests that the server has dropped.
+        """End the exchanges of dropped requests that can be sent again.
 
-        Others can't be sent again, so that ending them gains nothing, and the server
-        may still run them.
+        Ending others gains nothing, and the server may only be slow: their callers
+        would get a failure in place of the answer.
         """
         for exchange in self._hangs.dropped():
             if exchange in self._dropped or exchange.has_received_bytes:
                 continue
-            if not self.watch.is_idempotent(exchange):
+            if not self.watch.may_be_retried(exchange):
                 continue
             self._dropped.add(exchange)
             self._count("dropped_by_server")
--- a/guavastream/relay/server_watch.py
+++ b/guavastream/relay/server_watch.py
@@ -113,10 +113,10 @@
         """Drop a finished request that says nothing about the server."""
         self._runs.pop(exchange, None)
 
-    def is_idempotent(self, exchange):
-        """Whether the request that runs on a connection is idempotent."""
+    def may_be_retried(self, exchange):
+        """Whether the request that runs on a connection can be sent again."""
         run = self._runs.get(exchange)
-        return run is not None and run.request.idempotent
+        return run is not None and run.request.may_be_retried
 
     def describe(self, exchange):
         """Return the request on a connection and its server, for the log."""
--- a/guavastream/relay/tests/test_hanging_servers.py
+++ b/guavastream/relay/tests/test_hanging_servers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from guavastream.fleet import FleetState, LeaveInstance
 from guavastream.relay.tests.rig import (
     DIALECT,
@@ -286,3 +288,30 @@
         assert far.counts["dropped_by_server"] == 1
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("at", [0, 1])
+def test_late_request_that_cannot_be_sent_again_is_not_ended(at):
+    """Guards against a 504 for a request that its server still works on."""
+
+    async def scenario(mesh):
+        near, far = mesh.hosts
+        mesh.apply(LeaveInstance(id=near.id))
+        mesh.set_timeout("read", 9.0)
+        far.server.seconds = 0.02
+        await see_hang(mesh, far, at=at)
+        # Retries have used up the budget of the host.
+        budget = mesh.hosts[at].ingress._retry_budget("s")
+        while budget.spend():
+            pass
+        far.server.seconds = 1.0
+        slow = asyncio.ensure_future(mesh.ask(b"/read/y", deadline=8000, at=at))
+        await asyncio.sleep(0.1)
+        far.server.seconds = 0.02
+        for _ in range(6):
+            assert (await mesh.ask(b"/read/x", at=at))[0] == 200
+        status, _, _, seconds = await slow
+        assert status == 200 and seconds > 0.9
+        assert "dropped_by_server" not in far.counts
+
+    run_scenario(scenario)
--- a/guavastream/scheduling/budget.py
+++ b/guavastream/scheduling/budget.py
@@ -32,13 +32,18 @@
         self._tokens_per_request = ratio * LOCAL_RATIO_SHARE
         self._tokens = MAX_TOKENS
 
+    @property
+    def has_token(self):
+        """Whether a retry may be made now."""
+        return self._tokens >= 1
+
     def earn(self):
         """Add the tokens that one request earns."""
         self._tokens = min(self._tokens + self._tokens_per_request, MAX_TOKENS)
 
     def spend(self):
         """Take one token; return whether there was one."""
-        if self._tokens < 1:
+        if not self.has_token:
             return False
         self._tokens -= 1
         return True
