A body that fails behind an early response leaves no error on standard error

The task that sends it may end when nobody waits for it any more; asyncio then prints "Task exception was never retrieved".

--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -331,9 +331,8 @@
             self.written = connection.write(head + body)
             return
         self.written = connection.write(head)
-        if not self.written:
-            return
-        self._sender = asyncio.ensure_future(self._send_streamed(body, rest))
+        if self.written:
+            self._start_sending(body, rest)
 
     async def send_after_continue(self, method, target, headers, body, rest=None):
         """Send the head, and the body after the peer has sent "100 Continue".
@@ -364,7 +363,14 @@
             self.body_written = connection.write(body)
         else:
             self.body_written = True
-            self._sender = asyncio.ensure_future(self._send_streamed(body, rest))
+            self._start_sending(body, rest)
+
+    def _start_sending(self, first, rest):
+        self._sender = asyncio.ensure_future(self._send_streamed(first, rest))
+        # Its failure is of no interest once the response is there.
+        self._sender.add_done_callback(
+            lambda sender: sender.cancelled() or sender.exception()
+        )
 
     async def _send_streamed(self, first, rest):
         """Send a body; only one that was sent completely looks complete to the peer."""
