Emulator: an answer that comes twice is the same bytes

Its second copy was written as an answer to the request that had arrived, with "Connection: close" if the body of that had not: then the true answer was lost, and the soak saw 502 where a stray answer was to be seen.

--- a/guavastream/emulator/repeats.py
+++ b/guavastream/emulator/repeats.py
@@ -2,6 +2,8 @@
 
 from weakref import WeakKeyDictionary
 
+from guavastream.http1 import REASONS, format_head
+
 __all__ = ["RepeatedAnswers"]
 
 
@@ -34,14 +36,17 @@
         late = self._late.pop(responder.connection, None)
         if late is not None:
             self.count += 1
-            await responder.send(*late)
+            responder.connection.write(late)
         return _RecordingResponder(responder=responder, repeats=self)
 
-    def note(self, responder, answer):
-        """Note an answer, given as the arguments of `Responder.send`."""
-        if self._statuses and answer[0] not in self._statuses:
+    def note(self, responder, status, fields, body):
+        """Note an answer that is sent now."""
+        if self._statuses and status not in self._statuses:
             return
         if self._rng.random() < self.share:
+            line = b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b""))
+            framing = (b"Content-Length", b"%d" % len(body))
+            answer = format_head(line, [*fields, framing]) + body
             self._late[responder.connection] = answer
 
 
@@ -56,5 +61,5 @@
         return getattr(self._responder, name)
 
     async def send(self, status, headers=(), body=b"", *, reason=b""):
-        self._repeats.note(self._responder, (status, list(headers), body))
+        self._repeats.note(self._responder, status, headers, body)
         await self._responder.send(status, headers, body, reason=reason)
