--- a/guavastream/http1/__init__.py
+++ b/guavastream/http1/__init__.py
@@ -2,6 +2,8 @@
 
 from guavastream.http1.body import *
 from guavastream.http1.client import *
+from guavastream.http1.client_connection import *
+from guavastream.http1.exchange import *
 from guavastream.http1.message import *
 from guavastream.http1.responder import *
 from guavastream.http1.server import *
