--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -468,16 +468,17 @@
 
     def _known_incarnation(self, name):
         """Return the id of the newest incarnation of a server that is known here."""
-        ids_by_start = {
-            i.born: i.id
-            for i in self._state_holder.table.instances.values()
-            if i.server_name == name
-        }
         # The fleet state may not yet contain what the last heartbeat announced.
         heartbeat = self._newest_heartbeats.get(name)
-        if heartbeat is not None:
-            ids_by_start[heartbeat.born] = heartbeat.id
-        return ids_by_start[max(ids_by_start)] if ids_by_start else name
+        incarnations = [] if heartbeat is None else [heartbeat]
+        incarnations += [
+            instance
+            for instance in self._state_holder.table.instances.values()
+            if instance.server_name == name
+        ]
+        if not incarnations:
+            return name
+        return max(incarnations, key=lambda known: known.born).id
 
     async def _is_at_its_address(self, heartbeat):
         """Whether the sender of a heartbeat, which is unknown, answers at its address.
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -630,10 +630,10 @@
         self._admission_queue.slots = self._usable_slots(instance)
         classes = self._classes_of(instance)
         self._admission_queue.by_class = classes is not None
-        self._departure_gate.check_wait(attempt, instance)
         self._admission_queue.reserves_slots = (
             classes is not None and classes.need_reservation(instance.slots)
         )
+        self._departure_gate.check_wait(attempt, instance)
         enter = self._admission_queue.enter
         if self._class_admission is not None:
             enter = functools.partial(
