--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -238,6 +238,8 @@
                 await self._evacuations.end()
             if self._departures is not None:
                 await self._departures.end()
+            if self._uploads is not None:
+                await self._uploads.end_faults()
             if route_changes_task is not None:
                 # It freezes hosts.
                 route_changes_task.cancel()
--- a/guavastream/platform/soak_uploads.py
+++ b/guavastream/platform/soak_uploads.py
@@ -71,18 +71,24 @@
         self._numbers = iter(range(1, 10**9))
         # Number of answers by status.
         self.counts = {}
+        self._filling = None
 
     def note_start(self, server):
         """Let a server that has started keep only the digests of large bodies."""
         server.server.keeps_bodies = False
 
     async def run(self):
-        """Send requests until cancelled."""
+        """Send requests until cancelled, and fill servers until `end_faults`."""
+        self._filling = asyncio.ensure_future(self._fill_servers())
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._fill_servers())
             for _ in range(CALLERS):
                 group.create_task(self._upload_repeatedly())
 
+    async def end_faults(self):
+        """Let no more servers be full."""
+        self._filling.cancel()
+        await asyncio.gather(self._filling, return_exceptions=True)
+
     async def _fill_servers(self):
         while True:
             server_host = self._rng.choice(self._platform.server_hosts)
