A large upload that ends its server is noted by the host of its caller again

Seen by reading the diff: since a request of which a part of the body is gone was given up before the end of its server was noted, so that a host without contact to control hosts let the same upload end the next server. The order is as it was; the new test fails without this (nothing noted) and passes with it.

--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -282,11 +282,13 @@
             before, last_logged = last_logged, (code, server and server.id)
             if last_logged != before:
                 self._log_failed_attempt(job, server, code)
-            if responder.started or not job.has_whole_body:
+            if responder.started:
                 raise failure
             if server is not None:
                 tried.add(server.id)
             ends_servers = code == "server_ended" and self._note_server_end(job, server)
+            if not job.has_whole_body:
+                raise failure
             if isinstance(failure, OutcomeUnknown) and (
                 ends_servers or not job.idempotent
             ):
--- a/guavastream/relay/tests/test_large_bodies.py
+++ b/guavastream/relay/tests/test_large_bodies.py
@@ -6,6 +6,7 @@
 import pytest
 
 from guavastream.fleet import LeaveInstance, ReleaseKeys
+from guavastream.relay import fingerprint
 from guavastream.relay.tests.rig import DIALECT, route, run_scenario
 from guavastream.routes import RetrySafety
 
@@ -171,6 +172,25 @@
     run_scenario(scenario, hosts=3, routes=ROUTES)
 
 
+def test_upload_that_ends_its_server_is_noted_though_it_is_not_sent_again():
+    """Guards against large uploads that end one server after another."""
+
+    async def scenario(mesh):
+        mesh.apply(LeaveInstance(id=mesh.hosts[0].id))
+        server = mesh.hosts[1].server
+        server.on_run = lambda entry, key: asyncio.ensure_future(server.stop())
+        noted = []
+        quarantine = mesh.hosts[0].guard.quarantine
+        quarantine.note_end = lambda fingerprint, id: noted.append((fingerprint, id))
+        body = make_body(1)
+        assert await upload(mesh, b"u1", body) == 502
+        fields = [(b"Host", b"a.example")]
+        print = fingerprint(b"POST", fields, b"/load/x", body)
+        assert noted == [(print, "i2")]
+
+    run_scenario(scenario, hosts=2, routes=ROUTES)
+
+
 def test_full_server_does_not_take_the_body_of_an_upload():
     """Guards against uploads that cross a link only to be refused."""
 
