Read once more: no reference cycle for each request, one loop over the pool, ends beside its prepare

Behaviour as it is. - Since each request of every listener got a closure that asks for its body, which referred back to the request: freed only by the garbage collector, unless its body was read. Only a request whose caller waits for "100 Continue" has one now. - The pool passed over connections by taking them out and putting them back in a `finally`; it walks from the last used one and takes out what it uses. - The host of the server asked by `isinstance` whether a body has a place on the link to give up. `BodyRest.end` is the counterpart of `prepare`, and the guard, which prepares, ends.

--- a/guavastream/http1/body.py
+++ b/guavastream/http1/body.py
@@ -43,6 +43,9 @@
     async def prepare(self):
         """Wait until it may be received; nothing is read."""
 
+    def end(self):
+        """Give up what `prepare` has waited for."""
+
     async def read(self):
         """Return the next piece, or empty bytes at the end.
 
--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -104,22 +104,13 @@
 
     def _take_idle(self, address, idle_seconds, id):
         """Return the idle connection that was used last and may be used, or None."""
-        pooled = self._idle.get(address)
-        if not pooled:
-            return None
-        passed_over = []
-        try:
-            return self._take_usable(pooled, idle_seconds, id, passed_over)
-        finally:
-            pooled.extend(reversed(passed_over))
-
-    def _take_usable(self, pooled, idle_seconds, id, passed_over):
         now = self._loop.time()
-        while pooled:
-            connection = pooled.pop()
+        pooled = self._idle.get(address, ())
+        for index in reversed(range(len(pooled))):
+            connection = pooled[index]
             if id is not None and connection.has_carried(id):
-                passed_over.append(connection)
                 continue
+            del pooled[index]
             self._idle_total -= 1
             allowed = connection.idle_seconds * USABLE_IDLE_SHARE
             if idle_seconds is not None:
--- a/guavastream/http1/connection.py
+++ b/guavastream/http1/connection.py
@@ -139,23 +139,23 @@
         size = len(self._target) + sum([len(k) + len(v) + 4 for k, v in headers])
         if size > self._server.limits.head_bytes:
             self._reject(431)
+        body = BodyStream(
+            loop=self._loop, pause=self._pause, resume=self._update_reading
+        )
         self._receiving = request = Request(
             method=self._parser.get_method(),
             target=self._target,
             headers=headers,
-            body=BodyStream(
-                loop=self._loop,
-                pause=self._pause,
-                resume=self._update_reading,
-                ask=lambda: self.send_continue(request),
-            ),
+            body=body,
             keep_alive=self._parser.should_keep_alive(),
             length=-1 if coding else length,
         )
         self._head_started_at = None
         if self._rejection_status:
             return
-        request.expects_continue = headers.get(b"expect").lower() == b"100-continue"
+        if headers.get(b"expect").lower() == b"100-continue":
+            request.expects_continue = True
+            body.ask = lambda: self.send_continue(request)
         self._requests.append(request)
         if len(self._requests) >= MAX_WAITING_REQUESTS:
             self._pause()
--- a/guavastream/http1/message.py
+++ b/guavastream/http1/message.py
@@ -125,14 +125,17 @@
         The running loop.
     pause, resume : callable
         Pause and resume reading from the connection.
-    ask : callable, optional
+
+    Attributes
+    ----------
+    ask : callable or None
         Called before the first read: asks a sender that waits for that.
     """
 
-    def __init__(self, *, loop, pause, resume, ask=None):
+    def __init__(self, *, loop, pause, resume):
+        self.ask = None
         self._pause = pause
         self._resume = resume
-        self._ask = ask
         self._pieces = deque()
         self._buffered_bytes = 0
         self._paused = False
@@ -179,8 +182,8 @@
         IncompleteMessage
             If the connection ended before the body was complete.
         """
-        if self._ask is not None:
-            ask, self._ask = self._ask, None
+        if self.ask is not None:
+            ask, self.ask = self.ask, None
             ask()
         while not self._pieces:
             if self._ended:
--- a/guavastream/relay/body_queue.py
+++ b/guavastream/relay/body_queue.py
@@ -136,10 +136,10 @@
         piece = await super().read()
         # What the other host has not kept comes as fast as its caller sends it.
         if not piece or self.read_bytes >= MAX_BUFFERED_BODY_BYTES:
-            self.end(received=True)
+            self._place.leave(received=True)
         return piece
 
-    def end(self, *, received=False):
+    def end(self):
         """Give up the place on the link."""
         if self._place is not None:
-            self._place.leave(received=received)
+            self._place.leave()
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -495,6 +495,8 @@
                         answer.close()
                         seconds = self._clock() - began
                 finally:
+                    if attempt.rest is not None:
+                        attempt.rest.end()
                     self._running_attempts.pop(attempt.id, None)
                     self._leave_slot(attempt, slot, seconds)
         finally:
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -252,9 +252,6 @@
             await self._send_failure(responder, attempt.kind, code)
         except IncompleteMessage:
             await responder.send(400)
-        finally:
-            if isinstance(attempt.rest, RequestedBody):
-                attempt.rest.end()
 
     def _code_after_timeout(self, attempt):
         """Return the code for an attempt that was ended by a time limit."""
