A table that was begun at a lost control host is read from another one

Cause: only the first part of an answer was hedged. A host asked the lost control host three times for the next part, 0.45 s each, and began anew after 1.4 s, perhaps with the lost one again; its copy was then older than 2 s, so it refused. Ruled out: an order of events that only the test has; the trail shows the three attempts in each failed play.

Change: once a part is late, the other control hosts are called beside the next attempt; the first answer counts. At most one change for each answer.

--- a/guavastream/leases/client.py
+++ b/guavastream/leases/client.py
@@ -123,23 +123,22 @@
         """Do the same as `begin` by another path, if there is one."""
         return await self._transport.call_indirectly(address, request, timeout=timeout)
 
-    async def finish(self, address, begun, *, part_timeout=PART_TIMEOUT_SECONDS):
+    async def finish(self, begun, call, *, part_timeout=PART_TIMEOUT_SECONDS):
         """Return the complete answer whose first part `begin` returned.
 
-        `part_timeout` is the time allowed for each further part, seconds.
+        `call` is a coroutine function that takes a request for a part and a timeout in
+        seconds, and calls the control host. `part_timeout` is the time allowed for each
+        further part, seconds.
         """
         if not isinstance(begun, PackedAnswer):
             return begun
-
-        async def read_part(request, timeout):
-            return await self._transport.call(address, request, timeout=timeout)
-
-        return await read_whole(begun, read_part, timeout=part_timeout)
+        return await read_whole(begun, call, timeout=part_timeout)
 
     async def _call_host(self, address, request, timeout):
-        return await self.finish(
-            address, await self.begin(address, request, timeout=timeout)
-        )
+        async def call(request, timeout):
+            return await self.begin(address, request, timeout=timeout)
+
+        return await self.finish(await call(request, timeout), call)
 
     def _switch_leader(self, called, hint=""):
         """Call another control host from now on, unless `called` was replaced already.
--- a/guavastream/leases/hedged_watch.py
+++ b/guavastream/leases/hedged_watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from dataclasses import dataclass
+from functools import partial
 
 from guavastream.exception import CallTimeout, GuavastreamError
 from guavastream.kernel import Signal, replace, steady_time
@@ -39,6 +40,9 @@
     are still waited for while later ones are made: their answers may be late, or lost.
     When all have been called, one is called through another host.
 
+    When a part of a long answer is late, the other control hosts are called, too. If
+    one of them answers before that part has come, its answer is read instead.
+
     Parameters
     ----------
     control : ControlClient
@@ -88,8 +92,7 @@
     def avoid(self):
         """Call the control host that answered last only after all others."""
         self._avoided = self._first
-        others = [a for a in self._control.addresses if a != self._first]
-        self._first = random.choice(others or self._control.addresses)
+        self._first = random.choice(self._others(self._first) or [self._first])
 
     async def ask(self, request, *, final_wait, patience=0.0):
         """Return the complete first answer, perhaps to an earlier request.
@@ -117,23 +120,62 @@
         Only the first part of an answer is hedged: two copies of a long answer would
         saturate the slow link that delays it.
         """
-        found = await self._find_first_answer(request, final_wait, patience)
-        address, begun = self._record_answer(found)
+        order = self._call_order()
+        self._calls.begin_round()
+        try:
+            found = await self._find_first_answer(
+                self._calls, request, order, final_wait=final_wait, patience=patience
+            )
+        except GuavastreamError:
+            self._first = random.choice(order)
+            raise
+        parts = _HedgedParts(
+            call=partial(self._call_for_part, found.address),
+            find_other=partial(self._find_other_answer, found.address, request),
+        )
+        try:
+            return await self._finish(found, parts.read)
+        except _AnsweredElsewhere as other:
+            address = other.found.address
+            return await self._finish(
+                other.found, partial(self._call_for_part, address)
+            )
+
+    async def _finish(self, found, read_part):
+        """Return the complete answer to a call, reading its parts by `read_part`."""
+        begun = self._record_answer(found)
         try:
             return await self._control.finish(
-                address, begun, part_timeout=self._part_seconds()
+                begun, read_part, part_timeout=self._part_seconds()
             )
         except GuavastreamError:
-            self._first = random.choice(self._control.addresses)
+            self._first = random.choice(self._others(found.address) or [found.address])
             raise
 
-    async def _find_first_answer(self, request, final_wait, patience):
-        """Return the first call that was answered."""
-        order = self._call_order()
+    async def _call_for_part(self, address, request, timeout):
+        return await self._control.begin(address, request, timeout=timeout)
+
+    async def _find_other_answer(self, address, request):
+        """Return a call that a control host other than `address` answered, or None."""
+        others = self._others(address)
+        if not others:
+            return None
+        try:
+            return await self._find_first_answer(
+                _ConcurrentCalls(loop=self._loop),
+                replace(request, wait=0.0),
+                random.sample(others, len(others)),
+                final_wait=self._part_seconds(),
+            )
+        except GuavastreamError:
+            return None
+
+    async def _find_first_answer(
+        self, calls, request, order, *, final_wait, patience=0.0
+    ):
+        """Return the first call that was answered; make them in the given order."""
         pause = HEDGE_SECONDS if request.index else INITIAL_HEDGE_SECONDS
         slack = max(pause, self._slack_seconds())
-        calls = self._calls
-        calls.begin_round()
         for address in order:
             found = calls.find_answered()
             if found:
@@ -159,7 +201,6 @@
         )
         if found:
             return found
-        self._first = random.choice(order)
         raise calls.failure()
 
     def _part_seconds(self):
@@ -169,18 +210,21 @@
     def _call_order(self):
         addresses = self._control.addresses
         first = self._first if self._first in addresses else addresses[0]
-        others = [address for address in addresses if address != first]
+        others = self._others(first)
         # The order is random so that clients which lose the same control host spread
         # over all others.
         others = random.sample(others, len(others))
         return sorted([first, *others], key=self._avoided.__eq__)
 
+    def _others(self, address):
+        return [other for other in self._control.addresses if other != address]
+
     def _slack_seconds(self):
         usual = SLACK_FACTOR * self._lateness
         return min(max(MIN_SLACK_SECONDS, usual), MAX_SLACK_SECONDS)
 
     def _record_answer(self, found):
-        """Record which host answered and how late; return its address and answer."""
+        """Record which host answered and how late; return its answer."""
         answer = found.task.result()
         self._calls = _ConcurrentCalls(loop=self._loop)
         # Counted from when the request was sent: the answer may have been under way
@@ -191,7 +235,76 @@
         self._answered_early = -late > found.wait / 2
         if late >= 0.0:
             self._lateness += LATENESS_WEIGHT * (late - self._lateness)
-        return found.address, answer
+        return answer
+
+
+class _AnsweredElsewhere(Exception):
+    """Another control host answered while a part of an answer was late.
+
+    `found` is the call that it answered.
+    """
+
+    def __init__(self, found):
+        super().__init__(found)
+        self.found = found
+
+
+class _HedgedParts:
+    """Calls a control host for parts of its answer, and the others once one is late.
+
+    A slow link delays all of them. The control host whose part is late then answers
+    first, as it is called before the others, and no second copy of its answer goes over
+    that link.
+
+    Parameters
+    ----------
+    call : callable
+        Coroutine function that takes a request and a timeout in seconds, and calls the
+        control host.
+    find_other : callable
+        Coroutine function that returns a call which another control host answered, or
+        None if none does.
+    """
+
+    def __init__(self, *, call, find_other):
+        self._call = call
+        self._find_other = find_other
+        self._is_late = False
+
+    async def read(self, request, timeout):
+        """Return a part.
+
+        Raises
+        ------
+        CallTimeout
+            If it did not come in time.
+        _AnsweredElsewhere
+            If another control host answered before it.
+        """
+        call = self._race if self._is_late else self._call
+        try:
+            part = await call(request, timeout)
+        except CallTimeout:
+            self._is_late = True
+            raise
+        self._is_late = False
+        return part
+
+    async def _race(self, request, timeout):
+        part = asyncio.ensure_future(self._call(request, timeout))
+        other = asyncio.ensure_future(self._find_other_after_pause())
+        try:
+            await asyncio.wait((part, other), return_when=asyncio.FIRST_COMPLETED)
+            if not part.done() and other.result() is not None:
+                raise _AnsweredElsewhere(other.result())
+            return await part
+        finally:
+            part.cancel()
+            other.cancel()
+
+    async def _find_other_after_pause(self):
+        await asyncio.sleep(HEDGE_SECONDS)
+        return await self._find_other()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
