A new server gets keys although a single key has nearly all load

Callers saw nothing: all keys were served.

Cause: the keys that its end freed had gone to the other server before it joined. The planner then balances, also without load, while a server has no keys; but a range must have a tenth of the wanted load. The test asks for one key again and again, so that key had nearly all load, and no other range came near a tenth of half of it. The log shows the first move once that load had faded, 30.2 s later. Ruled out: that the new life's calls were not heard (it joined 30 ms after the end).

Change: the least load of a range does not count for a server without keys.

--- a/guavastream/placement/runs.py
+++ b/guavastream/placement/runs.py
@@ -49,7 +49,7 @@
 MIN_SPREAD_MOVES = 40
 # A range is chosen if its load is within this factor of the wanted load. If none
 # is, the one with the largest smaller load is chosen, provided that it has at
-# least this fraction of the wanted load.
+# least this fraction of the wanted load, or the target has no keys.
 FIT_FACTOR = 1.25
 MIN_FIT_FRACTION = 0.1
 # Number of servers that cannot be relieved, or not at a gain, beside which others still
@@ -328,7 +328,9 @@
             (utilization[busiest] - mean) * capacity[busiest],
             (mean - utilization[idlest]) * capacity[idlest],
         )
-        chosen, target = _find_range(loads, held[busiest], wanted), idlest
+        least_load = 0.0 if has_no_keys else wanted * MIN_FIT_FRACTION
+        chosen = _find_range(loads, held[busiest], wanted, least_load)
+        target = idlest
         if chosen is None or not _is_improvement(
             view, loads, utilization, busiest, chosen, idlest
         ):
@@ -419,11 +421,11 @@
     return (hottest, hottest), target
 
 
-def _find_range(loads, ranges, wanted):
+def _find_range(loads, ranges, wanted, least_load):
     """Return the shortest range whose load is about `wanted`.
 
     If there is none, returns the range with the largest smaller load, or None if
-    that load is too small to be worth a move.
+    that load is below `least_load`.
     """
     if wanted <= 0:
         return None
@@ -438,7 +440,7 @@
         length = candidate[1] - candidate[0] + 1
         if load >= wanted / FIT_FACTOR and length < shortest:
             best, shortest = candidate, length
-    if best is None and fallback_load < wanted * MIN_FIT_FRACTION:
+    if best is None and fallback_load < least_load:
         return None
     return best or fallback
 
--- a/guavastream/placement/tests/test_runs.py
+++ b/guavastream/placement/tests/test_runs.py
@@ -120,6 +120,23 @@
     assert all(run.owner in without_a for run in runs)
 
 
+@pytest.mark.parametrize("spread", [False, True])
+def test_new_server_receives_keys_while_one_key_has_nearly_all_load(spread):
+    """Guards against a server without keys as long as a single key is busy."""
+    size = KEY_COUNT // 32
+    view = KeyRangeView(
+        # Ranges with different fencing tokens, as those of a server that has ended.
+        runs=tuple(
+            KeyRun(first=first, last=first + size - 1, owner="old", fence=number)
+            for number, first in enumerate(range(0, KEY_COUNT, size))
+        ),
+        capacity={"old": 200.0, "new": 200.0},
+        load={5982: 60.0},
+        spread=spread,
+    )
+    assert "new" in [target for _, _, target in plan_key_ranges(view).moves]
+
+
 def test_ranges_being_moved_are_not_planned_again():
     load = skewed_load(2)
     runs, _ = rebalance(ALL_FREE, CAPACITY, {})
