Hosts beside servers don't load the code of control hosts

A host that restarts serves nobody while it imports its modules, and memory is dear on the larger deployments.

Cause: the host's load reporter imported `control.loads` for the interval of reports, and with it all of `control`, `state`, `declare`, `placement` and a reader of TOML: 26 of 142 modules of ours that a host never uses.

Change: what both sides know of load reports stands in `fleet`.

The contract on imports is kept.

--- a/guavastream/control/demand.py
+++ b/guavastream/control/demand.py
@@ -1,8 +1,9 @@
 """What the leader knows of one keyed service: rates of its keys, speeds of servers."""
 
 from guavastream.control.forecast import ForecastLoads
-from guavastream.control.loads import REPORT_SECONDS, Loads
+from guavastream.control.loads import Loads
 from guavastream.control.speeds import ServerSpeeds
+from guavastream.fleet import REPORT_SECONDS
 from guavastream.kernel import part_logger
 from guavastream.routes import has_mixed_work
 
--- a/guavastream/control/forecast.py
+++ b/guavastream/control/forecast.py
@@ -11,12 +11,12 @@
     MIN_BUSY_COUNT,
     MIN_BUSY_RATE,
     MIN_NOISE_RATE,
-    REPORT_SECONDS,
     DecayingCounts,
     KeyLoads,
     Loads,
 )
 from guavastream.control.report_rates import ReportRates
+from guavastream.fleet import REPORT_SECONDS
 
 __all__ = ["ForecastLoads"]
 
--- a/guavastream/control/grants.py
+++ b/guavastream/control/grants.py
@@ -6,7 +6,6 @@
 from guavastream.control.capacity import CapacityEstimator
 from guavastream.control.demand import ServiceDemand
 from guavastream.control.holds import HoldTracker
-from guavastream.control.loads import report_interval
 from guavastream.control.moves import KeyMoves
 from guavastream.control.settling import SettlingTimer
 from guavastream.exception import NotLeader, NotReady
@@ -21,6 +20,7 @@
     RemoveInstances,
     RenewKeys,
     encode_command,
+    report_interval,
     runs_within,
     subtract_range,
     subtract_rows,
--- a/guavastream/control/loads.py
+++ b/guavastream/control/loads.py
@@ -4,15 +4,11 @@
 
 import msgspec
 
-from guavastream.fleet import KEY_COUNT
+from guavastream.fleet import KEY_COUNT, REPORT_SECONDS
 from guavastream.kernel import Policy, record
 
-__all__ = ["AREAS", "DecayingCounts", "KeyLoads", "Loads", "report_interval"]
+__all__ = ["AREAS", "DecayingCounts", "KeyLoads", "Loads"]
 
-# Time that is covered by one load report, if there are few hosts.
-REPORT_SECONDS = 0.25
-# Reports per second from all hosts together, which the leader handles easily.
-REPORTS_PER_SECOND = 150
 # Time constant of the average. Which keys are busy changes within seconds, so older
 # requests say little; over a shorter time the noise of single requests dominates.
 WINDOW_SECONDS = 2.0
@@ -38,11 +34,6 @@
 AREA_WINDOW_SECONDS = 6.0
 
 
-def report_interval(hosts):
-    """Return the seconds between two load reports of a host, given their number."""
-    return max(REPORT_SECONDS, hosts / REPORTS_PER_SECOND)
-
-
 @record
 class Loads:
     """Requests per second: `busy` by key, and `areas` for other keys by area.
--- a/guavastream/hosts/load_reporter.py
+++ b/guavastream/hosts/load_reporter.py
@@ -3,9 +3,8 @@
 import asyncio
 import contextlib
 
-from guavastream.control.loads import REPORT_SECONDS, report_interval
 from guavastream.exception import GuavastreamError
-from guavastream.fleet import LoadReport
+from guavastream.fleet import REPORT_SECONDS, LoadReport, report_interval
 from guavastream.hosts.surges import SurgeDetector
 from guavastream.routes import has_mixed_work
 
