A process's start is before its imports, so its first copy will do

Callers saw 503 for 0.1 to 0.2 s longer than needed at each host that restarts, all of them at once after a loss of power.

Cause: a new process decides only by a copy that is complete through its own start, so that it never goes back behind its predecessor. The start was taken to be the moment at which the host's parts were made, after 0.3 to 0.5 s of imports. The copy of a control host that follows is complete through some moments ago, before that, so a second answer had to be waited for.

Change: the start is taken before the imports. The predecessor has ended by then, so the promise is the same.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -98,10 +98,20 @@
         Carries messages between processes; pyzmq by default.
     clock : callable, optional
         Monotonic time in seconds, including time while suspended.
+    started_at : float, optional
+        Time of the clock at which this process started, and an earlier one had ended;
+        now by default.
     """
 
     def __init__(
-        self, *, settings, dialect, key_dialect, network=None, clock=steady_time
+        self,
+        *,
+        settings,
+        dialect,
+        key_dialect,
+        network=None,
+        clock=steady_time,
+        started_at=None,
     ):
         self.counters = Counters()
         self.stopping = False
@@ -129,7 +139,7 @@
             confirmation=Confirmation(
                 clock=clock,
                 max_age=settings.config_apply * (1 - MAX_CLOCK_DRIFT),
-                since=clock(),
+                since=clock() if started_at is None else started_at,
             ),
         )
         self._state_follower = FleetStateFollower(
--- a/guavastream/hosts/tests/rig.py
+++ b/guavastream/hosts/tests/rig.py
@@ -133,8 +133,11 @@
         """IP:PORT for messages from other processes."""
         return f"{self.ip}:{PEER_PORT}"
 
-    async def start_process(self):
-        """Start the process beside the server, without any state."""
+    async def start_process(self, *, started_at=None):
+        """Start the process beside the server, without any state.
+
+        `started_at` is the time at which it began to import its modules.
+        """
         settings = FleetSettings(
             host=self.ip,
             zone=self.zone,
@@ -152,6 +155,7 @@
             key_dialect=None,
             network=FakePeers(network=self._fleet.network, address=self.peer),
             clock=lambda: self._fleet.now() + self.suspended_seconds,
+            started_at=started_at,
         )
         await self.process.start()
 
--- a/guavastream/hosts/tests/test_old_configurations.py
+++ b/guavastream/hosts/tests/test_old_configurations.py
@@ -15,6 +15,9 @@
 APPLY_SECONDS = 2.0
 # Longest time until a host that was cut off handles requests again.
 RECOVERY_SECONDS = 1.0
+# Time that a process takes to import its modules, and then to get its first answer.
+IMPORT_SECONDS = 0.3
+FIRST_ANSWER_SECONDS = 0.02
 NOT_RUN = 503
 ADDED = make_route("added", "orders", RetrySafety.SAFE)
 MOVED = make_route("look", "pages", RetrySafety.SAFE)
@@ -157,6 +160,22 @@
     run_fleet(tmp_path, scenario, pages=2, orders=2)
 
 
+def test_a_process_waits_for_no_copy_that_is_newer_than_its_start(tmp_path):
+    """Guards against refusals while a copy from after the imports is waited for."""
+
+    async def scenario(fleet):
+        requests, host = Requests(fleet), fleet.hosts[0]
+        for _ in range(5):
+            await host.kill_process()
+            started_at = fleet.now()
+            await asyncio.sleep(IMPORT_SECONDS)
+            await host.start_process(started_at=started_at)
+            await asyncio.sleep(FIRST_ANSWER_SECONDS)
+            assert await requests.ask(host, "look") == (200, "orders")
+
+    run_fleet(tmp_path, scenario, pages=2, orders=2)
+
+
 def test_hosts_cut_off_from_control_hosts_only_refuse_nothing(tmp_path):
     async def scenario(fleet):
         requests, host = Requests(fleet), fleet.hosts[0]
--- a/guavastream/platform/process.py
+++ b/guavastream/platform/process.py
@@ -28,15 +28,18 @@
 log = part_logger("platform")
 
 
-async def run(settings):
-    """Serve until SIGTERM, SIGINT or a failure of the host."""
+async def run(settings, *, started_at):
+    """Serve until SIGTERM, SIGINT or a failure of the host.
+
+    `started_at` is the time of `steady_time` at which the process started.
+    """
     stop = asyncio.Event()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    host, handlers = _create_host(settings)
+    host, handlers = _create_host(settings, started_at)
     servers = [
         Server(address=parse_address(address), handler=handler)
         for address, handler in handlers
@@ -63,7 +66,7 @@
         await host.stop()
 
 
-def _create_host(settings):
+def _create_host(settings, started_at):
     if settings.data:
         from guavastream.hosts.control_host import ControlHost
 
@@ -73,7 +76,10 @@
         from guavastream.hosts.server_host import ServerHost
 
         host = ServerHost(
-            settings=settings, dialect=DIALECT, key_dialect=PlatformKeyDialect()
+            settings=settings,
+            dialect=DIALECT,
+            key_dialect=PlatformKeyDialect(),
+            started_at=started_at,
         )
         api = ServerHostApi(host=host, settings=settings)
         handlers = [
@@ -110,8 +116,8 @@
     return status.st_mtime_ns, status.st_size
 
 
-def main():
-    """Run one process and return its exit status."""
+def main(*, started_at):
+    """Run one process and return its exit status; see `run`."""
     try:
         settings = read_settings()
     except FindingsError as error:
@@ -121,7 +127,7 @@
     configure_stdout_logs(level="INFO", host=settings.host)
     try:
         with asyncio.Runner(loop_factory=new_event_loop) as runner:
-            runner.run(run(settings))
+            runner.run(run(settings, started_at=started_at))
     except GuavastreamError as error:
         log.error("The process ends with an error: %s: %s.", error.code, error)
         return 1
