--- a/guavastream/leases/hedged_watch.py
+++ b/guavastream/leases/hedged_watch.py
@@ -117,8 +117,8 @@
 
         Notes
         -----
-        Only the first part of an answer is hedged: two copies of a long answer would
-        saturate the slow link that delays it.
+        Parts of an answer other than the first are hedged only when one was late: two
+        copies of a long answer would saturate the slow link that delays it.
         """
         order = self._call_order()
         self._calls.begin_round()
