A late part is looked for elsewhere only if another control host answers at once

Cause: called the other control hosts for the first parts of their answers when a part was late.

Change: another control host first gets a request for one byte. Its answer waits behind all that the link still has to pass, so it comes before the part only if the link is not the cause.

--- a/guavastream/leases/hedged_watch.py
+++ b/guavastream/leases/hedged_watch.py
@@ -155,11 +155,24 @@
     async def _call_for_part(self, address, request, timeout):
         return await self._control.begin(address, request, timeout=timeout)
 
-    async def _find_other_answer(self, address, request):
-        """Return a call that a control host other than `address` answered, or None."""
+    async def _find_other_answer(self, address, request, probe):
+        """Return a call that a control host other than `address` answered, or None.
+
+        They are called only if one of them answers the `probe`, a short request for
+        which it need not have an answer. If the link is slow for all of them, even the
+        first parts of their answers would saturate it.
+        """
         others = self._others(address)
         if not others:
             return None
+        try:
+            await self._control.begin(
+                random.choice(others), probe, timeout=self._part_seconds()
+            )
+        except CallTimeout:
+            return None
+        except GuavastreamError:
+            pass
         try:
             return await self._find_first_answer(
                 _ConcurrentCalls(loop=self._loop),
@@ -253,8 +266,7 @@
     """Calls a control host for parts of its answer, and the others once one is late.
 
     A slow link delays all of them. The control host whose part is late then answers
-    first, as it is called before the others, and no second copy of its answer goes over
-    that link.
+    first, as it is called before the others.
 
     Parameters
     ----------
@@ -262,8 +274,8 @@
         Coroutine function that takes a request and a timeout in seconds, and calls the
         control host.
     find_other : callable
-        Coroutine function that returns a call which another control host answered, or
-        None if none does.
+        Coroutine function that takes a short request, and returns a call which another
+        control host answered, or None if none does.
     """
 
     def __init__(self, *, call, find_other):
@@ -292,7 +304,7 @@
 
     async def _race(self, request, timeout):
         part = asyncio.ensure_future(self._call(request, timeout))
-        other = asyncio.ensure_future(self._find_other_after_pause())
+        other = asyncio.ensure_future(self._find_other_after_pause(request))
         try:
             await asyncio.wait((part, other), return_when=asyncio.FIRST_COMPLETED)
             if not part.done() and other.result() is not None:
@@ -302,9 +314,9 @@
             part.cancel()
             other.cancel()
 
-    async def _find_other_after_pause(self):
+    async def _find_other_after_pause(self, request):
         await asyncio.sleep(HEDGE_SECONDS)
-        return await self._find_other()
+        return await self._find_other(replace(request, size=1))
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
