The next life of a server gets no calls while the end of the one before is reported

Callers could see two servers answer for one key, for up to a hold: keys granted by calls, a server that ends and starts again under its Id.

Cause: the process beside the server reports an end after four refused connections, and the leader frees the keys at once, since one who has ended holds nothing. But calls name the server only. Until the fleet state without it comes, 1.5 s where the leader is out of reach, renewals went on and could reach the next life. The last of the four was 50 ms before the report, too.

Change: no call is sent from the first refused connection on, checked where it is written; the report follows the last refused one in the same turn. So each call that was written reached a life that refuses connections now.

--- a/guavastream/hosts/key_keeper.py
+++ b/guavastream/hosts/key_keeper.py
@@ -82,7 +82,7 @@
         """Number of connections that were opened."""
         return self._client.opened_count
 
-    async def send(self, instance, call):
+    async def send(self, instance, call, *, may_have_ended=lambda id: False):
         """Send a `KeyCall`; return its `KeyResult`, or None if it is inconclusive.
 
         Cancelling resets the connection, so that what the server has not read
@@ -91,7 +91,7 @@
         Raises
         ------
         NotSent
-            If no connection can be made.
+            If no connection can be made, or the instance may have ended by then.
         IncompleteMessage
             If the connection ended before the answer.
         """
@@ -105,6 +105,8 @@
             return named == id or (fresh and not named)
 
         async with await self._client.open(instance.address, fresh=fresh) as exchange:
+            if may_have_ended(instance.id):
+                raise NotSent("the server may have ended")
             try:
                 exchange.send(b"POST", path, headers, body)
                 answer = await exchange.answer(is_for_call)
@@ -141,6 +143,10 @@
         Increments the counter of the given name.
     on_refused : callable
         Called with the instance if its address refuses connections.
+    may_have_ended : callable
+        Whether calls to an instance, given its id, may reach the next one at its
+        address. The leader frees the keys of an instance at once when its end is
+        reported, and calls name the server only, which may keep its name.
     rng : random.Random, optional
         Identifies this process to the leader, and spreads renewals over time.
     clock : callable
@@ -157,6 +163,7 @@
         door,
         count,
         on_refused,
+        may_have_ended,
         rng=None,
         clock=steady_time,
     ):
@@ -170,6 +177,7 @@
         self._door = door
         self._count = count
         self._on_refused = on_refused
+        self._may_have_ended = may_have_ended
         self._sender_id = f"{rng.getrandbits(64):x}"
         self._rng = rng
         self._incarnations = {}
@@ -336,7 +344,9 @@
         result, sent = None, True
         try:
             with TimeLimit.within(call.timeout, loop=self._loop):
-                result = await self._sender.send(incarnation.instance, call)
+                result = await self._sender.send(
+                    incarnation.instance, call, may_have_ended=self._may_have_ended
+                )
         except NotSent as error:
             self._count("server_unreachable")
             sent = False
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -166,6 +166,7 @@
             door=settings.inbound,
             count=self.counters.count,
             on_refused=lambda instance: self._guard.note_refused(instance),
+            may_have_ended=lambda id: self._guard.may_have_ended(id),
             clock=clock,
         )
         self._end_reporter = EndReporter(
--- a/guavastream/hosts/tests/orders.py
+++ b/guavastream/hosts/tests/orders.py
@@ -99,7 +99,9 @@
         self._late_calls = set()
         self.error = None
 
-    async def send(self, instance, call):
+    async def send(self, instance, call, *, may_have_ended):
+        if may_have_ended(instance.id):
+            raise NotSent("the server may have ended")
         server = self._servers[instance.id]
         if server.has_crashed:
             raise NotSent("connection refused", refused=True)
@@ -183,6 +185,7 @@
         """Start the process beside the server, without any state."""
         control = self.fleet.cluster.client(self.name)
         holder = TableHolder(codec=FleetStateCodec())
+        self._reported_ends = set()
         self.key_manager = KeyManager(
             control=control,
             sender=self.fleet.key_sender,
@@ -191,11 +194,11 @@
             door=self.door,
             count=lambda name: None,
             on_refused=self._on_refused,
+            may_have_ended=self._reported_ends.__contains__,
             rng=self.fleet.rng,
             clock=asyncio.get_running_loop().time,
         )
         self._tasks = [asyncio.ensure_future(self._follow_fleet_state(control, holder))]
-        self._reported_ends = set()
 
     async def kill_process(self):
         """Kill the process; calls in flight get no answer."""
@@ -221,7 +224,15 @@
             self._reported_ends.add(instance.id)
             self._tasks.append(asyncio.ensure_future(self._report_end(instance.id)))
 
-    async def _report_end(self, id):
+    def note_end(self, id, *, report_after):
+        """Let the process know of an end, and report it some seconds later."""
+        self._reported_ends.add(id)
+        self._tasks.append(
+            asyncio.ensure_future(self._report_end(id, after=report_after))
+        )
+
+    async def _report_end(self, id, *, after=0.0):
+        await asyncio.sleep(after)
         try:
             client = self.fleet.cluster.client(self.name)
             await client.call(
--- a/guavastream/hosts/tests/test_key_keeper.py
+++ b/guavastream/hosts/tests/test_key_keeper.py
@@ -222,6 +222,21 @@
     run_key_fleet(tmp_path, scenario, named=True)
 
 
+def test_next_life_gets_no_calls_while_the_end_of_the_one_before_is_reported(tmp_path):
+    """Guards against keys that a call grants to a new life and the leader to others."""
+
+    async def scenario(fleet):
+        host = fleet.hosts[0]
+        ended = host.server.id
+        host.restart_server(unheard_seconds=4.0)
+        host.note_end(ended, report_after=1.5)
+        await asyncio.sleep(12.0)
+        assert fleet.all_keys_held()
+        assert any(host.server.holds(key) for key in SAMPLED_KEYS)
+
+    run_key_fleet(tmp_path, scenario, named=True)
+
+
 @pytest.mark.parametrize("seed", [1, 4, 5, 6, 8, 9, 10, 14, 16, 40])
 def test_keys_have_one_holder_under_random_faults_and_lost_calls(tmp_path, seed):
     # Guards against two servers holding one key. Calls get no answer and are
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -365,6 +365,10 @@
         """Note that the local server's address refused a connection."""
         self._server.watch.note_refused(instance)
 
+    def may_have_ended(self, id):
+        """Whether calls to an instance of the local server may reach the next one."""
+        return self._server.watch.may_have_ended(id)
+
     def _note_statement(self, instance, statement):
         """Act on what the local server says of itself in an answer."""
         id = instance.id
--- a/guavastream/relay/server_watch.py
+++ b/guavastream/relay/server_watch.py
@@ -72,6 +72,8 @@
         self._heard_at = {}
         self._ended_id = ""
         self._confirming = None
+        # Id of the instance whose end is being confirmed.
+        self._confirming_id = ""
         self._probe = None
 
     @property
@@ -83,6 +85,14 @@
         """Whether a server instance is known to have ended."""
         return id == self._ended_id
 
+    def may_have_ended(self, id):
+        """Whether a server instance is known to have ended, or has refused connections.
+
+        What is sent to its address then may reach the next instance, and what is sent
+        before the last of the refused connections cannot.
+        """
+        return self.has_ended(id) or id == self._confirming_id
+
     def begin(self, id, exchange, request):
         """Note that a request was sent to a server instance on a connection."""
         self._runs[exchange] = _Run(
@@ -201,8 +211,12 @@
     async def _confirm_end(self, instance):
         """Report the end of an instance if it is confirmed."""
         began = self._loop.time()
-        if not await self._keeps_refusing(instance):
-            return
+        self._confirming_id = instance.id
+        try:
+            if not await self._keeps_refusing(instance):
+                return
+        finally:
+            self._confirming_id = ""
         if self._heard_at.get(instance.id, float("-inf")) >= began:
             return
         log.warning("The local server %s has ended.", instance.id)
@@ -212,11 +226,11 @@
     async def _keeps_refusing(self, instance):
         """Whether an instance has no open connections and refuses all new ones."""
         for _ in range(REFUSED_CONNECTIONS):
+            await asyncio.sleep(CONFIRM_SECONDS / REFUSED_CONNECTIONS)
             if any(run.instance_id == instance.id for run in self._runs.values()):
                 return False
             if self._client.count_usable(instance.address):
                 return False
             if not await self._refuses_connection(instance):
                 return False
-            await asyncio.sleep(CONFIRM_SECONDS / REFUSED_CONNECTIONS)
         return True
