Servers of the emulated platform can't take the ports of its processes

Cause: ports of the processes were looked up on one address and let go. A process that is killed by a fault could lose its port the same way and stay away. Ruled out: the product; the process says "address already in use".

Change: the ports are reserved on all addresses for as long as the platform is there; who asks for one by number gets it.

--- a/guavastream/platform/emulator/machine.py
+++ b/guavastream/platform/emulator/machine.py
@@ -14,8 +14,8 @@
     "HEARTBEAT_SECONDS",
     "Machine",
     "PORTS",
+    "ReservedPorts",
     "call",
-    "free_ports",
     "make_settings",
     "wait_until",
 ]
@@ -52,15 +52,60 @@
         return 0, b""
 
 
-def free_ports(ip, count):
-    """Return ports that are free on an IP address, in ascending order."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((ip, 0))
-    ports = sorted(sock.getsockname()[1] for sock in sockets)
-    for sock in sockets:
-        sock.close()
-    return ports
+class ReservedPorts:
+    """Ports that nobody gets by chance on some IP addresses.
+
+    Who binds one of them by its number gets it, also after it was released, as long as
+    that is done with SO_REUSEADDR.
+
+    Parameters
+    ----------
+    ips : list of str
+        The IP addresses; each port is reserved on all of them.
+    count : int
+        Number of ports.
+    """
+
+    def __init__(self, *, ips, count):
+        self._sockets = []
+        self._numbers = []
+        while len(self._numbers) < count:
+            self._reserve(ips)
+
+    @property
+    def numbers(self):
+        """The ports, in ascending order."""
+        return sorted(self._numbers)
+
+    def _reserve(self, ips):
+        first = _bind(ips[0], 0)
+        port, sockets = first.getsockname()[1], [first]
+        try:
+            for ip in ips[1:]:
+                sockets.append(_bind(ip, port))
+        except OSError:
+            # It is taken on one of the addresses.
+            for reserving in sockets:
+                reserving.close()
+            return
+        self._sockets += sockets
+        self._numbers.append(port)
+
+    def release(self):
+        """Let the ports go."""
+        for reserving in self._sockets:
+            reserving.close()
+
+
+def _bind(ip, port):
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        bound.bind((ip, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
 
 
 def make_settings(name, ip, ports, seeds, **overrides):
--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -11,8 +11,8 @@
 from guavastream.platform.emulator.machine import (
     PORTS,
     Machine,
+    ReservedPorts,
     call,
-    free_ports,
     wait_until,
 )
 from guavastream.platform.emulator.server import BackendServer
@@ -132,7 +132,11 @@
     ):
         # Addresses depend on the process id, so that concurrent runs don't collide.
         ip_prefix = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}"
-        ports = free_ports(f"{ip_prefix}.1", len(PORTS))
+        numbers = [1, 2, 3, *range(11, 11 + keyed + plain)]
+        self._reserved_ports = ReservedPorts(
+            ips=[f"{ip_prefix}.{n}" for n in numbers], count=len(PORTS)
+        )
+        ports = self._reserved_ports.numbers
         self.folder = folder
         self.granting = granting
         self._late_share = late_share
@@ -270,6 +274,7 @@
                 with contextlib.suppress(ProcessLookupError):
                     machine.process.send_signal(signal.SIGCONT)
                 await machine.terminate()
+        self._reserved_ports.release()
 
     # Callers and operators
 
