Refusing early and entering the queue share their steps

Both noted the queue, judged starvation and made the waiter on their own, and both listed the fields of an attempt and looked up its server. Had one changed, a host would have refused early what it then lets in, or the other way round. No behaviour changes; scheduling, relay and hosts tests pass.

--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -43,6 +43,19 @@
 log = part_logger("guard")
 
 
+def _queue_fields(attempt):
+    """Return how an attempt queues for a slot, as arguments of `AdmissionQueue`."""
+    return {
+        "rank": attempt.rank,
+        "kind": attempt.kind,
+        "wanted_by": attempt.target_time,
+        "deadline": attempt.deadline,
+        "call": attempt.is_call,
+        "urgency": attempt.urgency,
+        "margin": attempt.margin,
+    }
+
+
 def _is_replaced(instance, fleet_state):
     """Whether another instance has the address or the name of one that is gone.
 
@@ -457,6 +470,19 @@
             return None
         return instance
 
+    def _find_server(self, attempt):
+        """Return the local server that an attempt is for.
+
+        Raises
+        ------
+        NotRun
+            If it is not here.
+        """
+        instance = self.find_local(attempt.instance)
+        if instance is None or instance.service != attempt.service:
+            raise NotRun("no_server")
+        return instance
+
     @contextlib.asynccontextmanager
     async def serve(self, attempt):
         """Run an attempt and yield the server's answer; holds a slot until the exit.
@@ -468,9 +494,7 @@
         OutcomeUnknown
             If the attempt may have run.
         """
-        instance = self.find_local(attempt.instance)
-        if instance is None or instance.service != attempt.service:
-            raise NotRun("no_server")
+        instance = self._find_server(attempt)
         self._local_id = instance.id
         if attempt.key is not None and not attempt.is_retry:
             # Retries are not counted: they would inflate the counts of the keys whose
@@ -579,9 +603,7 @@
             If the server has ended, leaves, is evacuated, does not own the key, gets as
             many requests as it takes, or has no slot in time.
         """
-        instance = self.find_local(attempt.instance)
-        if instance is None or instance.service != attempt.service:
-            raise NotRun("no_server")
+        instance = self._find_server(attempt)
         self._refuse_without_work(attempt, instance)
         if self._server.watch.has_ended(instance.id):
             raise NotRun("unreachable")
@@ -591,15 +613,7 @@
             self._rate_limiter.check(instance.id, self._cold_rate(instance))
             # A retry may have a reservation, which is known when it enters the queue.
             if self._class_admission is None or not attempt.is_retry:
-                self._admission_queue.refuse_early(
-                    rank=attempt.rank,
-                    kind=attempt.kind,
-                    wanted_by=attempt.target_time,
-                    deadline=attempt.deadline,
-                    call=attempt.is_call,
-                    urgency=attempt.urgency,
-                    margin=attempt.margin,
-                )
+                self._admission_queue.refuse_early(**_queue_fields(attempt))
 
     async def _wait_for_suspect_turn(self, attempt, instance):
         """Wait until no other suspect request runs, if this one is suspect.
@@ -650,16 +664,10 @@
             )
         with self._logged_refusals(attempt):
             slot = await enter(
-                rank=attempt.rank,
-                kind=attempt.kind,
-                wanted_by=attempt.target_time,
-                deadline=attempt.deadline,
-                call=attempt.is_call,
+                **_queue_fields(attempt),
                 id=attempt.id.partition(self._dialect.call_separator)[0],
-                urgency=attempt.urgency,
                 again=attempt.is_retry,
                 last=attempt.is_last,
-                margin=attempt.margin,
             )
         if slot.was_starved:
             self._count("starved_requests_served")
--- a/guavastream/scheduling/admission.py
+++ b/guavastream/scheduling/admission.py
@@ -333,19 +333,18 @@
             self._take_slot(urgency, estimate)
         else:
             now = self._clock()
-            self._note_if_empty(urgency, now)
-            starved = self._is_starved(group, urgency)
             waiter = self._make_waiter(
                 rank,
                 urgency,
+                group,
                 estimate,
                 wanted_by,
                 deadline,
                 call,
-                starved,
                 now,
                 margin,
             )
+            starved = waiter.starved
             try:
                 may_exceed_share = admitted or starved or reserved
                 if not may_exceed_share and self._policy.shares:
@@ -389,15 +388,14 @@
             return
         now = self._clock()
         group = (kind, urgency) if self._by_class else kind
-        self._note_if_empty(urgency, now)
         waiter = self._make_waiter(
             rank,
             urgency,
+            group,
             self.estimated_seconds(kind),
             wanted_by,
             deadline,
             call,
-            self._is_starved(group, urgency),
             now,
             margin,
         )
@@ -518,9 +516,11 @@
         raise NotRun("overloaded", retry_after=retry_after, reasons=reasons)
 
     def _make_waiter(
-        self, rank, urgency, estimate, wanted_by, deadline, call, starved, now, margin
+        self, rank, urgency, group, estimate, wanted_by, deadline, call, now, margin
     ):
         """Return the queue entry of a request with its latest start times."""
+        self._note_if_empty(urgency, now)
+        starved = self._is_starved(group, urgency)
         latest_start = deadline - max(margin, estimate * MIN_TIME_LEFT_SHARE)
         slack = wanted_by - now - estimate
         late = slack <= 0 and not call and self._policy.late_last
