--- a/guavastream/leases/client.py
+++ b/guavastream/leases/client.py
@@ -1,6 +1,7 @@
 """A client that finds the leading control host and calls it."""
 
 import asyncio
+from functools import partial
 
 import msgspec
 
@@ -112,7 +113,7 @@
         address = self._addresses[position % len(self._addresses)]
         return await self._call_host(address, request, timeout)
 
-    async def begin(self, address, request, *, timeout):
+    async def begin(self, address, request, timeout):
         """Call one control host and return the first part of its answer.
 
         Pass it to `finish` to get the complete answer.
@@ -135,9 +136,7 @@
         return await read_whole(begun, call, timeout=part_timeout)
 
     async def _call_host(self, address, request, timeout):
-        async def call(request, timeout):
-            return await self.begin(address, request, timeout=timeout)
-
+        call = partial(self.begin, address)
         return await self.finish(await call(request, timeout), call)
 
     def _switch_leader(self, called, hint=""):
--- a/guavastream/leases/hedged_watch.py
+++ b/guavastream/leases/hedged_watch.py
@@ -130,15 +130,15 @@
             self._first = random.choice(order)
             raise
         parts = _HedgedParts(
-            call=partial(self._call_for_part, found.address),
+            call=partial(self._control.begin, found.address),
             find_other=partial(self._find_other_answer, found.address, request),
         )
         try:
             return await self._finish(found, parts.read)
         except _AnsweredElsewhere as other:
-            address = other.found.address
+            found = other.found
             return await self._finish(
-                other.found, partial(self._call_for_part, address)
+                found, partial(self._control.begin, found.address)
             )
 
     async def _finish(self, found, read_part):
@@ -152,9 +152,6 @@
             self._first = random.choice(self._others(found.address) or [found.address])
             raise
 
-    async def _call_for_part(self, address, request, timeout):
-        return await self._control.begin(address, request, timeout=timeout)
-
     async def _find_other_answer(self, address, request, probe):
         """Return a call that a control host other than `address` answered, or None.
 
