The health check returns what was reported, its caller says what that means

The answer for 'unknown' was worked out before each check and handed down, a scan of all servers that is needed only if the check says nothing.

--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -498,15 +498,14 @@
         server uses the address. Without an answer the sender counts as there, unless it
         would displace a server that may hold keys.
         """
-        if_unknown = not self._has_other_server(heartbeat)
-        rules = self._state_holder.table.config.services.get(heartbeat.service)
-        path = rules.health if rules else "/health"
-        name = self._dialect.instance.lower()
         with self._guard.health_check() as may_check:
-            if not may_check:
-                # It would not respond.
-                return if_unknown
-            return await self._reports_its_name(heartbeat, path, name, if_unknown)
+            # Without a free slot it would not respond.
+            reported = await self._reported_name(heartbeat) if may_check else b""
+        if reported is None:
+            return False
+        if not reported:
+            return not self._has_other_server(heartbeat)
+        return reported == (heartbeat.name or heartbeat.id).encode()
 
     def _has_other_server(self, heartbeat):
         """Whether another server was heard at its address within the longest hold.
@@ -522,7 +521,13 @@
             for other in self._state_holder.table.instances.values()
         )
 
-    async def _reports_its_name(self, heartbeat, path, name, if_unknown):
+    async def _reported_name(self, heartbeat):
+        """Return the name of the server at the address of a heartbeat's sender.
+
+        Empty if it does not say or is late, None if no server is there.
+        """
+        rules = self._state_holder.table.config.services.get(heartbeat.service)
+        path = rules.health if rules else "/health"
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
                 async with await self._prober.open(
@@ -535,13 +540,10 @@
                     # Checks use new connections only, and the server has few.
                     probe.discard()
         except (NotSent, IncompleteMessage):
-            return False
+            return None
         except TimeoutError:
-            return if_unknown
-        reported_id = answer.headers.get(name)
-        if not reported_id:
-            return if_unknown
-        return reported_id == (heartbeat.name or heartbeat.id).encode()
+            return b""
+        return answer.headers.get(self._dialect.instance.lower())
 
     # Stopping
 
