--- a/guavastream/hosts/key_keeper.py
+++ b/guavastream/hosts/key_keeper.py
@@ -58,8 +58,6 @@
     ----------
     dialect : KeyDialect
         How the calls are encoded.
-    rng : random.Random, optional
-        Distinguishes the ids of calls from those of other processes.
 
     Notes
     -----
@@ -69,10 +67,11 @@
     they belong to.
     """
 
-    def __init__(self, *, dialect, rng=None):
+    def __init__(self, *, dialect):
         self._dialect = dialect
         self._client = Client(connect_seconds=CONNECT_TIMEOUT_SECONDS)
-        self._prefix = b"keys%08x" % (rng or random.Random()).getrandbits(32)
+        # Distinguishes the ids of calls from those of other processes.
+        self._prefix = b"keys%08x" % random.getrandbits(32)
         self._numbers = itertools.count(1)
         # Id of the instance whose answers name their calls.
         self._naming_id = ""
