Voters change one at a time also under the hand of two callers

Cause: a change of voters was refused only if an earlier one stood among the first 256 uncommitted entries of the log. One that was queued, or being written, or further back wasn't seen, so two voters could be added between the same two majorities. A new leader could change the voters before an entry of its own term was committed (erratum to Ongaro's thesis).

--- a/guavastream/control/leader.py
+++ b/guavastream/control/leader.py
@@ -32,7 +32,7 @@
 class Leader(Follower):
     """A voter that can replicate its log to the others as the leader."""
 
-    async def propose(self, data, *, kind=COMMAND):
+    async def propose(self, data):
         """Replicate a command and return its result after it is applied.
 
         Raises
@@ -45,14 +45,17 @@
         """
         if not self._leading:
             raise NotLeader(leader=self._leader_address)
-        if kind == COMMAND:
-            # A command in the log that cannot be applied would crash every voter,
-            # again at each start.
-            self._machine.check(data)
+        # A command in the log that cannot be applied would crash every voter, again at
+        # each start.
+        self._machine.check(data)
+        return await self._queue_proposal(COMMAND, data)
+
+    def _queue_proposal(self, kind, data):
+        """Queue an entry to be written; return a future of its result."""
         future = self._loop.create_future()
         self._proposals.append((kind, data, future))
         self._proposals_ready.set()
-        return await future
+        return future
 
     # Leading
 
@@ -311,23 +314,37 @@
                         code="not_caught_up",
                     )
                 await asyncio.sleep(self._timing.heartbeat)
-            await self._change_voters(self._voters | {voter: address})
+            await self._change_voters(add={voter: address})
         finally:
             self._learners.pop(voter, None)
 
     async def remove_voter(self, voter):
         """Remove a voter from the group; a leader that removes itself steps down."""
-        voters = {v: a for v, a in self._voters.items() if v != voter}
-        if not voters:
+        if set(self._voters) == {voter}:
             raise PeerFailure("The last voter cannot be removed.", code="last_voter")
-        await self._change_voters(voters)
+        await self._change_voters(remove=voter)
         if voter == self.voter:
             self._step_down.set()
 
-    async def _change_voters(self, voters):
-        # Voters change one at a time, and only after the previous change is
-        # committed, so that any two majorities share a voter.
-        pending = self._storage.slice(self._commit + 1, MAX_BATCH_ENTRIES)
-        if any(entry.kind == VOTERS for entry in pending):
+    async def _change_voters(self, *, add=None, remove=None):
+        """Commit the voters with one added or removed.
+
+        Voters change one at a time, and only after the previous change and an entry of
+        this term are committed, so that any two majorities share a voter.
+        """
+        # Under the lock no entries are on their way from the queue to the log.
+        async with self._write_lock:
+            self._require_no_voter_change()
+            voters = self._voters | (add or {})
+            voters.pop(remove, None)
+            data = msgspec.msgpack.encode(voters)
+            future = self._queue_proposal(VOTERS, data)
+        await future
+
+    def _require_no_voter_change(self):
+        if not self._leading:
+            raise NotLeader(leader=self._leader_address)
+        queued = [kind for kind, _, _ in self._proposals]
+        written = [entry.kind for entry in self._storage.entries_after(self._commit)]
+        if self._commit < self._term_start_index or VOTERS in queued + written:
             raise PeerFailure("Another change of voters is in progress.", code="busy")
-        await self.propose(msgspec.msgpack.encode(voters), kind=VOTERS)
--- a/guavastream/control/storage.py
+++ b/guavastream/control/storage.py
@@ -137,6 +137,10 @@
                 return tuple(entries[:number])
         return tuple(entries)
 
+    def entries_after(self, index):
+        """Return all entries after `index`."""
+        return self.entries[max(0, index + 1 - self.first_index) :]
+
     def save_meta(self, **changes):
         """Change fields of the metadata and sync it to disk."""
         with self._lock:
--- a/guavastream/control/tests/test_votes.py
+++ b/guavastream/control/tests/test_votes.py
@@ -3,10 +3,13 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from guavastream.control import Entry, Raft, RaftTiming, StateMachine, Storage
 from guavastream.control.messages import AppendEntries, RequestVote
+from guavastream.control.storage import VOTERS
+from guavastream.control.voter import ENTRIES_PER_SNAPSHOT
 from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.exception import PeerFailure
 
@@ -195,3 +198,78 @@
         assert raft.term == 9 and raft._make_append_request("c", 0, ()).term == 3
 
     run_paused(scenario())
+
+
+def lead(raft):
+    """Make a voter the leader of its term without an election."""
+    raft._leading = True
+    raft._term_start_index = raft._commit
+
+
+@pytest.mark.parametrize("written", [False, True])
+def test_two_voters_are_not_added_in_one_step(tmp_path, written):
+    """A second change of voters begins before the first one is committed.
+
+    A majority before the two and one after them need not share a voter.
+    """
+
+    async def scenario():
+        raft = make_voter(tmp_path, entries=[Entry(index=1, term=3)])
+        lead(raft)
+        first = asyncio.ensure_future(raft._change_voters(add={"d": "d"}))
+        await asyncio.sleep(0)
+        if written:
+            async with raft._write_lock:
+                filler = [Entry(index=2 + n, term=3) for n in range(300)]
+                kind, data, _ = raft._proposals.pop()
+                raft._storage.append(
+                    [*filler, Entry(index=302, term=3, kind=kind, data=data)]
+                )
+        with pytest.raises(PeerFailure) as caught:
+            async with asyncio.timeout(1):
+                await raft._change_voters(add={"e": "e"})
+        assert caught.value.code == "busy"
+        first.cancel()
+
+    run_paused(scenario())
+
+
+def test_voters_do_not_change_before_the_term_has_an_entry(tmp_path):
+    """A new leader changes the voters while a change of an earlier term is unknown.
+
+    It could commit its own change without a majority that knows of the other one
+    (erratum to Ongaro's thesis, 2015).
+    """
+
+    async def scenario():
+        raft = make_voter(tmp_path, entries=[Entry(index=1, term=3)])
+        raft._leading = True
+        raft._term_start_index = 2
+        with pytest.raises(PeerFailure) as caught:
+            await raft.remove_voter("c")
+        assert caught.value.code == "busy"
+
+    run_paused(scenario())
+
+
+def test_snapshot_holds_the_voters_of_its_last_entry(tmp_path):
+    """A snapshot is taken while a change of voters is written but not committed.
+
+    If it held that change, it would outlive the entry after another leader replaced
+    it, and the voter would count a majority that nobody agreed to.
+    """
+
+    async def scenario():
+        raft = make_voter(tmp_path)
+        before = raft.voters
+        count = ENTRIES_PER_SNAPSHOT
+        entries = [Entry(index=n, term=3) for n in range(1, count + 1)]
+        data = msgspec.msgpack.encode({"other": "other"})
+        entries.append(Entry(index=count + 1, term=3, kind=VOTERS, data=data))
+        raft._storage.append(entries)
+        raft._voters = raft._latest_voters()
+        raft._set_commit(count)
+        assert raft._storage.snapshot.index == count
+        assert raft._storage.snapshot.voters == before
+
+    run_paused(scenario())
--- a/guavastream/control/voter.py
+++ b/guavastream/control/voter.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import math
 import random
 from dataclasses import dataclass
 
@@ -283,10 +284,10 @@
 
     # Stored state
 
-    def _latest_voters(self):
-        """Return the voters of the last voter change, committed or not."""
+    def _latest_voters(self, index=math.inf):
+        """Return the voters of the last change up to `index`, committed or not."""
         for entry in reversed(self._storage.entries):
-            if entry.kind == VOTERS:
+            if entry.kind == VOTERS and entry.index <= index:
                 return msgspec.msgpack.decode(entry.data, type=dict[str, str])
         return self._storage.snapshot.voters or self._storage.meta.voters
 
@@ -352,6 +353,7 @@
             index=self._applied,
             term=storage.term_at(self._applied),
             data=self._machine.dump(),
-            voters=self._voters,
+            # A later change of voters may still be replaced by another one.
+            voters=self._latest_voters(self._applied),
         )
         storage.save_snapshot(snapshot)
