A control host that joins waits for no other one that is gone

Cause: the successor asked one control host at a time and waited 5 s for its answer, because the leader answered only when the host had caught up; the first seed, which was dead, took the first 5 s, and changed seeds did not end that. On the leader the lock was held meanwhile, so a host that asked and vanished delayed the next one by 5 s as well.

Change: voters have a module of their own, control/voters.py. A host asks all control hosts it knows, of its log and of the settings as they are now, at once, every 0.4 s; the leader notes it, answers at once and replicates to all that asked lately, and adds each when it has caught up. Caught up means the entries committed at the last heartbeat, so that a steady stream of commits can't keep a host out.

--- a/guavastream/control/fleet.py
+++ b/guavastream/control/fleet.py
@@ -1,4 +1,4 @@
-"""Requests to the control hosts of a fleet, and replacement of lost voters."""
+"""Requests to the control hosts of a fleet."""
 
 import asyncio
 
@@ -6,7 +6,7 @@
 
 from guavastream.control.messages import VOTER_MESSAGES
 from guavastream.control.watching import WATCH_MESSAGES, WatchService
-from guavastream.exception import GuavastreamError, NotLeader, NotReady, PeerFailure
+from guavastream.exception import NotLeader, NotReady, PeerFailure
 from guavastream.fleet import (
     ChangeRoutes,
     CurrentRoutes,
@@ -24,11 +24,10 @@
     encode_command,
     make_incremental,
 )
-from guavastream.kernel import part_logger
 from guavastream.leases import Submit, SubmitAnswer
 from guavastream.messages import decode_message
 
-__all__ = ["FleetService", "VoterKeeper"]
+__all__ = ["FleetService"]
 
 # A control host whose state is older than this refuses watches, so that the watchers
 # turn to another one.
@@ -36,13 +35,6 @@
 # Added to the delay before a watch checks the age of the state again, so that the
 # limit has certainly passed by then.
 TIMER_MARGIN_SECONDS = 0.002
-# A voter that has been silent for this long is removed if there are more voters than
-# wanted. Longer than a restart or a short network interruption.
-LOST_VOTER_SECONDS = 3.0
-CHECK_INTERVAL_SECONDS = 0.4
-CATCH_UP_TIMEOUT_SECONDS = 5.0
-
-log = part_logger("control")
 
 
 class FleetService:
@@ -127,7 +119,7 @@
         if isinstance(request, Submit):
             return await self._submit(request)
         if isinstance(request, JoinVoters):
-            await self._voters.join(request)
+            self._voters.join(request)
             return request
         raise PeerFailure(
             f"{type(request).__name__} is not a request to a control host."
@@ -165,76 +157,3 @@
             result = await self._raft.propose(encode_command(command))
         encoded = msgspec.msgpack.encode(result)
         return SubmitAnswer(index=self._machine.table.index, result=encoded)
-
-
-class VoterKeeper:
-    """Adds control hosts as voters and removes lost ones, without an operator.
-
-    Parameters
-    ----------
-    raft : Raft
-        This voter.
-    control : ControlClient
-        Sends requests to the leader.
-    address : str
-        Peer address of this host.
-    wanted : int
-        Minimum number of voters to keep; there is one more only while a lost one
-        is being replaced.
-    """
-
-    def __init__(self, *, raft, control, address, wanted):
-        self._raft = raft
-        self._control = control
-        self._address = address
-        self._wanted = wanted
-        self._busy = asyncio.Lock()
-
-    async def join(self, request):
-        """Make a control host a voter; called on the leader.
-
-        The new voter is added before a lost one is removed, so that a commit never
-        needs fewer disks than before.
-        """
-        async with self._busy:
-            if self._raft.voters.get(request.voter) == request.address:
-                return
-            await self._raft.add_voter(
-                request.voter, request.address, timeout=CATCH_UP_TIMEOUT_SECONDS
-            )
-            log.info("Control host %s votes now.", request.address)
-
-    async def run(self):
-        """Ask to become a voter; on the leader, remove lost voters."""
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
-            try:
-                if self._raft.is_leader:
-                    await self._remove_lost()
-                elif not self._raft.is_voter:
-                    await self._ask_to_join()
-            except GuavastreamError as error:
-                log.debug("Changing the voters failed: %s.", error)
-
-    async def _ask_to_join(self):
-        request = JoinVoters(voter=self._raft.voter, address=self._address)
-        await self._control.call(
-            request,
-            timeout=2 * CATCH_UP_TIMEOUT_SECONDS,
-            attempt=CATCH_UP_TIMEOUT_SECONDS,
-        )
-
-    async def _remove_lost(self):
-        async with self._busy:
-            voters = self._raft.voters
-            newest_voter = {address: voter for voter, address in voters.items()}
-            silence_by_voter = self._raft.silence_by_voter
-            for voter, silence in sorted(
-                silence_by_voter.items(), key=lambda item: -item[1]
-            ):
-                replaced = newest_voter[voters[voter]] != voter
-                lost = len(voters) > self._wanted and silence > LOST_VOTER_SECONDS
-                if silence > CHECK_INTERVAL_SECONDS and (replaced or lost):
-                    await self._raft.remove_voter(voter)
-                    log.info("Control host %s is no longer a voter.", voters[voter])
-                    return
--- a/guavastream/control/leader.py
+++ b/guavastream/control/leader.py
@@ -66,6 +66,7 @@
         self._match_indexes = {}
         self._received_at = {}
         self._learners = {}
+        self._commit_at_beat = self._commit
         self._leader_term = self.term
         self._term_start_index = self._storage.last_index + 1
         self._proposals.append((COMMAND, b"", None))
@@ -76,6 +77,7 @@
         }
         try:
             while not self._step_down.is_set():
+                self._commit_at_beat = self._commit
                 self._update_peer_tasks(tasks)
                 next_check = self._loop.time() + self._timing.heartbeat
                 await self._step_down.wait_until(next_check)
@@ -288,6 +290,25 @@
 
     # Changing the voters
 
+    def add_learner(self, voter, address):
+        """Replicate the log to a host that does not vote."""
+        if self._leading and voter not in self._voters:
+            self._learners[voter] = address
+
+    def remove_learner(self, voter):
+        """Stop replicating to a host that does not vote."""
+        self._learners.pop(voter, None)
+
+    def is_caught_up(self, voter):
+        """Whether a learner has answered lately and has the log up to the last beat.
+
+        If it counted towards the majority before, the loss of another host could lose
+        entries that it does not have yet.
+        """
+        silence = self._now() - self._acked_at.get(voter, float("-inf"))
+        match_index = self._match_indexes.get(voter, 0)
+        return silence < self._timing.lease and match_index >= self._commit_at_beat
+
     async def add_voter(self, voter, address, *, timeout=30.0):
         """Replicate the log to a host, then make it a voter.
 
@@ -302,12 +323,10 @@
             raise NotLeader(leader=self._leader_address)
         if voter in self._voters:
             return
-        self._learners[voter] = address
+        self.add_learner(voter, address)
         deadline = self._now() + timeout
         try:
-            # If it counted towards the majority before it has caught up, the loss of
-            # another host could lose entries that it does not have yet.
-            while self._match_indexes.get(voter, 0) < self._commit:
+            while not self.is_caught_up(voter):
                 if self._now() > deadline:
                     raise PeerFailure(
                         f"Control host {address} did not catch up in time.",
@@ -316,7 +335,7 @@
                 await asyncio.sleep(self._timing.heartbeat)
             await self._change_voters(add={voter: address})
         finally:
-            self._learners.pop(voter, None)
+            self.remove_learner(voter)
 
     async def remove_voter(self, voter):
         """Remove a voter from the group; a leader that removes itself steps down."""
--- a/guavastream/control/tests/test_fleet.py
+++ b/guavastream/control/tests/test_fleet.py
@@ -8,9 +8,10 @@
 
 from guavastream.control import Raft, RaftTiming, Storage, TableStateMachine
 from guavastream.control.evacuations import EvacuationManager
-from guavastream.control.fleet import MAX_STATE_AGE_SECONDS, FleetService, VoterKeeper
+from guavastream.control.fleet import MAX_STATE_AGE_SECONDS, FleetService
 from guavastream.control.grants import GrantManager
 from guavastream.control.suspects import SuspectManager
+from guavastream.control.voters import VoterCandidate, VoterKeeper
 from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.exception import GuavastreamError, PeerFailure
 from guavastream.fleet import (
@@ -82,9 +83,9 @@
         granter = GrantManager(
             raft=raft, machine=machine, clock=loop.time, timing=HOLD_TIMING
         )
-        client = ControlClient(transport=transport, addresses=self.seeds)
-        keeper = VoterKeeper(
-            raft=raft, control=client, address=address, wanted=len(self.addresses)
+        keeper = VoterKeeper(raft=raft, clock=loop.time, wanted=2 * self.losses + 1)
+        candidate = VoterCandidate(
+            raft=raft, transport=transport, address=address, seeds=self.seeds
         )
         suspects = SuspectManager(raft=raft, machine=machine, clock=loop.time)
         service = FleetService(
@@ -105,7 +106,13 @@
         self.rafts[address] = raft
         self.tasks[address] = [
             asyncio.ensure_future(part)
-            for part in (raft.run(), granter.run(), keeper.run(), suspects.run())
+            for part in (
+                raft.run(),
+                granter.run(),
+                keeper.run(),
+                candidate.run(),
+                suspects.run(),
+            )
         ]
 
     def storage(self, folder):
--- /dev/null
+++ b/guavastream/control/tests/test_voters.py
@@ -0,0 +1,69 @@
+"""Losses of disks after voters joined, returned or left."""
+
+import asyncio
+
+from guavastream.control.tests.test_fleet import start_control_cluster
+from guavastream.emulator import run_paused
+
+# Time after which a control host that is back, or new, counts as in service again.
+CATCH_UP_SECONDS = 4.0
+# Time within which a leader is elected after a loss.
+RECOVERY_SECONDS = 15.0
+DOWN_SECONDS = 0.7
+NEW_HOST = "10.0.0.9:1"
+
+
+async def lose_disks(cluster, addresses):
+    """End control hosts and start them again with empty disks."""
+    for address in addresses:
+        cluster.kill(address)
+    await asyncio.sleep(DOWN_SECONDS)
+    for address in addresses:
+        cluster.start(address, first=False, disk=f"empty-{address}")
+
+
+def run_losses(folder, scenario):
+    """Play a scenario, which returns the hosts whose disks are lost then."""
+
+    async def main():
+        cluster = await start_control_cluster(folder)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        lost = await scenario(cluster)
+        await lose_disks(cluster, lost)
+        await cluster.until(cluster.leader, RECOVERY_SECONDS)
+        assert await cluster.read() == 1
+
+    run_paused(main())
+
+
+def test_two_disks_are_lost_after_the_first_seed_was_replaced(tmp_path):
+    """Guards against a dead seed that keeps a new control host from voting."""
+
+    async def scenario(cluster):
+        first, *others = cluster.addresses
+        cluster.kill(first)
+        await asyncio.sleep(1.0)
+        cluster.start(NEW_HOST, first=False)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        return others[:2]
+
+    run_losses(tmp_path, scenario)
+
+
+def test_host_that_is_gone_again_does_not_delay_another_one(tmp_path):
+    """Guards against a host that asks to vote and vanishes, and holds up the next."""
+
+    async def scenario(cluster):
+        gone, *others = cluster.addresses
+        cluster.kill(gone)
+        cluster.start("10.0.0.8:1", first=False)
+        # It asks after 0.4 s, and is gone before it has answered the leader.
+        await asyncio.sleep(0.39)
+        cluster.network.cut(cluster.leader(), "10.0.0.8:1", both=False)
+        await asyncio.sleep(0.1)
+        cluster.kill("10.0.0.8:1")
+        cluster.start(NEW_HOST, first=False)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        return others[:2]
+
+    run_losses(tmp_path, scenario)
--- a/guavastream/control/voter.py
+++ b/guavastream/control/voter.py
@@ -145,6 +145,8 @@
         self._received_at = {}
         self._match_indexes = {}
         self._learners = {}
+        # The commit index at the leader's last heartbeat.
+        self._commit_at_beat = 0
         self._pending_results = {}
         self._proposals = []
         self._write_lock = asyncio.Lock()
--- a/guavastream/hosts/control_host.py
+++ b/guavastream/hosts/control_host.py
@@ -4,13 +4,14 @@
 import random
 
 from guavastream.control.evacuations import EvacuationManager
-from guavastream.control.fleet import FleetService, VoterKeeper
+from guavastream.control.fleet import FleetService
 from guavastream.control.grants import GrantManager
 from guavastream.control.machine import TableStateMachine
 from guavastream.control.raft import Raft
 from guavastream.control.storage import Storage
 from guavastream.control.suspects import SuspectManager
 from guavastream.control.voter import RaftTiming
+from guavastream.control.voters import VoterCandidate, VoterKeeper
 from guavastream.fleet import (
     ChangeRoutesResult,
     FleetStateCodec,
@@ -87,10 +88,13 @@
             unset_gauge=self.counters.unset,
         )
         self._voter_keeper = VoterKeeper(
+            raft=self._raft, clock=steady_time, wanted=settings.wanted_voters
+        )
+        self._candidate = VoterCandidate(
             raft=self._raft,
-            control=self._control,
+            transport=self._transport,
             address=settings.peer,
-            wanted=settings.wanted_voters,
+            seeds=settings.seeds,
         )
         self._suspects = SuspectManager(
             raft=self._raft, machine=machine, clock=steady_time
@@ -128,6 +132,7 @@
         self._tasks.spawn(self._raft.run())
         self._tasks.spawn(self._granter.run())
         self._tasks.spawn(self._voter_keeper.run())
+        self._tasks.spawn(self._candidate.run())
         self._tasks.spawn(self._suspects.run())
 
     @property
@@ -148,8 +153,8 @@
         await self._control.call(request, timeout=CHANGE_TIMEOUT_SECONDS)
 
     def update_seeds(self, seeds):
-        """Set the control hosts to call while the voters are not known."""
-        self._control.update_addresses(tuple(self._raft.voters.values()) or seeds)
+        """Set the seeds from changed settings."""
+        self._candidate.seeds = seeds
 
     async def change(self, command):
         """Commit a change of the configuration and return its result.
@@ -198,7 +203,7 @@
         return answer.config
 
     def _update_leader(self):
-        self._control.update_addresses(tuple(self._raft.voters.values()))
+        self._control.update_addresses(self._candidate.known_hosts)
         if self._raft.leader_address:
             self._control.prefer(self._raft.leader_address)
 
