Tests of control hosts get the same identities in each run

Cause: identities of voters were random in tests, so who led, and in which order hosts were asked, differed from run to run.

--- a/guavastream/control/storage.py
+++ b/guavastream/control/storage.py
@@ -63,6 +63,8 @@
     ----------
     folder : str
         The data folder; created if it does not exist.
+    new_identity : callable, optional
+        Returns the identity of a voter whose folder is empty; random by default.
 
     Raises
     ------
@@ -77,7 +79,7 @@
     exists replaces that entry and all later ones.
     """
 
-    def __init__(self, *, folder):
+    def __init__(self, *, folder, new_identity=lambda: uuid.uuid4().hex):
         os.makedirs(folder, exist_ok=True)
         self._folder = folder
         # A cancelled task may leave a write running in its thread; the next write
@@ -89,7 +91,7 @@
         self._log = None
         meta = self._read_file("meta", Meta)
         if meta is None:
-            meta = Meta(voter=uuid.uuid4().hex)
+            meta = Meta(voter=new_identity())
             self._write_file("meta", meta)
         self.meta = meta
         self._load_log()
