A control host that was removed while it was away asks to vote again

Cause: with six voters the one that was silent longest went, which was the one that came back. It still found itself among the voters of its own log, so it never asked again, and no leader sent it anything; the one that was gone stayed a voter. And for a moment after a host with an empty disk had joined, its lost disk counted beside it.

Change: a voter that has heard no leader for 0.7 s asks the leader, who alone knows the voters, whether it votes. The decision is a function of its own (choose_change): a lost voter goes before its successor is added, since a majority of four has as many disks as one of five, so more voters than wanted are only ever voters that answer; a lost disk whose successor has caught up at its address goes first, then the longest silence, over 0.6 s in place of 3 s: one that went by mistake is back within two seconds.

--- a/guavastream/control/tests/test_voters.py
+++ b/guavastream/control/tests/test_voters.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from guavastream.control.tests.test_fleet import start_control_cluster
 from guavastream.emulator import run_paused
 
@@ -67,3 +69,42 @@
         return others[:2]
 
     run_losses(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("fault", ["kill", "cut"])
+def test_two_disks_are_lost_after_a_removed_host_came_back(tmp_path, fault):
+    """Guards against a host that was removed while away and never votes again."""
+
+    async def scenario(cluster):
+        leader = cluster.leader()
+        *others, away, gone = [a for a in cluster.addresses if a != leader]
+        if fault == "kill":
+            cluster.kill(away)
+        else:
+            cluster.network.isolate(away, [*cluster.addresses, NEW_HOST])
+        await asyncio.sleep(1.1)
+        cluster.kill(gone)
+        await asyncio.sleep(1.0)
+        cluster.start(NEW_HOST, first=False)
+        await asyncio.sleep(3.4)
+        cluster.network.heal()
+        if fault == "kill":
+            cluster.start(away, first=False)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        return others
+
+    run_losses(tmp_path, scenario)
+
+
+def test_disks_are_lost_that_had_just_voted_again(tmp_path):
+    """Guards against a lost disk that counts beside its successor for a moment."""
+
+    async def scenario(cluster):
+        leader = cluster.leader()
+        twice, other = [a for a in cluster.addresses if a != leader][:2]
+        cluster.kill(twice)
+        joined = cluster.start(twice, first=False, disk="first-empty")
+        await cluster.until(lambda: joined.is_voter)
+        return [twice, other]
+
+    run_losses(tmp_path, scenario)
--- a/guavastream/control/voter.py
+++ b/guavastream/control/voter.py
@@ -175,6 +175,11 @@
             return 0.0 if self.has_lease() else float("inf")
         return self._now() - self._leader_heard_at if self._leader else float("inf")
 
+    @property
+    def unheard_seconds(self):
+        """Seconds since this voter last heard a leader, led or started."""
+        return 0.0 if self._leading else self._now() - self._leader_heard_at
+
     @property
     def state_age(self):
         """Seconds since this voter had applied everything its leader had committed.
--- a/guavastream/control/voters.py
+++ b/guavastream/control/voters.py
@@ -7,12 +7,16 @@
 from guavastream.fleet import JoinVoters
 from guavastream.kernel import part_logger
 
-__all__ = ["VoterCandidate", "VoterKeeper"]
+__all__ = ["AddVoter", "OtherVoter", "RemoveVoter", "VoterCandidate", "VoterKeeper"]
+__all__ += ["choose_change"]
 
 CHECK_INTERVAL_SECONDS = 0.1
-# A voter that has been silent for this long is removed if there are more voters than
-# wanted. Longer than a restart or a short network interruption.
-LOST_VOTER_SECONDS = 3.0
+# A voter that has been silent for this long may be removed for another one. One that
+# was removed by mistake asks again, so this need not be longer than all its pauses.
+LOST_VOTER_SECONDS = 0.6
+# A voter that has heard no leader for this long may have been removed. Longer than an
+# election.
+UNHEARD_LEADER_SECONDS = 0.7
 # Pause between two requests of a host that wants to vote.
 REQUEST_INTERVAL_SECONDS = 0.4
 REQUEST_TIMEOUT_SECONDS = 0.35
@@ -22,6 +26,93 @@
 log = part_logger("control")
 
 
+@dataclass(frozen=True, kw_only=True)
+class OtherVoter:
+    """What the leader knows of another voter.
+
+    `silence` is the time since its last answer in seconds. `replaced` is whether
+    another voter, or a host that is ready to vote, has its address: its disk is lost.
+    """
+
+    voter: str
+    address: str
+    silence: float
+    replaced: bool = False
+
+    @property
+    def is_lost(self):
+        """Whether it may be removed for another voter."""
+        return self.replaced or self.silence > LOST_VOTER_SECONDS
+
+    @property
+    def urgency(self):
+        """Sort key: voters with a greater one are removed first."""
+        return self.replaced, self.silence
+
+
+@dataclass(frozen=True, kw_only=True)
+class AddVoter:
+    """Make a host a voter."""
+
+    voter: str
+    address: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class RemoveVoter:
+    """Remove a voter."""
+
+    voter: str
+    address: str
+
+
+def choose_change(others, *, ready, wanted):
+    """Return the next change of the voters, or None.
+
+    Parameters
+    ----------
+    others : list of OtherVoter
+        All voters but the leader.
+    ready : dict of str to str
+        Hosts that have caught up and ask to vote, mapped to their addresses.
+    wanted : int
+        Number of voters that survives the loss of as many disks as allowed.
+
+    Returns
+    -------
+    AddVoter, RemoveVoter or None
+
+    Notes
+    -----
+    With one voter less than wanted a majority has as many disks as with all of them,
+    and one voter that is lost counts neither for nor against it. So a lost one goes
+    before its successor is added, and there are more voters than wanted only while all
+    of them answer. Without a successor it stays: it would have to ask again when it
+    is back.
+
+    Examples
+    --------
+    >>> silent = OtherVoter(voter="b", address="h2", silence=2.0)
+    >>> others = [silent, OtherVoter(voter="c", address="h3", silence=0.0)]
+    >>> choose_change(others, ready={}, wanted=3)
+    >>> choose_change(others, ready={"d": "h4"}, wanted=3)
+    RemoveVoter(voter='b', address='h2')
+    >>> choose_change(others[1:], ready={"d": "h4"}, wanted=3)
+    AddVoter(voter='d', address='h4')
+    """
+    count = len(others) + 1
+    lost = max(
+        (other for other in others if other.is_lost),
+        key=lambda other: other.urgency,
+        default=None,
+    )
+    if lost and (count > wanted or count == wanted and (ready or lost.replaced)):
+        return RemoveVoter(voter=lost.voter, address=lost.address)
+    for voter, address in ready.items():
+        return AddVoter(voter=voter, address=address)
+    return None
+
+
 @dataclass(frozen=True, kw_only=True)
 class _JoinRequest:
     """A control host that asked to vote, and when it last did."""
@@ -87,13 +178,20 @@
         """Make one change of the voters, if one is due."""
         self._begin_term()
         self._forget_old_requests()
-        if await self._remove_lost():
-            return
-        for voter, request in self._requests.items():
-            if self._raft.is_caught_up(voter):
-                await self._raft.add_voter(voter, request.address)
-                log.info("Control host %s votes now.", request.address)
-                return
+        ready = {
+            voter: request.address
+            for voter, request in self._requests.items()
+            if self._raft.is_caught_up(voter)
+        }
+        change = choose_change(
+            self._other_voters(ready), ready=ready, wanted=self._wanted
+        )
+        if isinstance(change, AddVoter):
+            await self._raft.add_voter(change.voter, change.address)
+            log.info("Control host %s votes now.", change.address)
+        elif isinstance(change, RemoveVoter):
+            await self._raft.remove_voter(change.voter)
+            log.info("Control host %s is no longer a voter.", change.address)
 
     def _forget_old_requests(self):
         oldest = self._now() - REQUEST_LIFETIME_SECONDS
@@ -103,24 +201,22 @@
                 del self._requests[voter]
                 self._raft.remove_learner(voter)
 
-    async def _remove_lost(self):
+    def _other_voters(self, ready):
         voters = self._raft.voters
-        newest_voter = {address: voter for voter, address in voters.items()}
-        silence_by_voter = self._raft.silence_by_voter
-        for voter, silence in sorted(
-            silence_by_voter.items(), key=lambda item: -item[1]
-        ):
-            replaced = newest_voter[voters[voter]] != voter
-            lost = len(voters) > self._wanted and silence > LOST_VOTER_SECONDS
-            if silence > CHECK_INTERVAL_SECONDS and (replaced or lost):
-                await self._raft.remove_voter(voter)
-                log.info("Control host %s is no longer a voter.", voters[voter])
-                return True
-        return False
+        newest_voter = {address: voter for voter, address in (voters | ready).items()}
+        return [
+            OtherVoter(
+                voter=voter,
+                address=voters[voter],
+                silence=silence,
+                replaced=newest_voter[voters[voter]] != voter,
+            )
+            for voter, silence in self._raft.silence_by_voter.items()
+        ]
 
 
 class VoterCandidate:
-    """Asks the leader to make this control host a voter.
+    """Asks the leader to make this control host a voter, and to keep it one.
 
     Parameters
     ----------
@@ -146,10 +242,17 @@
         return tuple(dict.fromkeys([*self._raft.voters.values(), *self.seeds]))
 
     async def run(self):
-        """Ask until this host votes, then watch that it still does."""
+        """Ask until this host votes, and again when no leader is heard.
+
+        A host that was removed while it was cut off, frozen or down still finds itself
+        among the voters of its own log, and the leader sends it nothing any more.
+        """
         while True:
             await asyncio.sleep(REQUEST_INTERVAL_SECONDS)
-            if not self._raft.is_leader and not self._raft.is_voter:
+            if (
+                not self._raft.is_voter
+                or self._raft.unheard_seconds > UNHEARD_LEADER_SECONDS
+            ):
                 await self._ask_leader(
                     JoinVoters(voter=self._raft.voter, address=self._address)
                 )
