A control host that stops as planned leaves the voters before it ends

Cause: a planned stop handed leadership over and said nothing else. The host stayed one of six voters until the leader had found it silent (3 s, then 0.6 s), and of six voters four are needed.

Change: a host that stops tells the leader, after it has handed over its own leadership, and waits until it is let go, for 1 s at most. The leader removes it at once if there are more voters than wanted. Otherwise it stays, as it may only restart, and is the first to go when a successor is ready. A host says after its start that it is there, which ends that.

Result: the replacement of a follower and of the leader failed before (the stop of the tests then without its word to the leader) and pass; a restart keeps its vote.

--- a/guavastream/control/fleet.py
+++ b/guavastream/control/fleet.py
@@ -13,6 +13,7 @@
     Depart,
     Heartbeat,
     JoinVoters,
+    LeaveVoters,
     LiftSuspects,
     LoadReport,
     ReadRoutes,
@@ -121,6 +122,9 @@
         if isinstance(request, JoinVoters):
             self._voters.join(request)
             return request
+        if isinstance(request, LeaveVoters):
+            await self._voters.leave(request)
+            return request
         raise PeerFailure(
             f"{type(request).__name__} is not a request to a control host."
         )
--- a/guavastream/control/tests/test_fleet.py
+++ b/guavastream/control/tests/test_fleet.py
@@ -62,7 +62,7 @@
         self.network = network
         self.addresses = [f"10.0.0.{n}:1" for n in range(1, count + 1)]
         self.seeds = tuple(self.addresses[:seeds])
-        self.rafts, self.tasks, self.starts = {}, {}, 0
+        self.rafts, self.candidates, self.tasks, self.starts = {}, {}, {}, 0
 
     def start(self, address, *, first=True, disk=None):
         """Start a control host and return its `Raft`."""
@@ -104,7 +104,7 @@
             losses=self.losses,
         )
         self.network.serve(address, service.handle)
-        self.rafts[address] = raft
+        self.rafts[address], self.candidates[address] = raft, candidate
         self.tasks[address] = [
             asyncio.ensure_future(part)
             for part in (
@@ -138,6 +138,12 @@
         for task in self.tasks.pop(address):
             task.cancel()
 
+    async def stop(self, address):
+        """Stop a control host as planned; its disk stays."""
+        await self.rafts[address].transfer_leadership()
+        await self.candidates[address].leave()
+        self.kill(address)
+
     def leader(self):
         return next((a for a, raft in self.rafts.items() if raft.is_leader), None)
 
--- a/guavastream/control/tests/test_voters.py
+++ b/guavastream/control/tests/test_voters.py
@@ -108,3 +108,33 @@
         return [twice, other]
 
     run_losses(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("leads", [False, True])
+def test_two_disks_are_lost_right_after_a_planned_replacement(tmp_path, leads):
+    """Guards against a stopped host that counts as a voter beside its successor."""
+
+    async def scenario(cluster):
+        cluster.start(NEW_HOST, first=False)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        leader = cluster.leader()
+        others = [a for a in cluster.addresses if a != leader]
+        await cluster.stop(leader if leads else others.pop())
+        return others[:2]
+
+    run_losses(tmp_path, scenario)
+
+
+def test_host_that_restarts_as_planned_stays_a_voter(tmp_path):
+    """Guards against a restart that leaves a voter less than may be lost."""
+
+    async def scenario(cluster):
+        leader = cluster.leader()
+        restarted, *others = [a for a in cluster.addresses if a != leader]
+        await cluster.stop(restarted)
+        assert len(cluster.rafts[cluster.leader()].voters) == 5
+        cluster.start(restarted, first=False)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        return others[:2]
+
+    run_losses(tmp_path, scenario)
--- a/guavastream/control/voters.py
+++ b/guavastream/control/voters.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from guavastream.exception import GuavastreamError, NotLeader
-from guavastream.fleet import JoinVoters
-from guavastream.kernel import part_logger
+from guavastream.fleet import JoinVoters, LeaveVoters
+from guavastream.kernel import TimeLimit, part_logger
 
 __all__ = ["AddVoter", "OtherVoter", "RemoveVoter", "VoterCandidate", "VoterKeeper"]
 __all__ += ["choose_change"]
@@ -22,6 +22,9 @@
 REQUEST_TIMEOUT_SECONDS = 0.35
 # A host that has not asked again for this long does not want to vote any more.
 REQUEST_LIFETIME_SECONDS = 1.6
+# How long a host that stops waits to be let go, and its pause between two requests.
+LEAVE_SECONDS = 1.0
+LEAVE_INTERVAL_SECONDS = 0.05
 
 log = part_logger("control")
 
@@ -32,22 +35,24 @@
 
     `silence` is the time since its last answer in seconds. `replaced` is whether
     another voter, or a host that is ready to vote, has its address: its disk is lost.
+    `leaving` is whether it said that it stops as planned.
     """
 
     voter: str
     address: str
     silence: float
     replaced: bool = False
+    leaving: bool = False
 
     @property
     def is_lost(self):
         """Whether it may be removed for another voter."""
-        return self.replaced or self.silence > LOST_VOTER_SECONDS
+        return self.replaced or self.leaving or self.silence > LOST_VOTER_SECONDS
 
     @property
     def urgency(self):
         """Sort key: voters with a greater one are removed first."""
-        return self.replaced, self.silence
+        return self.replaced, self.leaving, self.silence
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -140,6 +145,9 @@
         self._wanted = wanted
         self._term = 0
         self._requests = {}
+        self._leaving = set()
+        # Held from the decision on a change until it is committed.
+        self._lock = asyncio.Lock()
 
     def join(self, request):
         """Note that a control host asks to vote; called on the leader.
@@ -150,6 +158,7 @@
         let one that is gone again delay all others.
         """
         self._begin_term()
+        self._leaving.discard(request.voter)
         if self._raft.voters.get(request.voter) == request.address:
             return
         self._requests[request.voter] = _JoinRequest(
@@ -157,6 +166,17 @@
         )
         self._raft.add_learner(request.voter, request.address)
 
+    async def leave(self, request):
+        """Remove a voter that stops as planned, unless that leaves too few.
+
+        Without a successor it stays a voter, as it may only restart, and goes when
+        the successor joins.
+        """
+        self._begin_term()
+        self._leaving.add(request.voter)
+        async with self._lock:
+            await self._change_voters()
+
     async def run(self):
         """While this voter leads, add and remove voters."""
         while True:
@@ -164,7 +184,8 @@
             if not self._raft.is_leader:
                 continue
             try:
-                await self._change_voters()
+                async with self._lock:
+                    await self._change_voters()
             except GuavastreamError as error:
                 log.debug("Changing the voters failed: %s.", error)
 
@@ -173,6 +194,7 @@
         if self._term != self._raft.term:
             self._term = self._raft.term
             self._requests.clear()
+            self._leaving.clear()
 
     async def _change_voters(self):
         """Make one change of the voters, if one is due."""
@@ -210,6 +232,7 @@
                 address=voters[voter],
                 silence=silence,
                 replaced=newest_voter[voters[voter]] != voter,
+                leaving=voter in self._leaving,
             )
             for voter, silence in self._raft.silence_by_voter.items()
         ]
@@ -234,6 +257,8 @@
         self._raft = raft
         self._transport = transport
         self._address = address
+        self._announced = False
+        self._leaving = False
         self.seeds = seeds
 
     @property
@@ -242,40 +267,73 @@
         return tuple(dict.fromkeys([*self._raft.voters.values(), *self.seeds]))
 
     async def run(self):
-        """Ask until this host votes, and again when no leader is heard.
+        """Ask after the start until this host votes, and when no leader is heard.
 
         A host that was removed while it was cut off, frozen or down still finds itself
         among the voters of its own log, and the leader sends it nothing any more.
         """
-        while True:
-            await asyncio.sleep(REQUEST_INTERVAL_SECONDS)
-            if (
-                not self._raft.is_voter
-                or self._raft.unheard_seconds > UNHEARD_LEADER_SECONDS
-            ):
-                await self._ask_leader(
-                    JoinVoters(voter=self._raft.voter, address=self._address)
+        request = JoinVoters(voter=self._raft.voter, address=self._address)
+        while not self._leaving:
+            if not self._is_settled():
+                self._announced |= await self._ask_leader(
+                    request, timeout=REQUEST_TIMEOUT_SECONDS
                 )
+            await asyncio.sleep(REQUEST_INTERVAL_SECONDS)
 
-    async def _ask_leader(self, request):
+    def _is_settled(self):
+        """Whether the leader knows that this host is here and votes."""
+        if self._raft.is_leader:
+            return True
+        unheard_seconds = self._raft.unheard_seconds
+        heard = self._raft.is_voter and unheard_seconds <= UNHEARD_LEADER_SECONDS
+        return heard and self._announced
+
+    async def leave(self):
+        """Tell the leader that this host stops as planned; wait until it is let go."""
+        self._leaving = True
+        request = LeaveVoters(voter=self._raft.voter)
+        try:
+            with TimeLimit.within(LEAVE_SECONDS, loop=asyncio.get_running_loop()):
+                while not await self._ask_leader(request, timeout=LEAVE_SECONDS):
+                    await asyncio.sleep(LEAVE_INTERVAL_SECONDS)
+        except TimeoutError:
+            log.warning("No leader knows that this control host stops.")
+
+    async def _ask_leader(self, request, *, timeout):
         """Send a request to the leader; return whether it answered.
 
         All known control hosts are asked at once, so that none that is lost delays the
         request, and those that name another leader are believed.
         """
-        asked = [address for address in self.known_hosts if address != self._address]
-        answers = await asyncio.gather(*(self._ask(a, request) for a in asked))
-        named = {answer for answer in answers if isinstance(answer, str)}
-        named -= {"", self._address, *asked}
-        answers += await asyncio.gather(*(self._ask(a, request) for a in named))
-        return True in answers
-
-    async def _ask(self, address, request):
+        asked, pending = {self._address}, set()
+
+        def ask(addresses):
+            for address in addresses:
+                if address and address not in asked:
+                    asked.add(address)
+                    call = self._ask(address, request, timeout)
+                    pending.add(asyncio.ensure_future(call))
+
+        ask(self.known_hosts)
+        try:
+            while pending:
+                done, _ = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                pending -= done
+                answers = [task.result() for task in done]
+                if True in answers:
+                    return True
+                ask(answers)
+            return False
+        finally:
+            for task in pending:
+                task.cancel()
+
+    async def _ask(self, address, request, timeout):
         """Return True if the host answered as the leader, else the leader it names."""
         try:
-            await self._transport.call(
-                address, request, timeout=REQUEST_TIMEOUT_SECONDS
-            )
+            await self._transport.call(address, request, timeout=timeout)
         except NotLeader as error:
             return error.leader
         except GuavastreamError:
--- a/guavastream/fleet/messages.py
+++ b/guavastream/fleet/messages.py
@@ -4,6 +4,7 @@
 from guavastream.routes import RouteConfig
 
 __all__ = ["CurrentRoutes", "Depart", "Heartbeat", "HeartbeatAnswer", "JoinVoters"]
+__all__ += ["LeaveVoters"]
 __all__ += ["LiftSuspects", "LoadReport", "ReadRoutes", "RenewKeys", "ReportAnswered"]
 __all__ += ["ReportEnd", "ReturnKeys"]
 
@@ -211,3 +212,10 @@
 
     voter: str
     address: str
+
+
+@message
+class LeaveVoters:
+    """Tell the leader that a voter stops as planned."""
+
+    voter: str
--- a/guavastream/hosts/control_host.py
+++ b/guavastream/hosts/control_host.py
@@ -212,8 +212,13 @@
         await self._tasks.wait_failed()
 
     async def drain(self):
-        """Transfer leadership, so that the stop causes no election timeout."""
+        """Transfer leadership and leave the voters, so that the stop is no loss.
+
+        Otherwise an election timeout passes, and until the leader finds this voter
+        silent the group bears one lost disk less, though a successor is there.
+        """
         await self._raft.transfer_leadership()
+        await self._candidate.leave()
         await asyncio.sleep(LEADER_HINT_SECONDS)
 
     async def stop(self):
