A process that is gone is told from a host that is silent

Change: while there are more voters than wanted, or a host waits to vote, the leader tries to connect to each voter that has been silent for 0.25 s. A refusal removes it as a lost one; no answer means silence, as before.

Result: two disks, the leader's among them, lost 0.45 s after the kill leave a leader; without the probe that test fails, and the one with a loss of power holds after 0.9 s either way. In the very moment of such an end nothing can help if the leader is among the lost: three of six voters are gone, and the other three are no majority.

--- a/guavastream/control/tests/test_fleet.py
+++ b/guavastream/control/tests/test_fleet.py
@@ -84,7 +84,12 @@
         granter = GrantManager(
             raft=raft, machine=machine, clock=loop.time, timing=HOLD_TIMING
         )
-        keeper = VoterKeeper(raft=raft, clock=loop.time, wanted=2 * self.losses + 1)
+        keeper = VoterKeeper(
+            raft=raft,
+            transport=transport,
+            clock=loop.time,
+            wanted=2 * self.losses + 1,
+        )
         candidate = VoterCandidate(
             raft=raft, transport=transport, address=address, seeds=self.seeds
         )
@@ -131,9 +136,9 @@
         for address in self.addresses:
             self.start(address)
 
-    def kill(self, address):
-        """Stop a control host; its disk stays."""
-        self.network.remove(address)
+    def kill(self, address, *, dark=False):
+        """Stop a control host, with `dark` by a loss of power; its disk stays."""
+        self.network.remove(address, dark=dark)
         self.rafts.pop(address)
         for task in self.tasks.pop(address):
             task.cancel()
--- a/guavastream/control/tests/test_voters.py
+++ b/guavastream/control/tests/test_voters.py
@@ -1,11 +1,13 @@
 """Losses of disks after voters joined, returned or left."""
 
 import asyncio
+import socket
 
 import pytest
 
 from guavastream.control.tests.test_fleet import start_control_cluster
 from guavastream.emulator import run_paused
+from guavastream.messages.zmq_transport import ZmqNetwork
 
 # Time after which a control host that is back, or new, counts as in service again.
 CATCH_UP_SECONDS = 4.0
@@ -138,3 +140,37 @@
         return others[:2]
 
     run_losses(tmp_path, scenario)
+
+
+@pytest.mark.parametrize(("dark", "seconds"), [(False, 0.45), (True, 0.9)])
+def test_two_disks_are_lost_after_a_replaced_host_ended(tmp_path, dark, seconds):
+    """Guards against a process that is gone and counts as a voter for long."""
+
+    async def scenario(cluster):
+        cluster.start(NEW_HOST, first=False)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        leader = cluster.leader()
+        replaced, other = [a for a in cluster.addresses if a != leader][:2]
+        cluster.kill(replaced, dark=dark)
+        await asyncio.sleep(seconds)
+        return [leader, other]
+
+    run_losses(tmp_path, scenario)
+
+
+def test_refused_connection_is_told_from_silence():
+    """Guards against a process that is gone and looks like a host that is cut off."""
+
+    async def scenario():
+        transport = ZmqNetwork().transport(
+            on_reconnect=lambda address: None, on_late=lambda size: None
+        )
+        with socket.socket() as bound:
+            bound.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{bound.getsockname()[1]}"
+            assert await transport.is_refused(address, timeout=1.0)
+            bound.listen()
+            assert not await transport.is_refused(address, timeout=1.0)
+        transport.close()
+
+    asyncio.run(scenario())
--- a/guavastream/control/voters.py
+++ b/guavastream/control/voters.py
@@ -14,6 +14,9 @@
 # A voter that has been silent for this long may be removed for another one. One that
 # was removed by mistake asks again, so this need not be longer than all its pauses.
 LOST_VOTER_SECONDS = 0.6
+# A voter that has been silent for this long is asked whether its process still runs.
+PROBE_AFTER_SECONDS = 0.25
+PROBE_TIMEOUT_SECONDS = 0.1
 # A voter that has heard no leader for this long may have been removed. Longer than an
 # election.
 UNHEARD_LEADER_SECONDS = 0.7
@@ -35,7 +38,8 @@
 
     `silence` is the time since its last answer in seconds. `replaced` is whether
     another voter, or a host that is ready to vote, has its address: its disk is lost.
-    `leaving` is whether it said that it stops as planned.
+    `leaving` is whether it said that it stops as planned, `refused` whether its host
+    refuses connections: its process is gone.
     """
 
     voter: str
@@ -43,16 +47,18 @@
     silence: float
     replaced: bool = False
     leaving: bool = False
+    refused: bool = False
 
     @property
     def is_lost(self):
         """Whether it may be removed for another voter."""
-        return self.replaced or self.leaving or self.silence > LOST_VOTER_SECONDS
+        known = self.replaced or self.leaving or self.refused
+        return known or self.silence > LOST_VOTER_SECONDS
 
     @property
     def urgency(self):
         """Sort key: voters with a greater one are removed first."""
-        return self.replaced, self.leaving, self.silence
+        return self.replaced, self.leaving, self.refused, self.silence
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -133,14 +139,17 @@
     ----------
     raft : Raft
         This voter.
+    transport : Transport
+        Reaches the other control hosts.
     clock : callable
         Monotonic time in seconds.
     wanted : int
         Number of voters that survives the loss of as many disks as allowed.
     """
 
-    def __init__(self, *, raft, clock, wanted):
+    def __init__(self, *, raft, transport, clock, wanted):
         self._raft = raft
+        self._transport = transport
         self._now = clock
         self._wanted = wanted
         self._term = 0
@@ -205,9 +214,9 @@
             for voter, request in self._requests.items()
             if self._raft.is_caught_up(voter)
         }
-        change = choose_change(
-            self._other_voters(ready), ready=ready, wanted=self._wanted
-        )
+        refused = await self._refused_voters() if self._may_remove() else set()
+        others = self._other_voters(ready, refused)
+        change = choose_change(others, ready=ready, wanted=self._wanted)
         if isinstance(change, AddVoter):
             await self._raft.add_voter(change.voter, change.address)
             log.info("Control host %s votes now.", change.address)
@@ -223,7 +232,29 @@
                 del self._requests[voter]
                 self._raft.remove_learner(voter)
 
-    def _other_voters(self, ready):
+    def _may_remove(self):
+        """Whether a lost voter would be removed now or once a host has caught up."""
+        return bool(self._requests) or len(self._raft.voters) > self._wanted
+
+    async def _refused_voters(self):
+        """Return the silent voters whose hosts refuse connections."""
+        voters = self._raft.voters
+        silent = [
+            voter
+            for voter, silence in self._raft.silence_by_voter.items()
+            if silence > PROBE_AFTER_SECONDS
+        ]
+        refusals = await asyncio.gather(
+            *(
+                self._transport.is_refused(voters[voter], timeout=PROBE_TIMEOUT_SECONDS)
+                for voter in silent
+            )
+        )
+        return {
+            voter for voter, refused in zip(silent, refusals, strict=True) if refused
+        }
+
+    def _other_voters(self, ready, refused):
         voters = self._raft.voters
         newest_voter = {address: voter for voter, address in (voters | ready).items()}
         return [
@@ -233,6 +264,7 @@
                 silence=silence,
                 replaced=newest_voter[voters[voter]] != voter,
                 leaving=voter in self._leaving,
+                refused=voter in refused,
             )
             for voter, silence in self._raft.silence_by_voter.items()
         ]
--- a/guavastream/emulator/network.py
+++ b/guavastream/emulator/network.py
@@ -58,6 +58,7 @@
         self.slowest = slowest
         self._handlers = {}
         self._cut = set()
+        self._dark = set()
         self._links = {}
         self._queues = {}
         self._tasks = set()
@@ -74,9 +75,21 @@
         """Return who answers what is sent to `address`."""
         return self._handlers[address]
 
-    def remove(self, address):
-        """Take an address off the network, as the loss of its process does."""
+    def remove(self, address, *, dark=False):
+        """Take an address off the network, as the loss of its process does.
+
+        With `dark` its host is lost too, and does not even refuse connections.
+        """
         self._handlers.pop(address, None)
+        self._dark.discard(address)
+        if dark:
+            self._dark.add(address)
+
+    async def refuses(self, source, target):
+        """Return whether a host tells another that no process listens there."""
+        await asyncio.sleep(self._rng.uniform(0, self.slowest))
+        cut = {(source, target), (target, source)} & self._cut
+        return not (cut or target in self._handlers or target in self._dark)
 
     def cut(self, source, target, *, both=True):
         """Drop what goes from `source` to `target`, silently."""
@@ -170,6 +183,9 @@
     async def call(self, address, request, *, timeout):
         return await self._network.call(self._address, address, request, timeout)
 
+    async def is_refused(self, address, *, timeout):
+        return await self._network.refuses(self._address, address)
+
 
 class FakePeers(PeerNetwork):
     """The ends of one process's calls on a fake network.
--- a/guavastream/hosts/control_host.py
+++ b/guavastream/hosts/control_host.py
@@ -88,7 +88,10 @@
             unset_gauge=self.counters.unset,
         )
         self._voter_keeper = VoterKeeper(
-            raft=self._raft, clock=steady_time, wanted=settings.wanted_voters
+            raft=self._raft,
+            transport=self._transport,
+            clock=steady_time,
+            wanted=settings.wanted_voters,
         )
         self._candidate = VoterCandidate(
             raft=self._raft,
--- a/guavastream/messages/transport.py
+++ b/guavastream/messages/transport.py
@@ -49,6 +49,13 @@
         """Do the same by another path than `call`, if there is one."""
         return await self.call(address, request, timeout=timeout)
 
+    async def is_refused(self, address, *, timeout):
+        """Return whether the peer's host says that no process listens there.
+
+        False also if it says nothing within `timeout` seconds.
+        """
+        return False
+
     def close(self):
         """Close all connections."""
 
--- a/guavastream/messages/zmq_transport.py
+++ b/guavastream/messages/zmq_transport.py
@@ -6,7 +6,7 @@
 import zmq
 
 from guavastream.exception import BadMessage, CallTimeout
-from guavastream.kernel import HybridClock, TimeLimit, part_logger
+from guavastream.kernel import HybridClock, TimeLimit, parse_address, part_logger
 from guavastream.messages.codec import (
     MAX_MESSAGE_BYTES,
     decode_message,
@@ -225,6 +225,21 @@
         call_id = next(self._call_ids).to_bytes(STAMP_BYTES, "big")
         return await channel.call(call_id, request, timeout)
 
+    async def is_refused(self, address, *, timeout):
+        loop = asyncio.get_running_loop()
+        host, port = parse_address(address)
+        try:
+            with TimeLimit.within(timeout, loop=loop):
+                connection, _ = await loop.create_connection(
+                    asyncio.Protocol, host, port
+                )
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        connection.abort()
+        return False
+
     def close(self):
         """Close every connection."""
         for channel in self._channels.values():
