A control host that stops is not elected any more

Cause: after it had handed over, or while it told the leader that it stops, a stopping host still stood for election. Elected in the fraction of a second before its end, it cost the others a further election timeout.

Change: from the start of its stop a host votes, but doesn't stand, and accepts no leadership.

--- a/guavastream/control/follower.py
+++ b/guavastream/control/follower.py
@@ -120,7 +120,11 @@
         return self._now() - self._leader_heard_at < self._timing.election_min
 
     def _handle_take_over(self, request):
-        accepted = request.term == self.term and not self._leading
+        accepted = (
+            request.term == self.term
+            and not self._leading
+            and self._stands_for_election
+        )
         if accepted:
             self._takeover_requested.set()
         return TakeOverAnswer(accepted=accepted)
--- a/guavastream/control/raft.py
+++ b/guavastream/control/raft.py
@@ -48,14 +48,18 @@
                 await asyncio.sleep(DISK_RETRY_SECONDS)
 
     async def transfer_leadership(self):
-        """If this voter leads, transfer leadership to the most up-to-date voter.
+        """Transfer leadership to the most up-to-date voter, and lead no more.
 
         Notes
         -----
+        This voter still votes, but stands for no election: a host that stops would
+        cost the others an election timeout if it were elected before it ends.
+
         The leader stops acting before it sends the request, so that the successor
         need not wait for the lease to expire. If no successor is up to date or it
         does not answer, the others elect a leader as after a crash.
         """
+        self._stands_for_election = False
         deadline = self._now() + TRANSFER_WAIT_SECONDS
         successor = self._choose_successor()
         while self._leading and self._now() < deadline:
@@ -108,7 +112,11 @@
             except TimeoutError:
                 silent = self._now() - self._leader_heard_at >= timeout
             # A voter whose disk hangs cannot lead.
-            can_lead = self.voter in self._voters and not self._write_lock.locked()
+            can_lead = (
+                self.voter in self._voters
+                and self._stands_for_election
+                and not self._write_lock.locked()
+            )
             if silent and can_lead:
                 return
             self._takeover_requested.clear()
@@ -129,7 +137,7 @@
             self._leader = self._leader_address = ""
         requested_at = self._now()
         elected = await self._ask_votes(term, transfer=transfer)
-        if not elected or self.term != term:
+        if not elected or self.term != term or not self._stands_for_election:
             return False
         self._leading = True
         self._leader_since = requested_at
--- a/guavastream/control/tests/test_hand_over.py
+++ b/guavastream/control/tests/test_hand_over.py
@@ -108,3 +108,23 @@
         assert raft.is_leader
 
     with_group(tmp_path, scenario)
+
+
+def test_host_that_stops_is_not_elected(tmp_path):
+    """Guards against a stopping host that is elected, and costs one more election."""
+
+    async def scenario(group):
+        leader = await group.leader()
+        stopping, other = (a for a in group.addresses if a != leader)
+        await group.rafts[stopping].transfer_leadership()
+        group.network.isolate(leader, group.addresses)
+        assert await group.leader() == leader
+        await asyncio.sleep(TIMING.lease + TIMING.heartbeat)
+        assert await group.leader() == other
+        take_over = TakeOver(
+            to=group.rafts[stopping].voter, term=group.rafts[stopping].term
+        )
+        assert not (await group.rafts[stopping].handle(take_over)).accepted
+
+    for number in range(8):
+        with_group(tmp_path / str(number), scenario)
--- a/guavastream/control/voter.py
+++ b/guavastream/control/voter.py
@@ -134,6 +134,7 @@
         self._started_at = self._leader_heard_at = self._now()
         self._caught_up_at = float("-inf")
         self._leading = False
+        self._stands_for_election = True
         self._leader = ""
         self._leader_address = ""
         self._commit = storage.snapshot.index
