A lost disk goes as soon as its successor answers or leaves

A stopping host asked each control host once in a round, and one that was dead held the round up for a second after the new leader was there.

Change: a host that stops names its address, and any voter there goes. A host that asks to vote and answers under its new identity shows that the disk before is lost, also before it has caught up. Each control host is asked again every 0.1 s until one answers as the leader.

--- a/guavastream/control/leader.py
+++ b/guavastream/control/leader.py
@@ -299,15 +299,19 @@
         """Stop replicating to a host that does not vote."""
         self._learners.pop(voter, None)
 
+    def is_answering(self, voter):
+        """Whether a voter or a learner has answered lately."""
+        silence = self._now() - self._acked_at.get(voter, float("-inf"))
+        return silence < self._timing.lease
+
     def is_caught_up(self, voter):
         """Whether a learner has answered lately and has the log up to the last beat.
 
         If it counted towards the majority before, the loss of another host could lose
         entries that it does not have yet.
         """
-        silence = self._now() - self._acked_at.get(voter, float("-inf"))
         match_index = self._match_indexes.get(voter, 0)
-        return silence < self._timing.lease and match_index >= self._commit_at_beat
+        return self.is_answering(voter) and match_index >= self._commit_at_beat
 
     async def add_voter(self, voter, address, *, timeout=30.0):
         """Replicate the log to a host, then make it a voter.
--- a/guavastream/control/voters.py
+++ b/guavastream/control/voters.py
@@ -20,14 +20,16 @@
 # A voter that has heard no leader for this long may have been removed. Longer than an
 # election.
 UNHEARD_LEADER_SECONDS = 0.7
-# Pause between two requests of a host that wants to vote.
-REQUEST_INTERVAL_SECONDS = 0.4
-REQUEST_TIMEOUT_SECONDS = 0.35
+# How long a host that wants to vote asks each time, and its pause before the next.
+REQUEST_SECONDS = 0.4
+REQUEST_INTERVAL_SECONDS = 0.3
+# Timeout of a call to one control host, and the pause before the next to it.
+CALL_SECONDS = 0.35
+CALL_INTERVAL_SECONDS = 0.1
 # A host that has not asked again for this long does not want to vote any more.
 REQUEST_LIFETIME_SECONDS = 1.6
-# How long a host that stops waits to be let go, and its pause between two requests.
+# How long a host that stops waits to be let go.
 LEAVE_SECONDS = 1.0
-LEAVE_INTERVAL_SECONDS = 0.05
 
 log = part_logger("control")
 
@@ -37,7 +39,7 @@
     """What the leader knows of another voter.
 
     `silence` is the time since its last answer in seconds. `replaced` is whether
-    another voter, or a host that is ready to vote, has its address: its disk is lost.
+    another voter, or one that asks to vote, answers at its address: its disk is lost.
     `leaving` is whether it said that it stops as planned, `refused` whether its host
     refuses connections: its process is gone.
     """
@@ -167,7 +169,7 @@
         let one that is gone again delay all others.
         """
         self._begin_term()
-        self._leaving.discard(request.voter)
+        self._leaving.discard(request.address)
         if self._raft.voters.get(request.voter) == request.address:
             return
         self._requests[request.voter] = _JoinRequest(
@@ -176,13 +178,13 @@
         self._raft.add_learner(request.voter, request.address)
 
     async def leave(self, request):
-        """Remove a voter that stops as planned, unless that leaves too few.
+        """Remove a voter whose host stops as planned, unless that leaves too few.
 
         Without a successor it stays a voter, as it may only restart, and goes when
         the successor joins.
         """
         self._begin_term()
-        self._leaving.add(request.voter)
+        self._leaving.add(request.address)
         async with self._lock:
             await self._change_voters()
 
@@ -209,13 +211,18 @@
         """Make one change of the voters, if one is due."""
         self._begin_term()
         self._forget_old_requests()
-        ready = {
+        refused = await self._refused_voters() if self._may_remove() else set()
+        answering = {
             voter: request.address
             for voter, request in self._requests.items()
+            if self._raft.is_answering(voter)
+        }
+        ready = {
+            voter: address
+            for voter, address in answering.items()
             if self._raft.is_caught_up(voter)
         }
-        refused = await self._refused_voters() if self._may_remove() else set()
-        others = self._other_voters(ready, refused)
+        others = self._other_voters(answering, refused)
         change = choose_change(others, ready=ready, wanted=self._wanted)
         if isinstance(change, AddVoter):
             await self._raft.add_voter(change.voter, change.address)
@@ -254,16 +261,18 @@
             voter for voter, refused in zip(silent, refusals, strict=True) if refused
         }
 
-    def _other_voters(self, ready, refused):
+    def _other_voters(self, answering, refused):
         voters = self._raft.voters
-        newest_voter = {address: voter for voter, address in (voters | ready).items()}
+        newest_voter = {
+            address: voter for voter, address in (voters | answering).items()
+        }
         return [
             OtherVoter(
                 voter=voter,
                 address=voters[voter],
                 silence=silence,
                 replaced=newest_voter[voters[voter]] != voter,
-                leaving=voter in self._leaving,
+                leaving=voters[voter] in self._leaving,
                 refused=voter in refused,
             )
             for voter, silence in self._raft.silence_by_voter.items()
@@ -307,9 +316,7 @@
         request = JoinVoters(voter=self._raft.voter, address=self._address)
         while not self._leaving:
             if not self._is_settled():
-                self._announced |= await self._ask_leader(
-                    request, timeout=REQUEST_TIMEOUT_SECONDS
-                )
+                self._announced |= await self._ask_leader(request, REQUEST_SECONDS)
             await asyncio.sleep(REQUEST_INTERVAL_SECONDS)
 
     def _is_settled(self):
@@ -323,51 +330,46 @@
     async def leave(self):
         """Tell the leader that this host stops as planned; wait until it is let go."""
         self._leaving = True
-        request = LeaveVoters(voter=self._raft.voter)
-        try:
-            with TimeLimit.within(LEAVE_SECONDS, loop=asyncio.get_running_loop()):
-                while not await self._ask_leader(request, timeout=LEAVE_SECONDS):
-                    await asyncio.sleep(LEAVE_INTERVAL_SECONDS)
-        except TimeoutError:
+        request = LeaveVoters(address=self._address)
+        if not await self._ask_leader(request, LEAVE_SECONDS):
             log.warning("No leader knows that this control host stops.")
 
-    async def _ask_leader(self, request, *, timeout):
-        """Send a request to the leader; return whether it answered.
+    async def _ask_leader(self, request, seconds):
+        """Send a request to the leader; return whether it answered within `seconds`.
 
         All known control hosts are asked at once, so that none that is lost delays the
-        request, and those that name another leader are believed.
+        request, and those that they name too.
         """
-        asked, pending = {self._address}, set()
+        answered = asyncio.get_running_loop().create_future()
+        tasks = {}
 
-        def ask(addresses):
-            for address in addresses:
-                if address and address not in asked:
-                    asked.add(address)
-                    call = self._ask(address, request, timeout)
-                    pending.add(asyncio.ensure_future(call))
+        def ask(address):
+            if address and address != self._address and address not in tasks:
+                call = self._ask(address, request, answered, ask)
+                tasks[address] = asyncio.ensure_future(call)
 
-        ask(self.known_hosts)
+        for address in self.known_hosts:
+            ask(address)
         try:
-            while pending:
-                done, _ = await asyncio.wait(
-                    pending, return_when=asyncio.FIRST_COMPLETED
-                )
-                pending -= done
-                answers = [task.result() for task in done]
-                if True in answers:
-                    return True
-                ask(answers)
+            with TimeLimit.within(seconds, loop=asyncio.get_running_loop()):
+                await answered
+        except TimeoutError:
             return False
         finally:
-            for task in pending:
+            for task in tasks.values():
                 task.cancel()
-
-    async def _ask(self, address, request, timeout):
-        """Return True if the host answered as the leader, else the leader it names."""
-        try:
-            await self._transport.call(address, request, timeout=timeout)
-        except NotLeader as error:
-            return error.leader
-        except GuavastreamError:
-            return ""
         return True
+
+    async def _ask(self, address, request, answered, ask_other):
+        """Ask one control host until one has answered as the leader."""
+        while not answered.done():
+            try:
+                await self._transport.call(address, request, timeout=CALL_SECONDS)
+            except NotLeader as error:
+                ask_other(error.leader)
+            except GuavastreamError as error:
+                log.debug("%s did not answer as the leader: %s.", address, error)
+            else:
+                if not answered.done():
+                    answered.set_result(True)
+            await asyncio.sleep(CALL_INTERVAL_SECONDS)
--- a/guavastream/fleet/messages.py
+++ b/guavastream/fleet/messages.py
@@ -216,6 +216,9 @@
 
 @message
 class LeaveVoters:
-    """Tell the leader that a voter stops as planned."""
+    """Tell the leader that the control host at `address` stops as planned.
 
-    voter: str
+    An earlier voter there, whose disk was lost, goes with it.
+    """
+
+    address: str
