--- a/guavastream/emulator/network.py
+++ b/guavastream/emulator/network.py
@@ -13,7 +13,7 @@
     raise_failure,
 )
 
-__all__ = ["FakeNetwork", "FakePeers", "run_paused"]
+__all__ = ["FakeNetwork", "FakePeers", "paused_runner", "run_paused"]
 
 DELAY_SECONDS = 0.0005
 
@@ -24,6 +24,12 @@
     The clock jumps to the next timer when all tasks wait, so hours pass in
     an instant and always in the same order.
     """
+    with paused_runner() as runner:
+        return runner.run(coroutine)
+
+
+def paused_runner():
+    """Return an `asyncio.Runner` with such a clock; several coroutines may follow."""
     import async_solipsism
 
     def new_loop():
@@ -34,8 +40,7 @@
         selector._map.values = selector._fd_to_key.values
         return loop
 
-    with asyncio.Runner(loop_factory=new_loop) as runner:
-        return runner.run(coroutine)
+    return asyncio.Runner(loop_factory=new_loop)
 
 
 class FakeNetwork:
@@ -59,6 +64,7 @@
         self._handlers = {}
         self._cut = set()
         self._dark = set()
+        self._suspended = {}
         self._links = {}
         self._queues = {}
         self._tasks = set()
@@ -89,7 +95,8 @@
         """Return whether a host tells another that no process listens there."""
         await asyncio.sleep(self._rng.uniform(0, self.slowest))
         cut = {(source, target), (target, source)} & self._cut
-        return not (cut or target in self._handlers or target in self._dark)
+        silent = target in self._dark or target in self._suspended
+        return not (cut or silent or target in self._handlers)
 
     def cut(self, source, target, *, both=True):
         """Drop what goes from `source` to `target`, silently."""
@@ -114,10 +121,22 @@
         """Let what goes over the link of an address wait behind other bytes."""
         self._queues[address] = seconds
 
+    def rejoin(self, address):
+        """End the cuts of an address."""
+        self._cut = {pair for pair in self._cut if address not in pair}
+
     def heal(self):
         """End all cuts."""
         self._cut.clear()
 
+    def suspend(self, address):
+        """Hold what goes to and from an address, as long as its host is frozen."""
+        self._suspended[address] = asyncio.Event()
+
+    def resume(self, address):
+        """Deliver what was held for an address, late."""
+        self._suspended.pop(address).set()
+
     async def call(self, source, target, request, timeout):
         """Deliver one call; see `Transport.call`."""
         answered = asyncio.get_running_loop().create_future()
@@ -152,6 +171,9 @@
     async def _passes(self, source, target, encoded):
         if (source, target) in self._cut or self._rng.random() < self.lost:
             return False
+        for end in (source, target):
+            if end in self._suspended:
+                await self._suspended[end].wait()
         size = sum(len(frame) for frame in encoded)
         links = [self._links[end] for end in (source, target) if end in self._links]
         through = max((link.take(size) for link in links), default=0.0)
