A server that sends bytes without end is closed at once

Cause: only header fields were counted, once they were complete. The status line, garbage and interim responses had no bound; nor had chunk extensions, trailers, bodies in tiny chunks, extra responses, and the body of a stray response, for as long as the request lasted. After an error of the parser the connection stayed open until its request ended. On the side of callers and heartbeats the framing of a body had no bound.

The connection is aborted in the same callback, and the log says why, also where an answer breaks off in its body. Time is bounded by the request's deadline as before.

--- a/guavastream/http1/client_connection.py
+++ b/guavastream/http1/client_connection.py
@@ -5,12 +5,15 @@
 import httptools
 
 from guavastream.http1.flow import FlowProtocol
+from guavastream.http1.framing import Framing
 from guavastream.http1.message import BodyStream, Headers, IncompleteMessage
 
 __all__ = ["ClientConnection", "Response"]
 
-# Longest head of a response; a connection with a longer one is aborted.
-MAX_HEAD_BYTES = 256 << 10
+# Interim responses to one request, and responses that nobody has read yet; with more
+# the peer does not follow the protocol.
+MAX_INTERIM_RESPONSES = 32
+MAX_UNREAD_RESPONSES = 8
 NO_BODY_STATUSES = (204, 304)
 CONTINUE_STATUS = 100
 # Requests whose ids a connection remembers; with more it is not used again.
@@ -44,7 +47,8 @@
         self._error = None
         self._reason = b""
         self._headers = Headers()
-        self._head_bytes = 0
+        self._framing = Framing()
+        self._interim_count = 0
         self._has_received_bytes = False
         self._continue_received = False
         self._in_response = False
@@ -75,13 +79,24 @@
             self.abort()
             return
         self._has_received_bytes = True
+        self._framing.note_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.reusable = False
             # The parser also raises for data after a response that closes its
             # connection; `_fail` leaves that response complete.
-            self._fail(IncompleteMessage("the peer sent an invalid HTTP response"))
+            self._end("the peer sent an invalid HTTP response")
+        if self._framing.is_exceeded:
+            self._end("the peer sent a response without end")
+
+    def _end(self, text):
+        """Close a connection whose peer does not follow the protocol.
+
+        What it still sends would cost memory, or processor time, for as long as the
+        request may take.
+        """
+        self._fail(IncompleteMessage(text))
+        self.abort()
 
     def eof_received(self):
         current = self._receiving
@@ -98,24 +113,20 @@
         self._in_response = True
         self._reason = b""
         self._headers = Headers()
-        self._head_bytes = 0
 
     def on_status(self, status):
         self._reason += status
 
     def on_header(self, name, value):
         self._headers.append((name, value))
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > MAX_HEAD_BYTES:
-            self._fail(
-                IncompleteMessage("the head of the response exceeds the size limit")
-            )
-            self.abort()
 
     def on_headers_complete(self):
         status = self._parser.get_status_code()
         if status < 200:
             self._receiving = None
+            self._interim_count += 1
+            if self._interim_count > MAX_INTERIM_RESPONSES:
+                self._end("the peer sent too many interim responses")
             self._continue_received = (
                 self._continue_received or status == CONTINUE_STATUS
             )
@@ -139,9 +150,12 @@
         )
         self._read_keep_alive(headers.get(b"keep-alive"))
         self._responses.append(self._receiving)
+        if len(self._responses) > MAX_UNREAD_RESPONSES:
+            self._end("the peer sent too many responses")
         self._progress.set()
 
     def on_body(self, data):
+        self._framing.note_body(len(data))
         if self._receiving is not None:
             self._receiving.body.feed(data)
 
@@ -151,6 +165,7 @@
             if self._receiving.has_framing:
                 self._receiving.body.feed_end()
             self._receiving = None
+            self._framing.reset()
 
     def _read_keep_alive(self, field_value):
         for part in field_value.split(b","):
@@ -166,6 +181,7 @@
         """Reserve the connection for one request, and remember its id until a time."""
         self.in_use = True
         self._has_received_bytes = self._continue_received = False
+        self._interim_count = 0
         if id is None:
             return
         now = self._loop.time()
--- a/guavastream/http1/connection.py
+++ b/guavastream/http1/connection.py
@@ -7,6 +7,7 @@
 import httptools
 
 from guavastream.http1.flow import FlowProtocol
+from guavastream.http1.framing import Framing
 from guavastream.http1.message import (
     REASONS,
     BodyStream,
@@ -31,6 +32,9 @@
 # Share of the idle limit that is announced to callers; the rest allows for network
 # latency and for pauses of the host.
 ANNOUNCED_IDLE_SHARE = 0.8
+# Statuses of requests that do not follow the protocol. What comes after one may be
+# without end, and is not read for as long as the rest of a body.
+INVALID_STATUSES = (400, 431)
 # Fields that may occur only once in a request.
 SINGLE_FIELDS = (b"host", b"content-length", b"transfer-encoding")
 
@@ -60,6 +64,7 @@
         self._headers = Headers()
         self._head_bytes = 0
         self._body_bytes = 0
+        self._framing = Framing()
         self._head_started_at = None
         self._idle_started_at = self._idle_limit_at_start = 0.0
         self._in_head = True
@@ -72,7 +77,10 @@
         self._task = self._loop.create_task(self._run())
 
     def data_received(self, data):
+        self._framing.note_received(len(data))
         if self._rejection_status or self._lingering:
+            if self._rejection_status in INVALID_STATUSES:
+                self._end_if_without_end()
             return
         if self._in_head:
             self._head_bytes += len(data)
@@ -84,6 +92,8 @@
             self._reject(400)
         if self._in_head and self._head_bytes > self._server.limits.head_bytes:
             self._reject(431)
+        if not self._in_head:
+            self._end_if_without_end()
         if self._head_started_at is not None:
             # Wakes the task, which applies the time limit of the head from now on
             # instead of the idle limit.
@@ -91,6 +101,12 @@
         if self._requests and self._responder is not None:
             self._start_overlapping()
 
+    def _end_if_without_end(self):
+        """Close the connection if chunk sizes, trailers or garbage go on for long."""
+        if self._framing.is_exceeded:
+            log.warning("Closing a connection: a request goes on without end.")
+            self.abort_requests("request_cut")
+
     def eof_received(self):
         return False
 
@@ -123,6 +139,7 @@
         self._in_head = False
         self._head_bytes = 0
         self._body_bytes = 0
+        self._framing.reset()
         headers = self._headers
         length_text = headers.get(b"content-length")
         coding = headers.get(b"transfer-encoding")
@@ -163,6 +180,7 @@
 
     def on_body(self, data):
         self._body_bytes += len(data)
+        self._framing.note_body(len(data))
         if self._body_bytes > self._server.limits.body_bytes:
             self._reject(413)
             self._receiving.body.fail(
--- a/guavastream/http1/exchange.py
+++ b/guavastream/http1/exchange.py
@@ -10,6 +10,8 @@
 # Responses to earlier requests that are skipped before the connection is given up;
 # a server that sends more of them has lost track of the requests on it.
 MAX_STRAY_RESPONSES = 3
+# Longest body of a response that is skipped.
+MAX_STRAY_BYTES = 1 << 20
 
 
 class Exchange:
@@ -164,8 +166,9 @@
                 return response
             # An extra response to an earlier request; the expected one follows it.
             connection.reusable = False
-            while await response.body.read():
-                pass
+            _, whole = await response.body.read_up_to(MAX_STRAY_BYTES)
+            if not whole:
+                break
         raise IncompleteMessage("too many responses to other requests")
 
     async def _next_response_or_send_error(self):
--- a/guavastream/relay/server_client.py
+++ b/guavastream/relay/server_client.py
@@ -63,7 +63,11 @@
         """Return the next piece of the body, or empty bytes at its end."""
         try:
             return await self._answer.body.read()
-        except IncompleteMessage:
+        except IncompleteMessage as cut:
+            log.warning(
+                "An answer of the server broke off.",
+                extra=self._watch.describe(self._exchange) | {"cut": str(cut)},
+            )
             raise OutcomeUnknown("answer_lost") from None
 
     def close(self):
