A server that breaks its answers is left alone for a time

Cause: a broken answer adds to a penalty that multiplies the server's expected time. A server that breaks answers in no time stays below the time within which a request stays on its own host, whatever the penalty.

Change: after three broken answers in a row, without a whole one, a server is skipped as an unreachable one is, for 0.4 s, doubling to 3 s; never more than half of a service. Requests for keys, which only the owner can serve, are as before.

--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -553,9 +553,13 @@
             if refused.code in ("server_refused", "leaving"):
                 self._picker.note_answer(server, failed=True)
             raise
-        except OutcomeUnknown:
+        except OutcomeUnknown as unknown:
             self._picker.note_answer(server, failed=True)
+            if unknown.code == "answer_lost":
+                self._picker.note_broken(server)
             raise
+        else:
+            self._picker.note_whole(server)
         finally:
             self._picker.end(server)
 
--- a/guavastream/scheduling/pick.py
+++ b/guavastream/scheduling/pick.py
@@ -48,6 +48,9 @@
 # Interval between requests of this process to an unreachable owner of keys; other
 # requests wait for the outcome.
 PROBE_SECONDS = 0.05
+# A server whose answers broke off, or were none, this many times in a row is skipped
+# like an unreachable one. Single answers are lost at any server.
+BROKEN_ANSWERS = 3
 # Largest share of a service's servers that is skipped as unreachable.
 MAX_SKIPPED_SHARE = 0.5
 # Size of the random sample from a large service that is used when all servers of this
@@ -180,6 +183,9 @@
     full_until: float = float("-inf")
     # Current backoff, 0 if the server was reachable last.
     backoff: float = 0.0
+    # Broken answers since the last whole one, and the backoff that follows from them.
+    broken_answers: int = 0
+    broken_backoff: float = 0.0
     probed_at: float = float("-inf")
 
 
@@ -509,6 +515,26 @@
             state.answered_at = now
             state.backoff = 0.0
 
+    def note_whole(self, server):
+        """Note that a server's answer has come to its end."""
+        state = self._state_of(server)
+        state.broken_answers = 0
+        state.broken_backoff = 0.0
+
+    def note_broken(self, server):
+        """Skip a server whose answers break off, for a time that doubles.
+
+        A server that breaks them in no time looks fast, and its penalty alone leaves
+        it its share of the requests.
+        """
+        state, now = self._state_of(server), self._clock()
+        state.broken_answers += 1
+        if state.broken_answers < BROKEN_ANSWERS or state.skip_until > now:
+            return
+        doubled = max(MIN_BACKOFF_SECONDS, 2 * state.broken_backoff)
+        state.broken_backoff = min(MAX_BACKOFF_SECONDS, doubled)
+        state.skip_until = now + state.broken_backoff
+
     def may_send(self, server):
         """Whether a request may be sent now to the only server that can serve it.
 
--- a/guavastream/scheduling/tests/test_pick.py
+++ b/guavastream/scheduling/tests/test_pick.py
@@ -65,6 +65,26 @@
     assert len(count_choices(picker, servers)) > 1
 
 
+def test_a_server_that_breaks_its_answers_is_skipped_at_its_own_host():
+    """Guards against a broken server that keeps its share, as it fails in no time."""
+    time = [0.0]
+    servers = [server("broken"), server("sound")]
+    picker = make_picker(now=lambda: time[0])
+    for _ in range(3):
+        picker.note_answer(servers[0], failed=False)
+        picker.note_broken(servers[0])
+    assert count_choices(picker, servers, here="broken", target=9.0)["broken"] == 0
+    time[0] = 1.0
+    assert count_choices(picker, servers, here="broken", target=9.0)["broken"] == 100
+    picker.note_broken(servers[0])
+    time[0] = 1.7
+    assert count_choices(picker, servers, here="broken", target=9.0)["broken"] == 0
+    time[0] = 2.0
+    picker.note_whole(servers[0])
+    picker.note_broken(servers[0])
+    assert count_choices(picker, servers, here="broken", target=9.0)["broken"] == 100
+
+
 def test_large_bodies_stay_in_the_zone_while_it_is_fast_enough():
     near, far = server("near", "a"), server("far", "b")
     picker = make_picker()
