Load reports don't overflow when nobody reads the rates

Cause: the weight of a request grows exponentially with the time since the rates were read last. After 355 s (709 times 0.5 s) math.exp raises OverflowError, which ended a leader that led again after others had, and, where learned speeds decide and nothing reads these rates, would end one after six minutes in office.

Change: after 50 time constants the weights begin anew, and reading multiplies by a decay that can only become 0. Result: two new tests failed before with OverflowError. All other uses of math.exp have an exponent that is never positive.

--- a/guavastream/control/loads.py
+++ b/guavastream/control/loads.py
@@ -27,6 +27,9 @@
 MIN_BUSY_COUNT = 3.0
 # A key whose decayed number of requests is below this is forgotten.
 MIN_KEPT_COUNT = 0.2
+# Time constants after which the weights begin anew. They grow exponentially, and would
+# overflow after 709.
+MAX_WEIGHT_AGE = 50.0
 # Rare keys are counted by area. The areas are equal parts of the key space, averaged
 # over a longer time because the popularity of rare keys changes slowly.
 AREAS = 256
@@ -67,22 +70,23 @@
         self._started_at = self._origin = clock() - REPORT_SECONDS
         self._weighted_counts = {}
 
-    def _weight(self):
-        """Return the weight of a request that arrives now."""
-        return math.exp((self._clock() - self._origin) / self._seconds)
+    @property
+    def _age(self):
+        """Time since the weights began, in time constants."""
+        return (self._clock() - self._origin) / self._seconds
 
     def add(self, key, count):
         """Count requests of a key."""
-        weighted = count * self._weight()
+        if self._age > MAX_WEIGHT_AGE:
+            self.totals()
+        weighted = count * math.exp(self._age)
         self._weighted_counts[key] = self._weighted_counts.get(key, 0.0) + weighted
 
     def totals(self):
         """Return the decayed number of requests by key; drop forgotten keys."""
-        weight = self._weight()
-        min_kept = MIN_KEPT_COUNT * weight
-        self._weighted_counts = {
-            key: v / weight for key, v in self._weighted_counts.items() if v > min_kept
-        }
+        decay = math.exp(-self._age)
+        decayed = {key: v * decay for key, v in self._weighted_counts.items()}
+        self._weighted_counts = {k: v for k, v in decayed.items() if v > MIN_KEPT_COUNT}
         self._origin = self._clock()
         return self._weighted_counts
 
--- a/guavastream/control/tests/test_loads.py
+++ b/guavastream/control/tests/test_loads.py
@@ -76,3 +76,17 @@
     loads.note((), 512)
     areas = loads.current_loads().areas
     assert min(areas) == max(areas) > 0
+
+
+@pytest.mark.parametrize("reports_meanwhile", [False, True])
+def test_rates_are_measured_after_hours_without_a_reader(reports_meanwhile):
+    """Guards against a weight that overflows and ends a leader after six minutes."""
+    reports = LoadReports()
+    reports.send_for(8.0, {7: 20.0})
+    for _ in range(120):
+        reports.now += 60.0
+        if reports_meanwhile:
+            reports.loads.note([(9, 1)], 3)
+    found = reports.send_for(8.0, {7: 20.0})
+    assert found.busy[7] == pytest.approx(20.0, rel=0.5)
+    assert 9 not in found.busy
