--- a/guavastream/control/tests/test_voter_series.py
+++ b/guavastream/control/tests/test_voter_series.py
@@ -50,11 +50,14 @@
             warnings.simplefilter("ignore")
             return self._runner.run(coroutine)
 
-    def _may_lose_one(self):
+    def _lost_count(self):
         async def count():
             return self._group.lost_count
 
-        return self._run(count()) < LOSSES and bool(self._group.present())
+        return self._run(count())
+
+    def _may_lose_one(self):
+        return self._lost_count() < LOSSES and bool(self._group.present())
 
     @initialize(seed=st.integers(0, 999))
     def form(self, seed):
@@ -86,6 +89,41 @@
         position = _choose(self._group.present(), pick)
         self._run(self._group.lose_for_good(position, dark=dark))
 
+    @rule(
+        picks=st.permutations(range(5)),
+        fault=FAULTS,
+        dark=st.booleans(),
+        seconds=st.sampled_from([0.0, 1.1]),
+        power=st.booleans(),
+    )
+    def lose_two(self, picks, fault, dark, seconds, power):
+        """Give one host a fault, replace another meanwhile, then lose two disks."""
+        present = self._group.present()
+        if self._lost_count() or len(present) < len(picks):
+            return
+        away, gone = (present[pick] for pick in picks[:2])
+        self._run(self._group.strike(away, fault))
+        self.wait(seconds)
+        self._run(self._group.lose_for_good(gone, dark=dark))
+        self.wait(1.0)
+        if gone.member is None:
+            self._run(self._group.start_successor(gone))
+        self.wait(2.0)
+        self._run(self._group.end_fault(away))
+        self._run(self._lose_disks(picks[2:], False, LOSSES, power))
+
+    @rule(pick=PICKS, dark=st.booleans())
+    def end_what_is_replaced(self, pick, dark):
+        """End a host whose successor is ready without a word, then lose two disks."""
+        ready = [
+            p
+            for p in self._group.present()
+            if p.successor and self._is_caught_up(p.successor)
+        ]
+        if ready and self._may_lose_one():
+            self._run(self._group.lose_for_good(_choose(ready, pick), dark=dark))
+            self._run(self._lose_disks(range(5), True, LOSSES, False))
+
     @precondition(lambda self: self._group.away())
     @rule(pick=PICKS)
     def lose_for_good_what_is_away(self, pick):
