The soak loses, replaces and empties control hosts

They are replaced as planned or after a kill, restarted, frozen, and two at once get a fault and a successor; the seeds of the settings follow 3 s later. At the first moment allowed two disks are lost, in half of the cases while all others are killed, and within 15 s a control host must read the configuration, which must not be older than acknowledged. Links between control hosts are not cut here; the drawn series do that.

The series of the tests also replace a host and lose two disks in the same moment.

--- a/guavastream/control/tests/test_voter_series.py
+++ b/guavastream/control/tests/test_voter_series.py
@@ -112,17 +112,26 @@
         self._run(self._group.end_fault(away))
         self._run(self._lose_disks(picks[2:], False, LOSSES, power))
 
-    @rule(pick=PICKS, dark=st.booleans())
-    def end_what_is_replaced(self, pick, dark):
-        """End a host whose successor is ready without a word, then lose two disks."""
-        ready = [
-            p
-            for p in self._group.present()
-            if p.successor and self._is_caught_up(p.successor)
-        ]
-        if ready and self._may_lose_one():
-            self._run(self._group.lose_for_good(_choose(ready, pick), dark=dark))
-            self._run(self._lose_disks(range(5), True, LOSSES, False))
+    @rule(
+        pick=PICKS,
+        how=st.sampled_from(["stopped", "killed", "dark"]),
+        leader=st.booleans(),
+        power=st.booleans(),
+    )
+    def replace_and_lose_disks(self, pick, how, leader, power):
+        """Replace a host by one that has caught up, then lose two disks at once."""
+        group = self._group
+        free = [p for p in group.present() if p.successor is None]
+        if self._lost_count() or not free:
+            return
+        position = _choose(free, pick)
+        self._run(group.start_successor(position))
+        self.wait(4.1)
+        if how == "stopped":
+            self._run(group.finish_planned_replacement(position))
+        else:
+            self._run(group.lose_for_good(position, dark=how == "dark"))
+        self._run(self._lose_disks(range(5), leader, LOSSES, power))
 
     @precondition(lambda self: self._group.away())
     @rule(pick=PICKS)
--- a/guavastream/platform/emulator/machine.py
+++ b/guavastream/platform/emulator/machine.py
@@ -159,10 +159,7 @@
 
     async def start(self, seeds, **overrides):
         """Start the process; `overrides` are passed on to `make_settings`."""
-        settings_path = self.folder / f"{self.name}.conf"
-        settings_path.write_text(
-            make_settings(self.name, self.ip, self.ports, seeds, **overrides)
-        )
+        settings_path = self.write_settings(seeds, **overrides)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -172,6 +169,16 @@
             stderr=(self.folder / f"{self.name}.err").open("ab"),
         )
 
+    def write_settings(self, seeds, **overrides):
+        """Write the settings file, and return its path."""
+        path = self.folder / f"{self.name}.conf"
+        new = path.with_suffix(".new")
+        new.write_text(
+            make_settings(self.name, self.ip, self.ports, seeds, **overrides)
+        )
+        os.replace(new, path)
+        return path
+
     def log(self):
         """Return the log of all processes started on this machine so far."""
         path = self.folder / f"{self.name}.log"
--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -101,6 +101,10 @@
         Directory for settings, data and logs.
     keyed, plain : int
         Number of servers of each service.
+    control, spares : int
+        Number of control hosts, and of further ones that may replace them.
+    losses : int
+        Number of control hosts whose disks may be lost at once.
     granting : str
         How servers are granted keys, "heartbeat" or "request".
     late_share : float
@@ -129,12 +133,17 @@
         zones=("a",),
         cold_seconds=0.0,
         cold_rate=0.0,
+        control=3,
+        spares=0,
+        losses=1,
     ):
         # Addresses depend on the process id, so that concurrent runs don't collide.
         ip_prefix = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}"
-        numbers = [1, 2, 3, *range(11, 11 + keyed + plain)]
+        numbers = [*range(1, 1 + control), *range(11, 11 + keyed + plain)]
+        spare_numbers = range(101, 101 + spares)
         self._reserved_ports = ReservedPorts(
-            ips=[f"{ip_prefix}.{n}" for n in numbers], count=len(PORTS)
+            ips=[f"{ip_prefix}.{n}" for n in (*numbers, *spare_numbers)],
+            count=len(PORTS),
         )
         ports = self._reserved_ports.numbers
         self.folder = folder
@@ -142,8 +151,14 @@
         self._late_share = late_share
         self._idle_seconds = idle_seconds
         self.control_hosts = [
-            Machine(f"core-{n}", f"{ip_prefix}.{n}", ports, folder) for n in (1, 2, 3)
+            Machine(f"core-{n}", f"{ip_prefix}.{n}", ports, folder)
+            for n in numbers[:control]
         ]
+        self.spares = [
+            Machine(f"core-{n}", f"{ip_prefix}.{n}", ports, folder)
+            for n in spare_numbers
+        ]
+        self._losses = losses
         service_names = ["keyed"] * keyed + ["plain"] * plain
         self.server_hosts = [
             EmulatedHost(
@@ -163,7 +178,7 @@
         self.on_host_fault = lambda server_host: None
         # Whether servers that leave say so in their answers.
         self.states_departures = False
-        self._seeds = [machine.address("control") for machine in self.control_hosts]
+        self._seeds = [machine.address("control") for machine in self.control_hosts[:3]]
 
     # Processes
 
@@ -192,12 +207,23 @@
 
     async def start_control(self, machine, *, bootstrap=False):
         """Start the process of a control host."""
-        await machine.start(
-            self._seeds,
-            Serves="control_plane",
-            DataDir=self.folder / machine.name,
-            Bootstrap=str(bootstrap).lower(),
-        )
+        settings = self._control_settings(machine) | {
+            "Bootstrap": str(bootstrap).lower()
+        }
+        await machine.start(self._seeds, **settings)
+
+    def _control_settings(self, machine):
+        return {
+            "Serves": "control_plane",
+            "DataDir": self.folder / machine.name,
+            "FaultTolerance.Machines": str(self._losses),
+        }
+
+    def update_seeds(self, machines):
+        """Name other control hosts in the settings; running ones read them again."""
+        self._seeds = [machine.address("control") for machine in machines]
+        for machine in self.control_hosts:
+            machine.write_settings(self._seeds, **self._control_settings(machine))
 
     async def start_host(self, server_host):
         """Start the process of a host with a backend server."""
--- a/guavastream/platform/soak.py
+++ b/guavastream/platform/soak.py
@@ -25,6 +25,7 @@
 from guavastream.platform.soak_routes import RouteChanges
 from guavastream.platform.soak_statements import ServerStatements
 from guavastream.platform.soak_uploads import UploadingCallers
+from guavastream.platform.soak_voters import LOSING_PLATFORM, ControlLosses
 from guavastream.soak import Ledger, make_schedule
 
 __all__ = ["run_soak"]
@@ -107,6 +108,9 @@
         Whether further callers upload large bodies, also to servers that are full.
     repeating : bool
         Whether some answers of servers come a second time, in place of a later one.
+    losing : bool
+        Whether control hosts are lost, replaced and left without their disks, two of
+        five at once; they get no other faults.
     """
 
     callers: int = 6
@@ -121,6 +125,7 @@
     departing: bool = False
     uploading: bool = False
     repeating: bool = False
+    losing: bool = False
 
 
 class _SoakRun:
@@ -143,7 +148,13 @@
             late_share=LATE_CALL_SHARE,
             idle_seconds=SHORT_IDLE_SECONDS if options.returning else None,
             **(EVACUATING_PLATFORM if options.evacuating else {}),
+            **(LOSING_PLATFORM if options.losing else {}),
         )
+        self._control_losses = None
+        if options.losing:
+            self._control_losses = ControlLosses(
+                platform=self._platform, ledger=self.ledger, seed=seed
+            )
         self._evacuations = None
         if options.evacuating:
             self._evacuations = EvacuationCheck(
@@ -189,6 +200,8 @@
         self.schedule = ()
         if not options.calm:
             self.schedule = make_schedule(seed=seed, seconds=seconds, counts=counts)
+        if options.losing:
+            self.schedule = tuple(f for f in self.schedule if f.group != "control")
         self._version = 1
 
     async def run(self):
@@ -224,6 +237,8 @@
                 background_tasks.append(asyncio.ensure_future(self._pipelining.run()))
             if self._uploads is not None:
                 background_tasks.append(asyncio.ensure_future(self._uploads.run()))
+            if self._control_losses is not None:
+                self._control_losses.start()
             limits_task = None
             if self._statements is not None:
                 limits_task = asyncio.ensure_future(self._statements.run())
@@ -244,6 +259,8 @@
                 # It freezes hosts.
                 route_changes_task.cancel()
                 await asyncio.gather(route_changes_task, return_exceptions=True)
+            if self._control_losses is not None:
+                await self._control_losses.end()
             if limits_task is not None:
                 limits_task.cancel()
                 await asyncio.gather(limits_task, return_exceptions=True)
@@ -619,6 +636,11 @@
         action="store_true",
         help="with servers that send some of their answers twice",
     )
+    parser.add_argument(
+        "--losing",
+        action="store_true",
+        help="with control hosts that are lost, replaced and left without disks",
+    )
     parser.add_argument("--folder", help="keep settings, data and logs here")
     return _run_command
 
