--- a/guavastream/control/storage.py
+++ b/guavastream/control/storage.py
@@ -246,10 +246,11 @@
         self._log = open(self._path("log"), "r+b", buffering=0)
 
     def _rewrite_log(self):
-        if self._log:
-            self._log.close()
         data = _encode_entries(tuple(self.entries)) if self.entries else b""
+        # If the disk is full, the longer log stays open and is written on.
         self._replace_file("log", data)
+        if self._log:
+            self._log.close()
         self._open_log()
         self._log_end = len(data)
 
--- a/guavastream/control/tests/test_storage.py
+++ b/guavastream/control/tests/test_storage.py
@@ -5,7 +5,10 @@
 
 import pytest
 
+from guavastream.control import Raft, StateMachine
 from guavastream.control.storage import Entry, Snapshot, Storage
+from guavastream.control.voter import ENTRIES_PER_SNAPSHOT
+from guavastream.emulator import FakeNetwork, run_paused
 from guavastream.exception import DamagedLog
 
 
@@ -188,3 +191,51 @@
     storage.close()
     reopened = Storage(folder=str(tmp_path))
     assert reopened.last_index == 3 and reopened.meta.term == 0
+
+
+@pytest.mark.parametrize("name", ["snapshot", "log"])
+def test_disk_that_is_full_at_a_snapshot_keeps_the_log(tmp_path, name):
+    """Guards against a log that stays closed when its shorter copy has no room."""
+
+    class FullForOneFile(Storage):
+        full = False
+
+        def _replace_file(self, file_name, data):
+            if self.full and file_name == name:
+                raise OSError(28, "No space left on device")
+            super()._replace_file(file_name, data)
+
+    storage = FullForOneFile(folder=str(tmp_path))
+    storage.append(make_entries(1, 5))
+    storage.full = True
+    with pytest.raises(OSError):
+        storage.save_snapshot(Snapshot(index=3, term=1, data=b"x"), keep=0)
+    storage.append(make_entries(6, 1))
+    storage.close()
+    again = Storage(folder=str(tmp_path))
+    assert again.last_index == 6 and again.term_at(5) == 1
+    again.close()
+
+
+def test_voter_goes_on_without_a_snapshot_that_has_no_room(tmp_path):
+    """Guards against a full disk that ends the replication to other voters."""
+
+    async def scenario():
+        storage = Storage(folder=str(tmp_path))
+        raft = Raft(
+            storage=storage,
+            transport=FakeNetwork().transport("a"),
+            address="a",
+            peers=("a",),
+            machine=StateMachine(),
+        )
+
+        def save_snapshot(snapshot):
+            raise OSError(28, "No space left on device")
+
+        storage.save_snapshot = save_snapshot
+        storage.append(make_entries(1, ENTRIES_PER_SNAPSHOT))
+        raft._set_commit(ENTRIES_PER_SNAPSHOT)
+        assert raft.applied == ENTRIES_PER_SNAPSHOT
+
+    run_paused(scenario())
--- a/guavastream/control/voter.py
+++ b/guavastream/control/voter.py
@@ -364,4 +364,8 @@
             # A later change of voters may still be replaced by another one.
             voters=self._latest_voters(self._applied),
         )
-        storage.save_snapshot(snapshot)
+        try:
+            storage.save_snapshot(snapshot)
+        except OSError as error:
+            # The log is complete without it; it is tried again with the next entry.
+            log.warning("A snapshot could not be written: %s.", error)
