--- a/guavastream/control/loads.py
+++ b/guavastream/control/loads.py
@@ -84,9 +84,17 @@
 
     def totals(self):
         """Return the decayed number of requests by key; drop forgotten keys."""
-        decay = math.exp(-self._age)
-        decayed = {key: v * decay for key, v in self._weighted_counts.items()}
-        self._weighted_counts = {k: v for k, v in decayed.items() if v > MIN_KEPT_COUNT}
+        if self._age > 2 * MAX_WEIGHT_AGE:
+            # None was added in the later half of that time.
+            self._weighted_counts = {}
+        else:
+            weight = math.exp(self._age)
+            min_kept = MIN_KEPT_COUNT * weight
+            self._weighted_counts = {
+                key: v / weight
+                for key, v in self._weighted_counts.items()
+                if v > min_kept
+            }
         self._origin = self._clock()
         return self._weighted_counts
 
