A full pool of connections does not lose the answer of one

What callers saw: 500, or a closed connection, for an answer that had arrived. Cause: the pool keeps an address whose last idle connection was taken with an empty list. If that address is the least recently used one when the pool is full (400 idle connections), the list has nothing to drop: IndexError in `Client.release`, that is, at the end of the exchange. Change: an address leaves the pool with its last connection. The test fails before (IndexError: pop from empty list).

--- a/guavastream/http1/client.py
+++ b/guavastream/http1/client.py
@@ -110,8 +110,7 @@
             connection = pooled[index]
             if id is not None and connection.has_carried(id):
                 continue
-            del pooled[index]
-            self._idle_total -= 1
+            self._remove(address, index)
             allowed = connection.idle_seconds * USABLE_IDLE_SHARE
             if idle_seconds is not None:
                 allowed = min(allowed, idle_seconds)
@@ -157,14 +156,16 @@
         self._idle_total += 1
         if self._idle_total > MAX_IDLE_CONNECTIONS:
             address = next(iter(self._idle))
-            self._drop_oldest(address)
+            self._remove(address, 0).abort()
 
-    def _drop_oldest(self, address):
+    def _remove(self, address, index):
+        """Take a connection out of the pool, and return it."""
         pooled = self._idle[address]
-        pooled.pop(0).abort()
         self._idle_total -= 1
+        connection = pooled.pop(index)
         if not pooled:
             del self._idle[address]
+        return connection
 
     def close_idle(self, address):
         """Close the idle connections to an address."""
--- a/guavastream/http1/tests/test_http1.py
+++ b/guavastream/http1/tests/test_http1.py
@@ -313,3 +313,31 @@
         await server.stop()
 
     run_scenario(scenario)
+
+
+def test_full_pool_whose_oldest_address_has_no_idle_connection_drops_another():
+    """Guards against an answer that is lost because its connection can't be pooled."""
+
+    async def scenario():
+        addresses = [("10.0.0.1", 80), ("10.0.0.2", 80)]
+        for address in addresses:
+            server = Server(
+                address=address, handler=respond_ok, limits=LONG_IDLE_LIMITS
+            )
+            await server.start()
+        client = Client()
+
+        async def open_all(count, address):
+            return [await client.open(address, fresh=True) for _ in range(count)]
+
+        (first,) = await open_all(1, "10.0.0.1:80")
+        first.close()
+        # It is in use now, and its address has no other connection.
+        first = await client.open("10.0.0.1:80")
+        others = await open_all(MAX_IDLE_CONNECTIONS + 1, "10.0.0.2:80")
+        for exchange in [*others, first]:
+            exchange.close()
+        assert client.idle_count == MAX_IDLE_CONNECTIONS
+        client.close()
+
+    run_scenario(scenario)
