--- a/guavastream/platform/emulator/world.py
+++ b/guavastream/platform/emulator/world.py
@@ -115,6 +115,8 @@
         Called with each `BackendServer` before it begins to serve.
     zones : tuple of str
         Availability zones, to which the hosts with servers belong in turn.
+    settings : dict, optional
+        Further settings of every process, by their names.
     cold_seconds, cold_rate : float
         How long a server is cold after its start, and how many requests per second it
         tolerates then; 0 if servers start warm.
@@ -136,6 +138,7 @@
         control=3,
         spares=0,
         losses=1,
+        settings=None,
     ):
         # Addresses depend on the process id, so that concurrent runs don't collide.
         ip_prefix = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}"
@@ -159,6 +162,7 @@
             for n in spare_numbers
         ]
         self._losses = losses
+        self._settings = settings or {}
         service_names = ["keyed"] * keyed + ["plain"] * plain
         self.server_hosts = [
             EmulatedHost(
@@ -217,6 +221,7 @@
             "Serves": "control_plane",
             "DataDir": self.folder / machine.name,
             "FaultTolerance.Machines": str(self._losses),
+            **self._settings,
         }
 
     def update_seeds(self, machines):
@@ -238,6 +243,7 @@
             Service=server_host.service,
             Zone=server_host.zone,
             **listen,
+            **self._settings,
         )
 
     def start_server(self, server_host, *, same_id=False):
