One budget and turns for all that a process holds for its clients

Cause: each connection was bounded, their sum was not. Memory: 256 KB buffered and 512 KB kept for each body, 300 bytes an object for a head's or trailer's field, 1,600 parsed requests from one read, the kernel's receive buffers, all times the number of connections; the garbage of closed connections stayed until the collector looked at it. Time: all requests of a read, or its chunks of one byte, were handled before the loop went on (16 to 240 ms), times the connections; each new connection looked at all others above 500. Change: http1/memory.py, one budget a process, charged for what things cost in memory; bodies wait for room before they are received; holders are closed in the order of their patience, ordinary callers last. http1/turns.py, a queue of turns. Trailers are not fields of the head any more. Streamed bodies hold three in four of a server's slots at most. The receiving half of a connection is a module of its own. docs/design/clients.md has each limit. Ruled out: a limit on fields or chunks, which requests inside the limits meet.

--- a/guavastream/hosts/admin.py
+++ b/guavastream/hosts/admin.py
@@ -5,14 +5,14 @@
 from guavastream.exception import GuavastreamError
 from guavastream.kernel import part_logger
 
-__all__ = ["AdminApi", "SuspectRow", "SuspectsToLift"]
+__all__ = ["AdminApi", "MAX_ADMIN_BODY_BYTES", "SuspectRow", "SuspectsToLift"]
 
 METRICS_PATH = b"/metrics"
 SUSPECTS_PATH = b"/suspects"
 LIFT_PATH = b"/suspects/lift"
 TEXT_HEADERS = [(b"Content-Type", b"text/plain; version=0.0.4")]
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
-MAX_BODY_BYTES = 1 << 16
+MAX_ADMIN_BODY_BYTES = 1 << 16
 
 log = part_logger("admin")
 
@@ -74,7 +74,7 @@
         ]
 
     async def _lift(self, request, responder):
-        body, whole = await request.body.read_up_to(MAX_BODY_BYTES)
+        body, whole = await request.body.read_up_to(MAX_ADMIN_BODY_BYTES)
         try:
             request_body = msgspec.json.decode(
                 body if whole else b"", type=SuspectsToLift
--- a/guavastream/hosts/control_host.py
+++ b/guavastream/hosts/control_host.py
@@ -21,6 +21,7 @@
     SetEvacuationResult,
 )
 from guavastream.hosts.tasks import Tasks
+from guavastream.http1 import Capacity
 from guavastream.kernel import Counters, part_logger, steady_time
 from guavastream.leases import ControlClient
 from guavastream.messages.zmq_transport import ZmqNetwork
@@ -52,6 +53,14 @@
 
     def __init__(self, *, settings):
         self.counters = Counters()
+        self.capacity = Capacity(
+            loop=asyncio.get_running_loop(),
+            machine_bytes=settings.memory_bytes,
+            count=self.counters.count,
+        )
+        self.counters.set_function(
+            "client_memory_bytes", lambda: self.capacity.memory.held
+        )
         self._settings = settings
         network = ZmqNetwork()
         self._transport = network.transport(
--- a/guavastream/hosts/server_host.py
+++ b/guavastream/hosts/server_host.py
@@ -10,7 +10,14 @@
 from guavastream.hosts.key_keeper import KeyManager, KeySender
 from guavastream.hosts.load_reporter import LoadReporter
 from guavastream.hosts.tasks import Tasks
-from guavastream.http1 import Client, IncompleteMessage, Limits, NotSent, Server
+from guavastream.http1 import (
+    Capacity,
+    Client,
+    IncompleteMessage,
+    Limits,
+    NotSent,
+    Server,
+)
 from guavastream.kernel import (
     Counters,
     parse_address,
@@ -58,6 +65,9 @@
 # Above this number, idle connections of callers are closed, longest idle first.
 # Each costs about 8 KB and a file descriptor, of which a host has some thousands.
 MAX_CALLER_CONNECTIONS = 500
+# Limits on requests of other hosts.
+MIN_INBOUND_HEAD_BYTES = 64 << 10
+MAX_INBOUND_BODY_BYTES = 1 << 30
 # Planned stop: callers go to other hosts after two failed readiness checks, one
 # second apart, so requests are accepted for at least MIN_DRAIN_SECONDS and until
 # there were none for DRAIN_IDLE_SECONDS. Callers may stay because too few other
@@ -237,6 +247,14 @@
             link_rate=settings.link_rate,
             class_priority=settings.class_priority,
         )
+        self.capacity = Capacity(
+            loop=self._loop,
+            machine_bytes=settings.memory_bytes,
+            count=self.counters.count,
+        )
+        self.counters.set_function(
+            "client_memory_bytes", lambda: self.capacity.memory.held
+        )
         self._outbound = Server(
             address=parse_address(settings.outbound),
             handler=self._ingress.handle,
@@ -245,17 +263,17 @@
             note_aborted=lambda cut: self._log_cut("caller", cut),
             may_overlap=self._ingress.may_overlap,
             count=self.counters.count,
+            capacity=self.capacity,
         )
         self._inbound = Server(
             address=parse_address(settings.inbound),
             handler=self._hop_handler.handle,
-            limits=Limits(
-                head_bytes=1 << 20, body_bytes=1 << 30, idle_seconds=HOP_IDLE_SECONDS
-            ),
+            limits=_inbound_limits(Limits.head_bytes),
             # The other hosts know this timeout, and traffic between zones is billed.
             announces_idle_timeout=False,
             closing_response=CLOSING_RESPONSE,
             note_aborted=lambda cut: self._log_cut("host", cut),
+            capacity=self.capacity,
         )
         desk = RelayService(
             transport=self._transport,
@@ -389,6 +407,7 @@
             head_seconds=config.limits.head_seconds,
             idle_seconds=config.limits.idle_seconds,
         )
+        self._inbound.limits = _inbound_limits(config.limits.head_bytes)
         self.counters.set("config_version", config.version)
         log.info("Version %d of the configuration is in force.", config.version)
 
@@ -602,3 +621,16 @@
         await asyncio.gather(self._outbound.stop(), self._inbound.stop())
         self._relay_server.close()
         self._direct.close()
+
+
+def _inbound_limits(caller_head_bytes):
+    """Return the limits on requests of other hosts.
+
+    They add headers to those of callers, whose limit may be higher there by a newer
+    configuration.
+    """
+    return Limits(
+        head_bytes=max(MIN_INBOUND_HEAD_BYTES, 2 * caller_head_bytes),
+        body_bytes=MAX_INBOUND_BODY_BYTES,
+        idle_seconds=HOP_IDLE_SECONDS,
+    )
--- a/guavastream/hosts/settings.py
+++ b/guavastream/hosts/settings.py
@@ -44,6 +44,8 @@
         Bandwidth of the network link, bytes per second; 0 if unknown.
     metrics : str
         IP:PORT where metrics are served.
+    memory_bytes : int
+        Memory that this process may use; 0 for all of the machine's.
     regions : dict of str to str
         Region of each availability zone of the deployment.
     order_resend : float
@@ -83,6 +85,7 @@
     grace: float = 6.0
     link_rate: float = 0.0
     metrics: str = ""
+    memory_bytes: int = 0
     regions: dict = field(default_factory=dict)
     order_resend: float = 4.0
     evacuation: float = 5.0
--- a/guavastream/http1/connection.py
+++ b/guavastream/http1/connection.py
@@ -2,29 +2,25 @@
 
 import asyncio
 import contextlib
-from collections import deque
-
-import httptools
-
-from guavastream.http1.flow import FlowProtocol
-from guavastream.http1.framing import Framing
-from guavastream.http1.message import (
-    REASONS,
-    BodyStream,
-    Headers,
-    IncompleteMessage,
-    format_head,
+
+from guavastream.http1.memory import (
+    FREE_BYTES,
+    MIN_PROGRESS_BYTES_PER_SECOND,
+    PATIENCE_SECONDS,
+    BudgetSpent,
+    Holder,
+    Patience,
 )
+from guavastream.http1.message import REASONS, IncompleteMessage, format_head
 from guavastream.http1.pipeline import Pipeline
-from guavastream.http1.responder import AbortedRequest, Request, Responder
+from guavastream.http1.receiving import ReceivingProtocol
+from guavastream.http1.responder import AbortedRequest, Responder
 from guavastream.kernel import Signal, TimeLimit, part_logger
 
 __all__ = ["ServerConnection"]
 
 log = part_logger("http")
 
-# Requests of a connection that wait to be started at which reading from it pauses.
-MAX_WAITING_REQUESTS = 8
 # Wait for the event loop to read data that is in the receive buffer already.
 UNREAD_WAIT_SECONDS = 0.01
 # Time for which a connection still reads after its last response, before it closes.
@@ -32,168 +28,142 @@
 # Share of the idle limit that is announced to callers; the rest allows for network
 # latency and for pauses of the host.
 ANNOUNCED_IDLE_SHARE = 0.8
-# Statuses of requests that do not follow the protocol. What comes after one may be
-# without end, and is not read for as long as the rest of a body.
-INVALID_STATUSES = (400, 431)
-# Fields that may occur only once in a request.
-SINGLE_FIELDS = (b"host", b"content-length", b"transfer-encoding")
+# Unsent bytes of answers above which a connection waits for its peer to read.
+WRITE_HIGH_WATER_BYTES = FREE_BYTES
+# What an unsent byte of an answer costs: the answer is kept until it has been sent.
+UNSENT_FACTOR = 2
+# Header fields above which a request waits for its turn: each is copied several times.
+MANY_FIELDS = 64
+# Requests of one connection that begin in a turn, of those that may overlap.
+OVERLAPPING_STARTS = 2
+# Value of Retry-After of a request for which there is no memory.
+RETRY_AFTER_SPENT = b"0.5"
 
 
-class ServerConnection(FlowProtocol):
-    """One caller's connection, with the callbacks of its transport and parser."""
+class ServerConnection(ReceivingProtocol, Holder):
+    """One caller's connection: handles its requests and sends the responses."""
 
     def __init__(self, *, server):
-        super().__init__()
-        self._server = server
-        self._parser = httptools.HttpRequestParser(self)
-        # Requests that have not started. Those that have are the one of `_responder`,
-        # whose response is due, and those of `_pipeline` after it.
-        self._requests = deque()
+        super().__init__(server=server)
+        # Requests that have started are the one of `_responder`, whose response is due,
+        # and those of `_pipeline` after it.
         self._pipeline = Pipeline(
             loop=self._loop, may_overlap=server.may_overlap, count=server.count
         )
         self._task = None
         self._responder = None
         self._handling = False
-        self._lost = False
-        self._closing_when_idle = self._lingering = False
+        self._closing_when_idle = False
         self._linger_timer = None
-        self._rejection_status = 0
-        self._receiving = None
-        self._target = b""
-        self._headers = Headers()
-        self._head_bytes = 0
-        self._body_bytes = 0
-        self._framing = Framing()
-        self._head_started_at = None
         self._idle_started_at = self._idle_limit_at_start = 0.0
-        self._in_head = True
+        self._start_turn = Signal(loop=self._loop)
+        self._overlap_turn_requested = False
+        self._unsent_charge = 0
+        # Progress of the peer when the current period began.
+        self._received_before = self._unsent_before = 0
+        self._was_receiving = self._is_slow = False
 
     # Callbacks of the transport
 
     def connection_made(self, transport):
         super().connection_made(transport)
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        self._memory.open(self)
         self._server.connection_opened(self)
         self._task = self._loop.create_task(self._run())
 
-    def data_received(self, data):
-        self._framing.note_received(len(data))
-        if self._rejection_status or self._lingering:
-            if self._rejection_status in INVALID_STATUSES:
-                self._end_if_without_end()
-            return
-        if self._in_head:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400)
-        except httptools.HttpParserError:
-            self._reject(400)
-        if self._in_head and self._head_bytes > self._server.limits.head_bytes:
-            self._reject(431)
-        if not self._in_head:
-            self._end_if_without_end()
-        if self._head_started_at is not None:
-            # Wakes the task, which applies the time limit of the head from now on
-            # instead of the idle limit.
-            self._progress.set()
-        if self._requests and self._responder is not None:
-            self._start_overlapping()
-
-    def _end_if_without_end(self):
-        """Close the connection if chunk sizes, trailers or garbage go on for long."""
-        if self._framing.is_exceeded:
-            log.warning("Closing a connection: a request goes on without end.")
-            self.abort_requests("request_cut")
-
-    def eof_received(self):
-        return False
-
     def connection_lost(self, error):
         super().connection_lost(error)
-        self._lost = True
         if self._linger_timer is not None:
             self._linger_timer.cancel()
-        self._fail_incomplete_bodies()
         self._server.connection_closed(self)
         if self._task is not None:
             self._task.cancel()
         self._pipeline.cancel()
 
-    # Callbacks of the parser
-
-    def on_message_begin(self):
-        self._target = b""
-        self._headers = Headers()
-        self._in_head = True
-        self._head_started_at = self._loop.time()
-
-    def on_url(self, url):
-        self._target += url
-
-    def on_header(self, name, value):
-        self._headers.append((name, value))
-
-    def on_headers_complete(self):
-        self._in_head = False
-        self._head_bytes = 0
-        self._body_bytes = 0
-        self._framing.reset()
-        headers = self._headers
-        length_text = headers.get(b"content-length")
-        coding = headers.get(b"transfer-encoding")
-        # If the end of the body is ambiguous, another request can be smuggled in
-        # the body (RFC 9112, 6.3). If there are two Host fields, a request can
-        # pass as one for another service. Both are rejected.
-        if (length_text and coding) or _has_repeated_single_field(headers):
-            self._reject(400)
-        if coding and coding != b"chunked":
-            self._reject(400)
-        length = int(length_text) if length_text.isdigit() else 0
-        if length > self._server.limits.body_bytes:
-            self._reject(413)
-        size = len(self._target) + sum([len(k) + len(v) + 4 for k, v in headers])
-        if size > self._server.limits.head_bytes:
-            self._reject(431)
-        body = BodyStream(
-            loop=self._loop, pause=self._pause, resume=self._update_reading
+    def pause_writing(self):
+        super().pause_writing()
+        self._update_unsent_charge()
+
+    def resume_writing(self):
+        super().resume_writing()
+        self._update_unsent_charge()
+
+    def _update_unsent_charge(self):
+        size = UNSENT_FACTOR * self._transport.get_write_buffer_size()
+        if size <= UNSENT_FACTOR * WRITE_HIGH_WATER_BYTES:
+            size = 0
+        change, self._unsent_charge = size - self._unsent_charge, size
+        if change:
+            self._memory.charge(self, change)
+
+    # Memory
+
+    @property
+    def patience(self):
+        """What the connection is doing now, a `Patience`."""
+        if self._lingering:
+            return Patience.CLOSING
+        if self._is_slow:
+            return Patience.SLOW
+        responder = self._responder
+        if responder is None and not self._pipeline:
+            is_receiving = self._head_started_at is not None or self._unparsed
+            return Patience.RECEIVING if is_receiving else Patience.IDLE
+        if responder is not None and responder.request.body.waiting:
+            return Patience.WAITING
+        if responder is not None and responder.request.body.collecting:
+            return Patience.RECEIVING
+        return Patience.LARGE if self._is_large else Patience.ORDINARY
+
+    @property
+    def _is_large(self):
+        return bool(self._unsent_charge or self._charged_bytes) or any(
+            responder.request.memory.is_charged for responder in self._started()
         )
-        self._receiving = request = Request(
-            method=self._parser.get_method(),
-            target=self._target,
-            headers=headers,
-            body=body,
-            keep_alive=self._parser.should_keep_alive(),
-            length=-1 if coding else length,
+
+    def _started(self):
+        """Return the responders of the requests that have started."""
+        due = [] if self._responder is None else [self._responder]
+        return due + self._pipeline.responders
+
+    def note_period(self):
+        """Note whether the peer made less than the least progress since last time."""
+        unsent = self._transport.get_write_buffer_size()
+        received = self._progress_bytes - self._received_before
+        sent = self._unsent_before - unsent
+        least = MIN_PROGRESS_BYTES_PER_SECOND * PATIENCE_SECONDS
+        is_unread = self._unsent_before > 0 and unsent > 0 and sent < least
+        is_stalled = self._was_receiving and self._expects_data and received < least
+        self._is_slow = is_unread or is_stalled or self.has_hung_up()
+        self._received_before, self._unsent_before = self._progress_bytes, unsent
+        self._was_receiving = self._expects_data
+
+    @property
+    def _expects_data(self):
+        """Whether the peer has begun a message and can send the rest of it."""
+        if self._lingering or self._has_enough():
+            return False
+        if self._head_started_at is not None:
+            return True
+        request = self._receiving
+        return (
+            request is not None
+            and not request.body.ended
+            and not request.expects_continue
         )
-        self._head_started_at = None
-        if self._rejection_status:
-            return
-        if headers.get(b"expect").lower() == b"100-continue":
-            request.expects_continue = True
-            body.ask = lambda: self.send_continue(request)
-        self._requests.append(request)
-        if len(self._requests) >= MAX_WAITING_REQUESTS:
-            self._pause()
-        self._progress.set()
 
-    def on_body(self, data):
-        self._body_bytes += len(data)
-        self._framing.note_body(len(data))
-        if self._body_bytes > self._server.limits.body_bytes:
-            self._reject(413)
-            self._receiving.body.fail(
-                IncompleteMessage("the request body exceeds the size limit")
-            )
+    def shed(self):
+        """Refuse a request whose body has not been sent on, or close the connection."""
+        responder = self._responder
+        if (
+            responder is not None
+            and not self._pipeline
+            and responder.request.body.collecting
+        ):
+            responder.request.body.refuse()
             return
-        self._receiving.body.feed(data)
-
-    def on_message_complete(self):
-        self._in_head = True
-        self._head_bytes = 0
-        if self._receiving is not None:
-            self._receiving.body.feed_end()
+        self.abort_requests("memory")
 
     # The task that handles the requests, and those that run before their turn
 
@@ -243,7 +213,14 @@
         """Wait for a request; return False if the connection should be closed."""
         self._idle_started_at = self._loop.time()
         self._idle_limit_at_start = self._server.limits.idle_seconds
+        waited = False
         while not self._requests and not self._pipeline:
+            waited = True
+            if self._unparsed:
+                await self._data_arrives(
+                    self._loop.time() + self._server.limits.head_seconds
+                )
+                continue
             if self._rejection_status:
                 await self._send_rejection()
                 return False
@@ -256,8 +233,26 @@
                 self._rejection_status = 408
             elif not await self._unread_data_arrives():
                 return False
+        await self._wait_for_turn(waited)
         return True
 
+    async def _wait_for_turn(self, waited):
+        """Wait until the next request may begin.
+
+        One that was sent ahead, or that takes long to begin, lets all others begin
+        before; `waited` says that the request was not sent ahead.
+        """
+        if self._pipeline:
+            # It has begun already.
+            return
+        goes_first = waited and len(self._requests[0].headers) <= MANY_FIELDS
+        if goes_first and self._turns.may_start():
+            return
+        enter = self._turns.start if goes_first else self._turns.continue_later
+        self._start_turn.clear()
+        enter(self._start_turn.set)
+        await self._start_turn.wait()
+
     async def _unread_data_arrives(self):
         """Read data from the receive buffer, if any; return whether some arrived."""
         if not self.has_unread():
@@ -290,6 +285,9 @@
                 self._responder.release()
                 self._start_overlapping()
                 received = await task
+            elif not self._requests:
+                # The connection was aborted while it waited for its turn.
+                return False
             else:
                 request = self._requests.popleft()
                 self._responder = Responder(connection=self, request=request)
@@ -306,17 +304,36 @@
             await self._server.handler(responder.request, responder)
         except IncompleteMessage:
             return False
+        except BudgetSpent:
+            if not responder.started:
+                await responder.send(503, [(b"Retry-After", RETRY_AFTER_SPENT)])
         except Exception:
             log.exception("The handler of a request failed.")
             if not responder.started:
                 await responder.send(500)
+        finally:
+            responder.request.memory.release()
         return True
 
+    def _on_parsed(self):
+        if self._head_started_at is not None:
+            # Wakes the task, which applies the time limit of the head from now on
+            # instead of the idle limit.
+            self._progress.set()
+        self._start_overlapping()
+
     def _start_overlapping(self):
         """Start the requests that may run while earlier ones do."""
-        while self._requests and self._pipeline.may_start(
-            self._requests[0], current=self._responder
+        starts = 0
+        while (
+            self._requests
+            and self._responder is not None
+            and self._pipeline.may_start(self._requests[0], current=self._responder)
         ):
+            if starts == OVERLAPPING_STARTS:
+                self._request_overlap_turn()
+                return
+            starts += 1
             responder = Responder(
                 connection=self,
                 request=self._requests.popleft(),
@@ -325,6 +342,15 @@
             self._pipeline.start(responder, self._handle(responder))
             self._update_reading()
 
+    def _request_overlap_turn(self):
+        if not self._overlap_turn_requested:
+            self._overlap_turn_requested = True
+            self._turns.continue_later(self._take_overlap_turn)
+
+    def _take_overlap_turn(self):
+        self._overlap_turn_requested = False
+        self._start_overlapping()
+
     async def _end_response(self, received):
         """Flush the response that is due; return whether the connection stays open."""
         responder = self._responder
@@ -379,6 +405,7 @@
         return (
             self._server.closing
             and not self._requests
+            and not self._unparsed
             and not self._pipeline
             and not self._rejection_status
         )
@@ -407,7 +434,12 @@
     @property
     def idle(self):
         """Whether no request is in progress, queued or partly received."""
-        return not self.busy and not self._requests and self._head_started_at is None
+        return (
+            not self.busy
+            and not self._requests
+            and not self._unparsed
+            and self._head_started_at is None
+        )
 
     def close(self):
         """Close the connection, with a reset if a request is in progress."""
@@ -466,31 +498,3 @@
             response_sent=response_sent,
         )
         self._server.note_aborted(aborted)
-
-    def _update_reading(self):
-        """Read from the connection, unless enough has been received for now."""
-        body_full = self._receiving is not None and self._receiving.body.full
-        if body_full or len(self._requests) >= MAX_WAITING_REQUESTS:
-            self._pause()
-        else:
-            self._resume()
-
-    def _reject(self, status):
-        self._rejection_status = self._rejection_status or status
-        self._fail_incomplete_bodies()
-        self._progress.set()
-
-    def _fail_incomplete_bodies(self):
-        error = IncompleteMessage("the caller's connection ended")
-        if self._receiving is not None:
-            self._receiving.body.fail(error)
-        for request in self._requests:
-            request.body.fail(error)
-
-
-def _has_repeated_single_field(headers):
-    """Whether a field that may occur only once is repeated."""
-    if len(headers.first_values) == len(headers):
-        return False
-    names = [name.lower() for name, _ in headers]
-    return any(names.count(name) > 1 for name in SINGLE_FIELDS)
--- a/guavastream/http1/flow.py
+++ b/guavastream/http1/flow.py
@@ -70,12 +70,19 @@
 
     def has_pending_event(self):
         """Whether the socket has data, its end or an error that was not read yet."""
+        return self._has_event(select.POLLIN)
+
+    def has_hung_up(self):
+        """Whether the peer has ended the connection, perhaps behind unread data."""
+        return self._has_event(select.POLLRDHUP)
+
+    def _has_event(self, event):
         sock = self._transport.get_extra_info("socket")
         number = sock.fileno() if sock is not None else None
         if not isinstance(number, int) or number < 0:
             return False
         poll = select.poll()
-        poll.register(number, select.POLLIN)
+        poll.register(number, event)
         return bool(poll.poll(0))
 
     async def drain(self):
--- a/guavastream/http1/framing.py
+++ b/guavastream/http1/framing.py
@@ -16,6 +16,12 @@
 class Framing:
     """Counts the bytes of one message, so that it can't go on without end.
 
+    Parameters
+    ----------
+    limits_pieces : bool
+        Whether the pieces of a body may be too small, too. Those of a request may not:
+        what they cost is limited by the turns of its connection.
+
     Examples
     --------
     >>> framing = Framing()
@@ -27,7 +33,8 @@
     True
     """
 
-    def __init__(self):
+    def __init__(self, *, limits_pieces=True):
+        self._limits_pieces = limits_pieces
         self.reset()
 
     def reset(self):
@@ -50,5 +57,7 @@
     def is_exceeded(self):
         """Whether there are too many bytes beside the body, or too small pieces."""
         other_limit = MAX_HEAD_BYTES + BYTES_PER_BODY_BYTE * self._body_bytes
+        if self._other_bytes > other_limit:
+            return True
         piece_limit = MAX_SMALL_PIECES + self._body_bytes // MIN_MEAN_PIECE_BYTES
-        return self._other_bytes > other_limit or self._pieces > piece_limit
+        return self._limits_pieces and self._pieces > piece_limit
--- a/guavastream/http1/message.py
+++ b/guavastream/http1/message.py
@@ -3,6 +3,7 @@
 import functools
 from collections import deque
 
+from guavastream.http1.memory import FREE_BYTES, BudgetSpent
 from guavastream.kernel import Signal
 
 __all__ = [
@@ -56,9 +57,14 @@
     return HOP_BY_HOP | dropped
 
 
-# Buffered body bytes above which reading from the sender pauses; about the
-# receive window of one connection.
-BUFFER_HIGH_WATER_BYTES = 256 << 10
+# Buffered body bytes above which reading from the sender pauses.
+BUFFER_HIGH_WATER_BYTES = 64 << 10
+# A piece of a body that is shorter is joined with the next: each has a cost in memory
+# that a body in single bytes would multiply.
+MIN_PIECE_BYTES = 4 << 10
+# What a body costs that is kept, for each of its bytes: it is there once more while its
+# pieces are joined, and again while it is written to a peer that reads slowly.
+KEPT_BODY_FACTOR = 2
 
 # If a network device drops the state of a connection, the only sign is missing
 # acknowledgements. A connection is closed when data stays unacknowledged for
@@ -125,6 +131,10 @@
         The running loop.
     pause, resume : callable
         Pause and resume reading from the connection.
+    length : int
+        Declared length in bytes, -1 if it is unknown.
+    memory : RequestMemory, optional
+        Charged for what is buffered or kept; None if its sender is trusted.
 
     Attributes
     ----------
@@ -132,8 +142,20 @@
         Called before the first read: asks a sender that waits for that.
     """
 
-    def __init__(self, *, loop, pause, resume):
+    def __init__(
+        self,
+        *,
+        loop,
+        pause,
+        resume,
+        length=-1,
+        memory=None,
+    ):
         self.ask = None
+        self._length = length
+        self._memory = memory
+        self._buffer_charged = False
+        self._collecting = self._waiting = False
         self._pause = pause
         self._resume = resume
         self._pieces = deque()
@@ -153,13 +175,35 @@
         """Whether no more of the body may be read from the connection for now."""
         return self._paused and not self._ended
 
+    @property
+    def collecting(self):
+        """Whether it is received to be kept, so that nothing was sent on yet."""
+        return self._collecting
+
+    @property
+    def waiting(self):
+        """Whether it waits for memory."""
+        return self._waiting
+
     def feed(self, data):
         """Buffer data received from the connection, and pause reading if needed."""
-        self._pieces.append(data)
+        pieces = self._pieces
+        if pieces and len(pieces[-1]) < MIN_PIECE_BYTES:
+            pieces[-1] += data
+        else:
+            pieces.append(data)
         self._buffered_bytes += len(data)
         if self._buffered_bytes > BUFFER_HIGH_WATER_BYTES and not self._paused:
             self._paused = True
             self._pause()
+        if (
+            self._buffered_bytes > FREE_BYTES
+            and self._memory is not None
+            and not self._buffer_charged
+        ):
+            self._buffer_charged = True
+            # Reading pauses only after the read that exceeds the limit.
+            self._memory.charge(2 * BUFFER_HIGH_WATER_BYTES)
         self._progress.set()
 
     def feed_end(self):
@@ -174,6 +218,14 @@
             self._error = error
             self._progress.set()
 
+    def refuse(self):
+        """Drop what is buffered; a request that is being collected is refused."""
+        self._pieces.clear()
+        self._buffered_bytes = 0
+        self._ended = False
+        self._error = BudgetSpent()
+        self._progress.set()
+
     async def read(self):
         """Return the next piece of the body, or empty bytes at its end.
 
@@ -199,14 +251,39 @@
             self._resume()
         return data
 
-    async def read_up_to(self, limit):
+    async def read_up_to(self, limit, *, factor=KEPT_BODY_FACTOR):
         """Return the data read and whether it is the complete body.
 
         Reading stops at the end of the body or once more than `limit` bytes were
         read.
+
+        Parameters
+        ----------
+        limit : int
+            Bytes after which it stops.
+        factor : float
+            Bytes of memory that each byte takes until the request is answered.
+
+        Raises
+        ------
+        BudgetSpent
+            If there is no memory for it.
+        IncompleteMessage
+            If the connection ended before.
         """
-        parts, size = [], 0
+        self._collecting = True
+        try:
+            return await self._collect(limit, factor)
+        finally:
+            self._collecting = False
+
+    async def _collect(self, limit, factor):
+        parts, size, reserved = [], 0, self._memory is None
         while size <= limit:
+            expected = max(self._length, size + self._buffered_bytes)
+            if not reserved and expected > FREE_BYTES:
+                reserved = True
+                await self._reserve(limit, factor)
             piece = await self.read()
             if not piece:
                 return b"".join(parts), True
@@ -214,6 +291,18 @@
             size += len(piece)
         return b"".join(parts), False
 
+    async def _reserve(self, limit, factor):
+        """Charge a body that is kept, once there is memory for it."""
+        if self._ended:
+            self._memory.charge(int(factor * min(limit, self._buffered_bytes)))
+            return
+        expected = limit if self._length < 0 else min(limit, self._length)
+        self._waiting = True
+        try:
+            await self._memory.reserve(int(factor * expected))
+        finally:
+            self._waiting = False
+
 
 def format_head(first_line, headers):
     """Return the encoded start line and header fields, with the final empty line.
--- a/guavastream/http1/pipeline.py
+++ b/guavastream/http1/pipeline.py
@@ -34,6 +34,11 @@
     def __len__(self):
         return len(self._started)
 
+    @property
+    def responders(self):
+        """Responders of the started requests, in their order."""
+        return [responder for responder, _ in self._started]
+
     @property
     def buffered_bytes(self):
         """Size of the finished responses that are not due yet."""
--- a/guavastream/http1/responder.py
+++ b/guavastream/http1/responder.py
@@ -6,6 +6,10 @@
 
 __all__ = ["AbortedRequest", "Request", "Responder"]
 
+# Memory of an answer that is passed on while it is received: buffers on both sides, in
+# the process and in the kernel.
+STREAMED_ANSWER_BYTES = 384 << 10
+
 
 @dataclass(frozen=True, kw_only=True)
 class AbortedRequest:
@@ -35,12 +39,13 @@
         "headers",
         "keep_alive",
         "length",
+        "memory",
         "method",
         "overlaps",
         "target",
     )
 
-    def __init__(self, *, method, target, headers, body, keep_alive, length):
+    def __init__(self, *, method, target, headers, body, keep_alive, length, memory):
         self.method = method
         self.target = target
         self.headers = headers
@@ -48,6 +53,8 @@
         self.keep_alive = keep_alive
         # Declared length of the body in bytes, -1 if the body is chunked.
         self.length = length
+        # The `RequestMemory` that is charged for it until it is answered.
+        self.memory = memory
         # Whether the client waits for "100 Continue" before it sends the body
         # (RFC 9110, 10.1.1).
         self.expects_continue = False
@@ -148,6 +155,7 @@
         """
         if self._turn is not None:
             await self._turn.wait()
+        self._request.memory.charge(STREAMED_ANSWER_BYTES)
         self._begin(status, headers, length=length, reason=reason, first=first)
         await self._connection.drain()
 
--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -5,12 +5,18 @@
 import itertools
 from dataclasses import dataclass
 
+from guavastream.http1.capacity import Capacity
 from guavastream.http1.connection import ServerConnection
-from guavastream.kernel import drop_new_connections
+from guavastream.http1.receiving import RECEIVE_BUFFER_BYTES
+from guavastream.kernel import bound_listener, drop_new_connections
 
 __all__ = ["Limits", "Server"]
 
 ACCEPT_BACKLOG = 1024
+# Connections that are accepted in one iteration of the event loop.
+ACCEPTS_PER_ITERATION = 32
+# Connections that are looked at for each one that is opened above the maximum.
+MAX_IDLE_CHECKS = 16
 # Connections that may linger at a time: that only read before they close.
 MAX_LINGERING_CONNECTIONS = 200
 # Time in which the event loop accepts the connections in the listen queue.
@@ -60,6 +66,8 @@
         connection run one after another.
     count : callable, optional
         Counts an event of pipelined requests by name.
+    capacity : Capacity, optional
+        Shared by all servers of a process; by default this one has its own.
     """
 
     def __init__(
@@ -75,8 +83,10 @@
         announces_idle_timeout=True,
         may_overlap=None,
         count=None,
+        capacity=None,
     ):
         self._address = address
+        self.capacity = capacity
         self._listener = None
         # Least recently used first.
         self._connections = {}
@@ -118,12 +128,20 @@
             If the address cannot be bound.
         """
         loop = asyncio.get_running_loop()
+        if self.capacity is None:
+            self.capacity = Capacity(loop=loop)
+        # The event loop accepts as many connections at once as the backlog that it is
+        # told, each with the cost of a small request.
         self._listener = await loop.create_server(
             lambda: ServerConnection(server=self),
             *self._address,
-            backlog=ACCEPT_BACKLOG,
+            backlog=ACCEPTS_PER_ITERATION,
             reuse_address=True,
         )
+        for listener in self._listener.sockets:
+            bound_listener(
+                listener, backlog=ACCEPT_BACKLOG, receive_bytes=RECEIVE_BUFFER_BYTES
+            )
 
     def begin_close(self):
         """Send `Connection: close` in responses and close idle connections."""
@@ -165,10 +183,17 @@
         """Register a connection, and close idle ones above the maximum."""
         self._connections[connection] = None
         excess = len(self._connections) - self._max_connections
-        if excess > 0:
-            idle = (c for c in self._connections if c.idle)
-            for other in list(itertools.islice(idle, excess)):
-                other.close_when_idle()
+        if excess <= 0:
+            return
+        for other in list(itertools.islice(self._connections, MAX_IDLE_CHECKS)):
+            if not other.idle:
+                # The next connection that is opened looks at others.
+                self.connection_used(other)
+                continue
+            other.close_when_idle()
+            excess -= 1
+            if not excess:
+                return
 
     def connection_used(self, connection):
         """Mark a connection as the most recently used."""
--- a/guavastream/http1/tests/test_pipelining.py
+++ b/guavastream/http1/tests/test_pipelining.py
@@ -8,10 +8,10 @@
 
 from guavastream.emulator import run_paused
 from guavastream.http1 import Limits, Server
-from guavastream.http1.connection import MAX_WAITING_REQUESTS
 from guavastream.http1.flow import READ_BYTES
 from guavastream.http1.message import BUFFER_HIGH_WATER_BYTES
 from guavastream.http1.pipeline import MAX_BUFFERED_BYTES, MAX_CONCURRENT_REQUESTS
+from guavastream.http1.receiving import MAX_WAITING_REQUESTS
 
 ADDRESS = ("10.0.0.1", 80)
 IDLE_SECONDS = 5.0
--- a/guavastream/kernel/listening.py
+++ b/guavastream/kernel/listening.py
@@ -1,10 +1,11 @@
-"""Make a listening socket ignore new connections without resetting any."""
+"""Listening sockets: their queue, the buffers of their connections, and their end."""
 
 import array
+import os
 import socket
 import struct
 
-__all__ = ["drop_new_connections"]
+__all__ = ["bound_listener", "drop_new_connections"]
 
 # From <linux/filter.h> and <asm-generic/socket.h>.
 SO_ATTACH_FILTER = 26
@@ -28,6 +29,27 @@
 )
 
 
+def bound_listener(listener, *, backlog, receive_bytes):
+    """Set the queue of a listening socket, and the buffers of its connections.
+
+    Parameters
+    ----------
+    listener : socket.socket
+        A listening TCP socket.
+    backlog : int
+        Connections that may wait to be accepted.
+    receive_bytes : int
+        Size of the receive buffer of each connection, in bytes. Without it the kernel
+        enlarges the buffers of connections that are read quickly.
+    """
+    if not isinstance(listener.fileno(), int):
+        # A socket of an event loop for tests.
+        return
+    with socket.socket(fileno=os.dup(listener.fileno())) as duplicate:
+        duplicate.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        duplicate.listen(backlog)
+
+
 def drop_new_connections(listener):
     """Drop the SYN packet of each new connection to a listening socket.
 
--- a/guavastream/platform/api.py
+++ b/guavastream/platform/api.py
@@ -1,5 +1,7 @@
 """HTTP handlers for the platform: readiness, heartbeats and the operator API."""
 
+import asyncio
+
 from guavastream.exception import FindingsError, GuavastreamError
 from guavastream.kernel import part_logger
 from guavastream.platform.wire import (
@@ -10,7 +12,7 @@
     encode_config,
 )
 
-__all__ = ["ServerHostApi", "OperatorApi"]
+__all__ = ["MAX_CONFIG_BYTES", "MAX_HEARTBEAT_BYTES", "OperatorApi", "ServerHostApi"]
 
 READY_PATH = b"/api/readiness"
 CONFIG_PATH = b"/api/config"
@@ -18,6 +20,10 @@
 EVACUATION_PATH = b"/api/evacuation/"
 MAX_HEARTBEAT_BYTES = 1 << 20
 MAX_CONFIG_BYTES = 16 << 20
+# Longer changes are decoded in a thread: 1 MB takes some 50 ms.
+MAX_DECODED_IN_LOOP_BYTES = 256 << 10
+# Memory of a call for each byte of its body, while it is decoded and answered.
+DECODED_FACTOR = 6
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
 STATUS_BY_CODE = {"ok": 200, "conflict": 412, "invalid": 422}
 
@@ -42,8 +48,15 @@
     return finding.place.partition(".")[0]
 
 
+async def _decode_change(method, base, body):
+    """Decode a change, in a thread if it would keep the event loop for long."""
+    if len(body) <= MAX_DECODED_IN_LOOP_BYTES:
+        return decode_change(method, base, body)
+    return await asyncio.to_thread(decode_change, method, base, body)
+
+
 async def _read_body(request, limit):
-    body, whole = await request.body.read_up_to(limit)
+    body, whole = await request.body.read_up_to(limit, factor=DECODED_FACTOR)
     return body if whole else None
 
 
@@ -170,7 +183,7 @@
             await responder.send(413)
             return
         base = request.headers.get(b"if-match")
-        command = decode_change(request.method, base, body)
+        command = await _decode_change(request.method, base, body)
         answer = await self._host.change(command)
         log.info(
             "Configuration change to version %d, based on version %d: %s.",
--- a/guavastream/platform/flood.py
+++ b/guavastream/platform/flood.py
@@ -31,8 +31,11 @@
 READINESS_PAUSE_SECONDS = 0.5
 READINESS_TIMEOUT_SECONDS = 1.0
 WATCH_SECONDS = 0.05
-# Time after a flood until the memory that is kept is read.
+# Time after a flood until the memory that is kept is read, with the command's default.
 CALM_SECONDS = 3.0
+# Time in which a refused upload after a flood is sent again, and the pause between.
+REFUSED_SECONDS = 5.0
+RETRY_SECONDS = 0.5
 CONFIG_VERSION = 3
 SLOTS = 18
 LARGE_ANSWER = b"x" * (2 * MB)
@@ -187,14 +190,16 @@
     ----------
     folder : Path
         Directory for settings, data and logs.
-    seconds, timeout : float
-        Duration of each flood, and longest wait of an ordinary caller.
+    seconds, timeout, calm : float
+        Duration of each flood, longest wait of an ordinary caller, and time after each
+        flood until the memory that is kept is read.
     memory_mb : int
         Memory of each machine.
     """
 
-    def __init__(self, *, folder, seconds, timeout, memory_mb):
+    def __init__(self, *, folder, seconds, timeout, calm, memory_mb):
         self._seconds = seconds
+        self._calm = calm
         self._timeout = timeout
         self._memory_mb = memory_mb
         self._ids = 0
@@ -277,7 +282,7 @@
                 *(group.run(self._seconds) for group in (callers, others, ready))
             )
             await clients.wait()
-            await asyncio.sleep(CALM_SECONDS)
+            await asyncio.sleep(self._calm)
         finally:
             watching.cancel()
             with contextlib.suppress(ProcessLookupError):
@@ -319,12 +324,21 @@
         )
 
     async def _send_large_body(self):
-        """Return the status of a single upload inside the limits, in calm."""
+        """Return the status of a single upload inside the limits, in calm.
+
+        Uploads of the flood may not have ended yet, so it is sent again while it is
+        refused.
+        """
         host = self._platform.server_hosts[0]
         body = b"x" * (8 * MB)
-        return await self._send(
-            host.machine, method=b"POST", path=b"/load/x", body=body
-        )
+        until = time.monotonic() + REFUSED_SECONDS
+        while True:
+            status = await self._send(
+                host.machine, method=b"POST", path=b"/load/x", body=body
+            )
+            if status != 503 or time.monotonic() > until:
+                return status
+            await asyncio.sleep(RETRY_SECONDS)
 
     async def _restart(self, target, flood):
         if flood.control:
@@ -351,10 +365,21 @@
 
 
 async def run_floods(
-    names, *, folder, seconds, timeout=ORDINARY_TIMEOUT_SECONDS, memory_mb=300
+    names,
+    *,
+    folder,
+    seconds,
+    timeout=ORDINARY_TIMEOUT_SECONDS,
+    calm=CALM_SECONDS,
+    memory_mb=300,
 ):
-    """Play floods against one platform; an asynchronous iterator of `FloodResult`."""
-    run = FloodRun(folder=folder, seconds=seconds, timeout=timeout, memory_mb=memory_mb)
+    """Play floods against one platform; an asynchronous iterator of `FloodResult`.
+
+    The parameters are those of `FloodRun`.
+    """
+    run = FloodRun(
+        folder=folder, seconds=seconds, timeout=timeout, calm=calm, memory_mb=memory_mb
+    )
     async with contextlib.aclosing(run.play(names)) as results:
         async for result in results:
             yield result
--- a/guavastream/platform/process.py
+++ b/guavastream/platform/process.py
@@ -7,15 +7,20 @@
 import sys
 
 from guavastream.exception import FindingsError, GuavastreamError
-from guavastream.hosts.admin import AdminApi
-from guavastream.http1 import Server
+from guavastream.hosts.admin import MAX_ADMIN_BODY_BYTES, AdminApi
+from guavastream.http1 import Limits, Server
 from guavastream.kernel import (
     configure_stdout_logs,
     new_event_loop,
     parse_address,
     part_logger,
 )
-from guavastream.platform.api import OperatorApi, ServerHostApi
+from guavastream.platform.api import (
+    MAX_CONFIG_BYTES,
+    MAX_HEARTBEAT_BYTES,
+    OperatorApi,
+    ServerHostApi,
+)
 from guavastream.platform.keys import PlatformKeyDialect
 from guavastream.platform.settings import SETTINGS_VARIABLE, read_settings
 from guavastream.platform.wire import DIALECT
@@ -39,10 +44,15 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    host, handlers = _create_host(settings, started_at)
+    host, endpoints = _create_host(settings, started_at)
     servers = [
-        Server(address=parse_address(address), handler=handler)
-        for address, handler in handlers
+        Server(
+            address=parse_address(address),
+            handler=handler,
+            limits=Limits(body_bytes=max_body_bytes),
+            capacity=host.capacity,
+        )
+        for address, handler, max_body_bytes in endpoints
     ]
     await host.start()
     for server in servers:
@@ -67,11 +77,12 @@
 
 
 def _create_host(settings, started_at):
+    """Return the host, and address, handler and longest body of each endpoint."""
     if settings.data:
         from guavastream.hosts.control_host import ControlHost
 
         host = ControlHost(settings=settings)
-        handlers = [(settings.api, OperatorApi(host=host).handle)]
+        endpoints = [(settings.api, OperatorApi(host=host).handle, MAX_CONFIG_BYTES)]
     else:
         from guavastream.hosts.server_host import ServerHost
 
@@ -82,12 +93,13 @@
             started_at=started_at,
         )
         api = ServerHostApi(host=host, settings=settings)
-        handlers = [
-            (settings.api, api.handle_instance),
-            (settings.ready, api.handle_readiness),
+        endpoints = [
+            (settings.api, api.handle_instance, MAX_HEARTBEAT_BYTES),
+            (settings.ready, api.handle_readiness, 0),
         ]
-    handlers.append((settings.metrics, AdminApi(host=host).handle))
-    return host, handlers
+    admin = AdminApi(host=host)
+    endpoints.append((settings.metrics, admin.handle, MAX_ADMIN_BODY_BYTES))
+    return host, endpoints
 
 
 async def _reload_seeds(host, reload):
--- a/guavastream/platform/settings.py
+++ b/guavastream/platform/settings.py
@@ -25,6 +25,7 @@
 # Contract of a deployment whose callers compete for too few servers.
 PRESSURE = "pressure"
 BYTES_PER_MBIT = 125_000
+BYTES_PER_MB = 1 << 20
 
 
 def read_settings(environ=None):
@@ -106,6 +107,7 @@
             raw.get("Grants", "heartbeat"), Granting.UNKNOWN
         ),
         "link_rate": reader.get_parsed("Limits.LinkMbps", _parse_link_rate, 0.0),
+        "memory_bytes": reader.get_parsed("Limits.MemoryMb", _parse_memory, 0),
         "grace": reader.get_parsed("Bounds.Grace", parse_time, 6.0),
         "regions": reader.get_table("Zones"),
         "order_resend": reader.get_parsed("Bounds.Ack", parse_time, 4.0),
@@ -131,6 +133,14 @@
     return _parse_non_negative(text) * BYTES_PER_MBIT
 
 
+def _parse_memory(text):
+    """Convert a size in MB to bytes."""
+    size = _parse_non_negative(text)
+    if not size:
+        raise ValueError("is not positive")
+    return int(size * BYTES_PER_MB)
+
+
 def _parse_positive_time(text):
     """Return a time in seconds that is not zero."""
     seconds = parse_time(text)
--- a/guavastream/relay/body_queue.py
+++ b/guavastream/relay/body_queue.py
@@ -5,7 +5,12 @@
 from guavastream.relay.job import MAX_BUFFERED_BODY_BYTES
 from guavastream.scheduling.admission import AdmissionQueue
 
-__all__ = ["MAX_CONCURRENT_BODIES", "MAX_LINK_BUSY_SECONDS", "BodyQueue"]
+__all__ = [
+    "MAX_CONCURRENT_BODIES",
+    "MAX_LINK_BUSY_SECONDS",
+    "BodyQueue",
+    "StreamedBodies",
+]
 
 # Large bodies that are received at the same time. Two fill a link as well as twenty;
 # the third keeps it busy while one of them waits for its sender.
@@ -13,6 +18,9 @@
 # Longest time for which the large bodies under way may occupy the link. Other
 # traffic queues behind them: calls between servers, and updates of the fleet state.
 MAX_LINK_BUSY_SECONDS = 0.3
+# Share of a server's slots for requests whose bodies are passed on while they are
+# received. They hold their slots for as long as their callers take to send.
+STREAMED_SLOTS_SHARE = 0.75
 # Weight of the newest value in the moving average of body lengths.
 BODY_LENGTH_SMOOTHING = 0.1
 # A body that takes longer loses its place, in case its sender has frozen.
@@ -81,6 +89,63 @@
         self._places.slots = max(1, min(MAX_CONCURRENT_BODIES, int(passing)))
 
 
+class StreamedBodies:
+    """Limits how many slots of the local server wait for the bodies of requests.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        The running loop; its time is the clock.
+    """
+
+    def __init__(self, *, loop):
+        self._loop = loop
+        self._places = AdmissionQueue(loop=loop, slots=1)
+
+    async def enter(self, attempt, *, slots):
+        """Wait for a place for an attempt with such a body, a `StreamedPlace`.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            The request.
+        slots : int
+            Slots of the server.
+
+        Raises
+        ------
+        NotRun
+            If there will be no place in time.
+        """
+        self._places.slots = max(1, int(slots * STREAMED_SLOTS_SHARE))
+        slot = await self._places.enter(
+            rank=attempt.rank,
+            kind=attempt.kind,
+            wanted_by=attempt.target_time,
+            deadline=attempt.deadline,
+            margin=attempt.margin,
+        )
+        return StreamedPlace(
+            loop=self._loop, places=self._places, slot=slot, kind=attempt.kind
+        )
+
+
+class StreamedPlace:
+    """The permission to hold a slot while a body is received, until `leave`."""
+
+    def __init__(self, *, loop, places, slot, kind):
+        self._loop = loop
+        self._places = places
+        self._slot = slot
+        self._kind = kind
+        self._began = loop.time()
+
+    def leave(self):
+        """Give up the place."""
+        seconds = self._loop.time() - self._began
+        self._places.leave(self._slot, kind=self._kind, seconds=seconds)
+
+
 class BodyPlace:
     """The permission to receive one large body, until `leave`."""
 
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from guavastream.kernel import TimeLimit, part_logger
+from guavastream.relay.body_queue import StreamedBodies
 from guavastream.relay.departure_gate import DepartureGate
 from guavastream.relay.level_reporter import LevelReporter
 from guavastream.relay.quarantine import Quarantine
@@ -216,6 +217,7 @@
         self._starts = {}
         self._key_counts = {}
         self._running_attempts = {}
+        self._streamed_bodies = StreamedBodies(loop=loop)
         self._work_meter = WorkMeter(clock=self._clock)
 
     @property
@@ -504,9 +506,12 @@
         if self._server.watch.has_ended(instance.id):
             raise NotRun("unreachable")
         has_turn = await self._wait_for_suspect_turn(attempt, instance)
+        place = None
         try:
             if attempt.key is not None:
                 await self._wait_for_key(attempt)
+            if attempt.rest is not None:
+                place = await self._streamed_bodies.enter(attempt, slots=instance.slots)
             with self._reserve_rate(attempt, instance) as reservation:
                 slot = await self._wait_for_slot(attempt, instance)
                 began, seconds = self._clock(), None
@@ -528,6 +533,8 @@
                     self._running_attempts.pop(attempt.id, None)
                     self._leave_slot(attempt, slot, seconds)
         finally:
+            if place is not None:
+                place.leave()
             if has_turn:
                 self._suspect_turn.release()
 
--- a/guavastream/relay/hop.py
+++ b/guavastream/relay/hop.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from guavastream.http1 import IncompleteMessage, format_head
+from guavastream.http1 import BudgetSpent, IncompleteMessage, format_head
 from guavastream.kernel import TimeLimit, TimeLimitGroup, replace
 from guavastream.relay.attempt import Attempt
 from guavastream.relay.body_queue import BodyQueue, RequestedBody
@@ -245,6 +245,8 @@
             await self._send_failure(
                 responder, attempt.kind, refused.code, refused.retry_after
             )
+        except BudgetSpent:
+            await self._send_failure(responder, attempt.kind, "no_memory")
         except OutcomeUnknown as unknown:
             await self._send_failure(responder, attempt.kind, unknown.code)
         except TimeoutError:
--- a/guavastream/relay/ingress.py
+++ b/guavastream/relay/ingress.py
@@ -5,7 +5,7 @@
 import logging
 import random
 
-from guavastream.http1 import BodyLost, Client, IncompleteMessage, NotSent
+from guavastream.http1 import BodyLost, BudgetSpent, Client, IncompleteMessage, NotSent
 from guavastream.kernel import Policy, TimeLimitGroup, part_logger, record, replace
 from guavastream.relay.attempt import Attempt
 from guavastream.relay.dialect import INTERNAL_PREFIX
@@ -51,6 +51,8 @@
 # Value of Retry-After while all servers of a service are in evacuated zones, which
 # lasts for seconds at least.
 EVACUATED_RETRY_SECONDS = 1.0
+# Value of Retry-After while bodies of other callers fill the memory.
+NO_MEMORY_RETRY_SECONDS = 0.5
 # Number of servers that may refuse a request for lack of capacity before the caller is
 # refused. They are the servers with the shortest expected times.
 MAX_REFUSALS = 3
@@ -206,6 +208,9 @@
                 await self._own_answers.fail(responder, job, job.unknown_outcomes[-1])
             else:
                 await self._own_answers.refuse(responder, job, refused)
+        except BudgetSpent:
+            refused = NotRun("no_memory", retry_after=NO_MEMORY_RETRY_SECONDS)
+            await self._own_answers.refuse(responder, job, refused)
         except OutcomeUnknown as unknown:
             await self._own_answers.fail(responder, job, unknown.code)
         except TimeoutError:
--- a/guavastream/relay/job.py
+++ b/guavastream/relay/job.py
@@ -234,8 +234,9 @@
         if not request.length or request.body.ended:
             body, rest = await read_body(request)
         else:
-            limits = index.config.limits
-            with TimeLimit.within(limits.idle_seconds, loop=self._loop):
+            # After its deadline it would be refused, and keep its memory until then.
+            idle_end = started + index.config.limits.idle_seconds
+            with TimeLimit(loop=self._loop, when=min(idle_end, deadline)):
                 body, rest = await read_body(request)
         fields = [
             (name, value)
--- a/guavastream/scheduling/outcome.py
+++ b/guavastream/scheduling/outcome.py
@@ -50,6 +50,8 @@
     "wrong_region": FailureRule(status=503),
     "evacuated": FailureRule(status=503, wait_for_owner=True, try_elsewhere=True),
     "no_time": FailureRule(status=503),
+    # The host has no memory for its body.
+    "no_memory": FailureRule(status=503, try_elsewhere=True),
     "quarantined": FailureRule(status=503),
     "silent": FailureRule(status=503, try_elsewhere=True),
     "unreachable": FailureRule(status=503, wait_for_owner=True, try_elsewhere=True),
