--- a/guavastream/http1/tests/test_capacity.py
+++ b/guavastream/http1/tests/test_capacity.py
@@ -15,6 +15,7 @@
     Patience,
     RequestMemory,
     Server,
+    TurnQueue,
 )
 from guavastream.http1.memory import (
     CONNECTION_BYTES,
@@ -276,6 +277,19 @@
     run_scenario(scenario)
 
 
+def test_whole_request_that_waits_for_its_turn_is_not_idle():
+    """Guards against ordinary callers that are closed while they wait to begin."""
+
+    async def scenario(rig):
+        rig.capacity.turns.may_start = lambda: False
+        rig.capacity.turns.start = lambda callback: None
+        await rig.connect(GET)
+        (connection,) = rig.server._connections
+        assert connection.patience is Patience.ORDINARY
+
+    run_scenario(scenario)
+
+
 def test_order_in_which_holders_are_closed():
     """Guards against ordinary callers that are closed before those who hold most."""
 
@@ -396,6 +410,41 @@
     run_scenario(scenario)
 
 
+def test_turns_of_connections_that_have_ended_are_skipped():
+    """Guards against requests that wait for the turns of clients that have left."""
+
+    async def scenario():
+        turns = TurnQueue(loop=asyncio.get_running_loop())
+        calls = []
+        for _ in range(1000):
+            turns.start(lambda: False)
+            turns.continue_later(lambda: False)
+        turns.start(lambda: calls.append("start") or True)
+        turns.continue_later(lambda: calls.append("further") or True)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert calls == ["start", "further"]
+
+    run_paused(scenario())
+
+
+def test_first_requests_of_connections_go_before_further_turns():
+    """Guards against a new caller that waits behind all that others have sent."""
+
+    async def scenario():
+        turns = TurnQueue(loop=asyncio.get_running_loop())
+        calls = []
+        for number in range(100):
+            turns.continue_later(lambda n=number: calls.append(n) or True)
+        turns.start(lambda: calls.append("start") or True)
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert calls[0] == "start"
+        assert len(calls) < 5
+
+    run_paused(scenario())
+
+
 def test_requests_sent_ahead_are_all_answered():
     """Guards against requests that are lost while they wait for turns."""
     count = 5000
