Requests sent ahead do not run for a caller who has left

Cause: at eight waiting requests reading pauses, so that the end of the connection is not read until they have been handled. Change: before a request that was sent ahead begins, the connection is asked for its end if reading pauses. The test fails before: 9 requests handled, 1 now. Connections of the tests stay open until their end, since a stream without a reference closes its own.

--- a/guavastream/http1/connection.py
+++ b/guavastream/http1/connection.py
@@ -247,25 +247,38 @@
                 self._rejection_status = 408
             elif not await self._unread_data_arrives():
                 return False
-        await self._wait_for_turn(waited)
-        return True
+        return await self._wait_for_turn(waited)
 
     async def _wait_for_turn(self, waited):
-        """Wait until the next request may begin.
+        """Wait until the next request may begin; return False if its caller has left.
 
         One that was sent ahead, or that takes long to begin, lets all others begin
         before; `waited` says that the request was not sent ahead.
         """
         if self._pipeline:
             # It has begun already.
-            return
+            return True
+        if not waited and self._caller_has_left():
+            return False
         goes_first = waited and len(self._requests[0].headers) <= MANY_FIELDS
         if goes_first and self._turns.may_start():
-            return
+            return True
         enter = self._turns.start if goes_first else self._turns.continue_later
         self._start_turn.clear()
         enter(self._give_turn)
         await self._start_turn.wait()
+        return True
+
+    def _caller_has_left(self):
+        """Abort the connection if its end waits behind data that is not read.
+
+        Without this, requests that were sent ahead would run for a caller who has left.
+        """
+        if not (self._reading_paused and self.has_hung_up()):
+            return False
+        self._lost = True
+        self.abort()
+        return True
 
     def _give_turn(self):
         self._start_turn.set()
@@ -343,6 +356,8 @@
     def _start_overlapping(self):
         """Start the requests that may run while earlier ones do."""
         starts = 0
+        if self._requests and self._responder is not None and self._caller_has_left():
+            return
         while (
             self._requests
             and self._responder is not None
--- a/guavastream/http1/tests/test_capacity.py
+++ b/guavastream/http1/tests/test_capacity.py
@@ -17,12 +17,13 @@
     Server,
     TurnQueue,
 )
+from guavastream.http1.connection import ServerConnection
 from guavastream.http1.memory import (
     CONNECTION_BYTES,
     MAX_BODY_WAIT_SECONDS,
     PATIENCE_SECONDS,
 )
-from guavastream.http1.receiving import FIELD_BYTES
+from guavastream.http1.receiving import FIELD_BYTES, MAX_WAITING_REQUESTS
 
 BIND_ADDRESS = ("10.0.0.1", 80)
 MACHINE_BYTES = 40 << 20
@@ -64,6 +65,7 @@
         self.answer = b""
         self._limits = Limits(**limits)
         self.server = None
+        self._writers = []
 
     async def start(self):
         self.server = Server(
@@ -83,6 +85,11 @@
         self.handled.append(request)
         await responder.send(200, (), self.answer)
 
+    def close(self):
+        """Close the connections of `connect`."""
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def ask(self, data=GET):
         """Send a request on a new connection, and return the status of the answer."""
         reader, writer = await asyncio.open_connection(*BIND_ADDRESS)
@@ -98,6 +105,8 @@
     async def connect(self, data):
         """Send bytes on a new connection, and return its reader and writer."""
         reader, writer = await asyncio.open_connection(*BIND_ADDRESS)
+        # A writer that nobody refers to closes its connection.
+        self._writers.append(writer)
         writer.write(data)
         await asyncio.sleep(SETTLE_SECONDS)
         return reader, writer
@@ -108,6 +117,7 @@
         rig = Rig(**limits)
         await rig.start()
         await scenario(rig)
+        rig.close()
         await rig.server.stop()
 
     with warnings.catch_warnings():
@@ -228,9 +238,7 @@
     async def scenario(rig):
         most = rig.capacity.memory.max_connections
         for _ in range(most + 50):
-            _, writer = await asyncio.open_connection(*BIND_ADDRESS)
-            writer.write(b"GET /x HT")
-        await asyncio.sleep(SETTLE_SECONDS)
+            await rig.connect(b"GET /x HT")
         assert rig.server.open_count <= most
         assert await rig.ask() == 200
 
@@ -481,3 +489,23 @@
         assert await rig.ask(head + chunk * 20) == 413
 
     run_scenario(scenario, body_bytes=1 << 20)
+
+
+def test_requests_sent_ahead_do_not_run_for_a_caller_who_has_left(monkeypatch):
+    """Guards against work for a caller whose end waits behind unread requests."""
+
+    async def scenario(rig):
+        async def run(request, responder):
+            rig.handled.append(request)
+            await asyncio.sleep(1.0)
+            await responder.send(200)
+
+        rig.server.handler = run
+        # Reading pauses, so that the end of the connection is not read either.
+        await rig.connect(GET * (MAX_WAITING_REQUESTS + 1))
+        monkeypatch.setattr(ServerConnection, "has_hung_up", lambda self: True)
+        await asyncio.sleep(20.0)
+        assert len(rig.handled) == 1
+        assert rig.server.open_count == 0
+
+    run_scenario(scenario)
