A leaving server gets no body that is passed on while it comes

Cause, by reading: a server takes requests for 1.6 s after it has announced that it leaves, which leaves 0.4 s for the way. The head of an upload over 512 KB can go in that time and its body take as long as its caller sends; a server that reads the body first begins to run then. Change: such a request, if it has no key, is refused as not run once the server leaves, and goes elsewhere. The test fails before (200, run 3 s after the announcement).

--- a/guavastream/http1/memory.py
+++ b/guavastream/http1/memory.py
@@ -110,6 +110,8 @@
         The running loop.
     limit : int
         Bytes that all connections of the process may hold together.
+    max_descriptors : int, optional
+        Connections that the process may have open, whatever they hold.
     count : callable, optional
         Counts an event by name.
 
@@ -120,9 +122,10 @@
     refused first, so that ordinary callers are not.
     """
 
-    def __init__(self, *, loop, limit, count=None):
+    def __init__(self, *, loop, limit, max_descriptors=None, count=None):
         self._loop = loop
         self._limit = limit
+        self._max_descriptors = max_descriptors
         self._count = count or (lambda name: None)
         self._holders = {}
         self._held = 0
@@ -145,7 +148,8 @@
     @property
     def max_connections(self):
         """Number of connections above which one is closed for each new one."""
-        return int(self._limit * CONNECTIONS_SHARE / CONNECTION_BYTES)
+        allowed = int(self._limit * CONNECTIONS_SHARE / CONNECTION_BYTES)
+        return min(allowed, self._max_descriptors or allowed)
 
     @property
     def max_bodies(self):
@@ -292,18 +296,28 @@
                 holder.note_period()
             self._timer = self._loop.call_later(PATIENCE_SECONDS, self._end_period)
 
+    @property
+    def _is_short(self):
+        return (
+            self._held > self._limit * WATCHED_SHARE
+            or self._reserved > self.max_bodies * WATCHED_SHARE
+            or bool(self._waiting)
+        )
+
     def _end_period(self):
         self._timer = None
-        for holder in list(self._holders):
-            holder.note_period()
-        is_short = self._held > self._limit * WATCHED_SHARE
-        if is_short or self._waiting:
-            self._shed_slow()
-        if self._held > self._limit * CALM_SHARE:
-            self._timer = self._loop.call_later(PATIENCE_SECONDS, self._end_period)
-        elif self._peak > self._limit * FLOOD_SHARE:
+        if self._is_short:
+            for holder in list(self._holders):
+                holder.note_period()
+            if self._held > self._limit * WATCHED_SHARE or self._waiting:
+                self._shed_slow()
+        elif self._peak <= self._limit * FLOOD_SHARE:
+            return
+        elif self._held <= self._limit * CALM_SHARE:
             self._peak = self._held
             _return_freed_memory()
+            return
+        self._timer = self._loop.call_later(PATIENCE_SECONDS, self._end_period)
 
     def _shed_slow(self):
         slow = [h for h in self._holders if h.patience is Patience.SLOW]
--- a/guavastream/relay/departure_gate.py
+++ b/guavastream/relay/departure_gate.py
@@ -85,17 +85,19 @@
         if self._local_id() == id:
             self._queue.refuse_waiting()
 
-    def check(self, instance):
-        """Refuse a request if an instance leaves and must get nothing more.
+    def check(self, attempt, instance):
+        """Refuse an attempt if an instance leaves and must not get it any more.
 
         Raises
         ------
         NotRun
-            If it must not get the request.
+            If it must not get the attempt.
         """
         if not instance.leaving and instance.id not in self._departures:
             return
-        if self._departures.is_over(instance.id):
+        # A body that is passed on may arrive, and begin to run, long after its head.
+        arrives_late = attempt.rest is not None and attempt.key is None
+        if arrives_late or self._departures.is_over(instance.id):
             raise NotRun("leaving")
 
     def check_wait(self, attempt, instance):
--- a/guavastream/relay/guard.py
+++ b/guavastream/relay/guard.py
@@ -739,7 +739,7 @@
             raise NotRun("unconfirmed")
         self._refuse_if_rerouted(attempt)
         self._refuse_if_evacuated(attempt, instance)
-        self._departure_gate.check(instance)
+        self._departure_gate.check(attempt, instance)
 
     def _refuse_if_rerouted(self, attempt):
         """Refuse an attempt that a newer configuration than the sender's leads away."""
--- a/guavastream/relay/tests/test_large_bodies.py
+++ b/guavastream/relay/tests/test_large_bodies.py
@@ -225,6 +225,19 @@
     run_scenario(scenario, hosts=2, routes=ROUTES)
 
 
+def test_leaving_server_gets_no_body_that_arrives_late():
+    """Guards against an upload that begins to run after the drain of its server."""
+
+    async def scenario(mesh):
+        mesh.apply(LeaveInstance(id=mesh.hosts[0].id))
+        mesh.hosts[1].guard.note_leaving(mesh.hosts[1].id)
+        # The rest of the body takes more than two seconds.
+        assert await upload(mesh, b"u1", make_body(1), pause=0.09) == 503
+        assert mesh.ran(b"u1") == 0
+
+    run_scenario(scenario, hosts=2, routes=ROUTES)
+
+
 def test_body_that_its_caller_breaks_off_does_not_run():
     """Guards against a truncated body that looks whole to the server."""
 
