Accept few connections at a time, not none, while requests wait to begin

Cause: such clients keep the queue of requests that wait to begin full, and then no connection was accepted at all.

--- a/guavastream/http1/connection.py
+++ b/guavastream/http1/connection.py
@@ -35,7 +35,7 @@
 # Header fields above which a request waits for its turn: each is copied several times.
 MANY_FIELDS = 64
 # Requests of one connection that begin in a turn, of those that may overlap.
-OVERLAPPING_STARTS = 2
+OVERLAPPING_STARTS = 4
 # Value of Retry-After of a request for which there is no memory.
 RETRY_AFTER_SPENT = b"0.5"
 
--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -136,7 +136,7 @@
             listener = open_listener(
                 self._address,
                 receive_bytes=RECEIVE_BUFFER_BYTES,
-                may_accept=lambda: not turns.is_crowded,
+                is_busy=lambda: turns.is_crowded,
             )
             # The event loop accepts as many connections at once as the backlog that it
             # is told, each with the cost of a small request.
--- a/guavastream/http1/turns.py
+++ b/guavastream/http1/turns.py
@@ -14,7 +14,7 @@
 BURST_SECONDS = 0.002
 # Requests that the queue lets begin in one iteration of the loop.
 STARTS_PER_ITERATION = 8
-# Requests that wait to begin at which no more connections are accepted.
+# Requests that wait to begin at which few connections are accepted at a time.
 MAX_WAITING_STARTS = 32
 
 
@@ -58,7 +58,7 @@
 
     @property
     def is_crowded(self):
-        """Whether so many requests wait to begin that no more should come."""
+        """Whether so many requests wait to begin that few more should come."""
         return len(self._starts) >= MAX_WAITING_STARTS
 
     def start(self, callback):
--- a/guavastream/kernel/listening.py
+++ b/guavastream/kernel/listening.py
@@ -26,6 +26,7 @@
 # Connections in a row that have ended before they were accepted; a few microseconds
 # each.
 MAX_ENDED_CONNECTIONS = 64
+MAX_ACCEPTS_WHILE_BUSY = 2
 
 # Instructions: opcode, jump if true, jump if false, operand. Returning 0 drops the
 # packet.
@@ -46,11 +47,13 @@
 
     Attributes
     ----------
-    may_accept : callable
-        Whether connections may be accepted now; others wait in the kernel.
+    is_busy : callable
+        Whether other work should go on between two connections; then few are accepted
+        at a time.
     """
 
-    may_accept = staticmethod(lambda: True)
+    is_busy = staticmethod(lambda: False)
+    _accepted_while_busy = 0
 
     def accept(self):
         """Accept the next connection whose peer has not closed it.
@@ -58,11 +61,14 @@
         Raises
         ------
         BlockingIOError
-            If there is none, none may be accepted now, or so many have ended that other
-            work should go on first.
+            If there is none, or so many were accepted or had ended that other work
+            should go on first.
         """
-        if not self.may_accept():
-            raise BlockingIOError
+        if self.is_busy():
+            if self._accepted_while_busy >= MAX_ACCEPTS_WHILE_BUSY:
+                self._accepted_while_busy = 0
+                raise BlockingIOError
+            self._accepted_while_busy += 1
         for _ in range(MAX_ENDED_CONNECTIONS):
             connection, address = super().accept()
             if not has_socket_event(connection, select.POLLRDHUP):
@@ -78,7 +84,7 @@
     return bool(poll.poll(0))
 
 
-def open_listener(address, *, receive_bytes, may_accept):
+def open_listener(address, *, receive_bytes, is_busy):
     """Return a bound `LiveListener`.
 
     Parameters
@@ -88,8 +94,8 @@
     receive_bytes : int
         Size of the receive buffer of each connection, in bytes. Without it the kernel
         enlarges the buffers of connections that are read quickly.
-    may_accept : callable
-        Whether connections may be accepted now.
+    is_busy : callable
+        Whether few connections should be accepted at a time.
 
     Raises
     ------
@@ -97,7 +103,7 @@
         If the address cannot be bound.
     """
     listener = LiveListener()
-    listener.may_accept = may_accept
+    listener.is_busy = is_busy
     try:
         listener.setblocking(False)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
