--- a/guavastream/relay/body_queue.py
+++ b/guavastream/relay/body_queue.py
@@ -140,21 +140,20 @@
         self._kind = kind
         self._began = loop.time()
 
-    def leave(self):
-        """Give up the place."""
-        seconds = self._loop.time() - self._began
-        self._places.leave(self._slot, kind=self._kind, seconds=seconds)
+    def leave(self, *, received=True):
+        """Give up the place; `received` says whether the body arrived in it."""
+        if self._slot is None:
+            return
+        slot, self._slot = self._slot, None
+        seconds = self._loop.time() - self._began if received else None
+        self._places.leave(slot, kind=self._kind, seconds=seconds)
 
 
-class BodyPlace:
-    """The permission to receive one large body, until `leave`."""
+class BodyPlace(StreamedPlace):
+    """The permission to receive one large body over the link, until `leave`."""
 
     def __init__(self, *, loop, places, slot, kind):
-        self._loop = loop
-        self._places = places
-        self._slot = slot
-        self._kind = kind
-        self._began = loop.time()
+        super().__init__(loop=loop, places=places, slot=slot, kind=kind)
         self._timer = loop.call_later(MAX_BODY_SECONDS, self.leave)
 
     def time_limit(self):
@@ -162,13 +161,9 @@
         return TimeLimit(loop=self._loop, when=self._began + MAX_BODY_SECONDS)
 
     def leave(self, *, received=False):
-        """Give up the place; `received` says whether the body arrived in it."""
-        if self._slot is None:
-            return
+        """Give up the place, also when it was held for too long."""
         self._timer.cancel()
-        slot, self._slot = self._slot, None
-        seconds = self._loop.time() - self._began if received else None
-        self._places.leave(slot, kind=self._kind, seconds=seconds)
+        super().leave(received=received)
 
 
 class RequestedBody(BodyRest):
