A shorter listen queue; floods of several forms at once

What callers saw, several forms at once at 200 MB: stalled uploads, slow readers and quick requests, 7 of 42 served; heartbeats, readiness sent ahead and clients that break off, 2 of 46 and a process at 200 MB, 90 of them unread. Cause: 1,024 connections in a listen queue each have up to 90 KB that nobody has read, and ordinary connections wait behind them, or their first packet is dropped, while two at a time are accepted. Change: 256 in the queue, four at a time.

--- a/guavastream/http1/server.py
+++ b/guavastream/http1/server.py
@@ -12,7 +12,9 @@
 
 __all__ = ["Limits", "Server"]
 
-ACCEPT_BACKLOG = 1024
+# Connections that wait to be accepted. What their senders have sent is memory of the
+# process, and no budget counts it.
+ACCEPT_BACKLOG = 256
 # Connections that are accepted in one iteration of the event loop.
 ACCEPTS_PER_ITERATION = 8
 # Connections that are looked at for each one that is opened above the maximum.
--- a/guavastream/kernel/listening.py
+++ b/guavastream/kernel/listening.py
@@ -26,7 +26,7 @@
 # Connections in a row that have ended before they were accepted; a few microseconds
 # each.
 MAX_ENDED_CONNECTIONS = 64
-MAX_ACCEPTS_WHILE_BUSY = 2
+MAX_ACCEPTS_WHILE_BUSY = 4
 
 # Instructions: opcode, jump if true, jump if false, operand. Returning 0 drops the
 # packet.
--- a/guavastream/platform/flood.py
+++ b/guavastream/platform/flood.py
@@ -24,6 +24,8 @@
 
 EXIT_FAILED = 5
 MB = 1 << 20
+# Between the names of floods that are played at the same time, against one host.
+SEPARATOR = "+"
 # Pause between two ordinary requests at a host, each on a connection of its own.
 ORDINARY_PAUSE_SECONDS = 0.1
 # Longest time that an ordinary caller waits, with the command's default.
@@ -264,7 +266,8 @@
         )
 
     async def _play(self, name):
-        flood = FLOODS[name]
+        parts = name.split(SEPARATOR)
+        flood = FLOODS[parts[0]]
         first, second = self._platform.server_hosts
         target = self._platform.control_hosts[0] if flood.control else first.machine
         watch = MemoryWatch(machine=target, limit=self._memory_mb * MB)
@@ -275,19 +278,20 @@
             timeout=READINESS_TIMEOUT_SECONDS,
             send=lambda: self._is_ready(first.machine),
         )
-        clients = await self._start_clients(name, target, flood.port)
+        clients = [await self._start_clients(part, target) for part in parts]
         watching = asyncio.ensure_future(watch.run())
         try:
             await asyncio.gather(
                 *(group.run(self._seconds) for group in (callers, others, ready))
             )
-            await clients.wait()
+            await asyncio.gather(*(process.wait() for process in clients))
             await asyncio.sleep(self._calm)
         finally:
             watching.cancel()
-            with contextlib.suppress(ProcessLookupError):
-                clients.kill()
-            await clients.wait()
+            for process in clients:
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+                await process.wait()
         ended = target.process.returncode is not None
         result = FloodResult(
             name=name,
@@ -308,8 +312,8 @@
             await self._restart(target, flood)
         return result
 
-    async def _start_clients(self, name, machine, port):
-        ip, _, number = machine.address(port).rpartition(":")
+    async def _start_clients(self, name, machine):
+        ip, _, number = machine.address(FLOODS[name].port).rpartition(":")
         return await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -391,7 +395,9 @@
     example="guavastream flood --seconds 10 --memory-mb 200 'tiny chunks'",
 )
 def _set_up_command(parser):
-    parser.add_argument("names", nargs="*", help="floods; all by default")
+    parser.add_argument(
+        "names", nargs="*", help="floods, or A+B for two at once; all by default"
+    )
     parser.add_argument("--seconds", type=float, default=10.0, help="of each (10)")
     parser.add_argument(
         "--memory-mb", type=int, default=300, help="of each machine (300)"
@@ -401,7 +407,8 @@
 
 
 def _run_command(arguments):
-    unknown = [name for name in arguments.names if name not in FLOODS]
+    parts = [part for name in arguments.names for part in name.split(SEPARATOR)]
+    unknown = [part for part in parts if part not in FLOODS]
     if unknown:
         print(f"unknown floods: {unknown}; known: {list(FLOODS)}", file=sys.stderr)
         return 2
