The reader of a long answer is slow by what it reads, not by what waits

What a caller would see: a long answer that is cut while memory is short, though it is read quickly. Found while reading the change. Cause: the least progress of a reader was taken from the unsent bytes at two moments, which are never 0 while an answer is passed on. Change: bytes written are counted; what has left the buffer is the progress. The test fails before: a reader of 1 MB a second counted as slow.

--- a/guavastream/http1/flow.py
+++ b/guavastream/http1/flow.py
@@ -29,6 +29,7 @@
     def __init__(self):
         self._loop = asyncio.get_running_loop()
         self._transport = None
+        self._written_bytes = 0
         self._progress = Signal(loop=self._loop)
         self._writable = Signal(loop=self._loop)
         self._writable.set()
@@ -60,6 +61,7 @@
         if transport.is_closing():
             return False
         was_empty = not transport.get_write_buffer_size()
+        self._written_bytes += len(data)
         transport.write(data)
         return not (was_empty and transport.is_closing())
 
--- a/guavastream/http1/holding.py
+++ b/guavastream/http1/holding.py
@@ -37,8 +37,8 @@
         )
         self._unsent_charge = 0
         # Progress of the peer when the current period began.
-        self._received_before = self._unsent_before = 0
-        self._was_receiving = self._is_slow = False
+        self._received_before = self._sent_before = 0
+        self._was_receiving = self._was_unread = self._is_slow = False
 
     def connection_made(self, transport):
         super().connection_made(transport)
@@ -100,14 +100,14 @@
     def note_period(self):
         """Note whether the peer made less than the least progress since last time."""
         unsent = self._transport.get_write_buffer_size()
-        received = self._progress_bytes - self._received_before
-        sent = self._unsent_before - unsent
+        sent = self._written_bytes - unsent
         least = MIN_PROGRESS_BYTES_PER_SECOND * PATIENCE_SECONDS
-        is_unread = self._unsent_before > 0 and unsent > 0 and sent < least
+        is_unread = self._was_unread and unsent > 0 and sent - self._sent_before < least
+        received = self._progress_bytes - self._received_before
         is_stalled = self._was_receiving and self._expects_data and received < least
         self._is_slow = is_unread or is_stalled or self.has_hung_up()
-        self._received_before, self._unsent_before = self._progress_bytes, unsent
-        self._was_receiving = self._expects_data
+        self._received_before, self._sent_before = self._progress_bytes, sent
+        self._was_receiving, self._was_unread = self._expects_data, unsent > 0
 
     @property
     def _expects_data(self):
--- a/guavastream/http1/tests/test_capacity.py
+++ b/guavastream/http1/tests/test_capacity.py
@@ -259,6 +259,31 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(("bytes_per_second", "is_slow"), [(1000, True), (1e6, False)])
+def test_reader_of_a_long_answer_is_slow_only_if_it_reads_slowly(
+    bytes_per_second, is_slow
+):
+    """Guards against answers that are cut under pressure although they are read."""
+
+    async def scenario(rig):
+        async def stream(request, responder):
+            await responder.start(200, ())
+            while True:
+                await responder.write(bytes(50_000))
+
+        rig.server.handler = stream
+        reader, _ = await rig.connect(GET)
+        (connection,) = rig.server._connections
+        connection.note_period()
+        for _ in range(10):
+            await reader.readexactly(int(bytes_per_second * PATIENCE_SECONDS / 10))
+            await asyncio.sleep(PATIENCE_SECONDS / 10)
+        connection.note_period()
+        assert (connection.patience is Patience.SLOW) == is_slow
+
+    run_scenario(scenario)
+
+
 def test_trailers_are_neither_kept_nor_fields_of_the_request():
     """Guards against fields behind the body that fill memory or pass as the head's."""
 
