--- a/guavastream/platform/flood.py
+++ b/guavastream/platform/flood.py
@@ -31,11 +31,10 @@
 # Longest time that an ordinary caller waits, with the command's default.
 ORDINARY_TIMEOUT_SECONDS = 1.2
 READINESS_PAUSE_SECONDS = 0.5
-READINESS_TIMEOUT_SECONDS = 1.0
 WATCH_SECONDS = 0.05
 # Time after a flood until the memory that is kept is read, with the command's default.
 CALM_SECONDS = 3.0
-# Time in which a refused upload after a flood is sent again, and the pause between.
+# Time in which an upload after a flood is sent again, and the pause between.
 REFUSED_SECONDS = 5.0
 RETRY_SECONDS = 0.5
 CONFIG_VERSION = 3
@@ -275,7 +274,7 @@
         others = self._callers(second.machine, is_control=False)
         ready = OrdinaryCallers(
             pause=READINESS_PAUSE_SECONDS,
-            timeout=READINESS_TIMEOUT_SECONDS,
+            timeout=self._timeout,
             send=lambda: self._is_ready(first.machine),
         )
         clients = [await self._start_clients(part, target) for part in parts]
@@ -330,8 +329,8 @@
     async def _send_large_body(self):
         """Return the status of a single upload inside the limits, in calm.
 
-        Uploads of the flood may not have ended yet, so it is sent again while it is
-        refused.
+        What the flood has sent may not have been read yet, so it is sent again for a
+        time while it is not served.
         """
         host = self._platform.server_hosts[0]
         body = b"x" * (8 * MB)
@@ -340,7 +339,7 @@
             status = await self._send(
                 host.machine, method=b"POST", path=b"/load/x", body=body
             )
-            if status != 503 or time.monotonic() > until:
+            if status == 200 or time.monotonic() > until:
                 return status
             await asyncio.sleep(RETRY_SECONDS)
 
